LibRouting: Decide on admission, targets, resume and drain

The first whole version behind Events.h: a token counts only from the adopted attempt at the next offset, a lost stream is resumed at once, a silent one is raced and may still win. Policies and selectors are plug-ins that register themselves; BuiltInPlugins keeps the linker from dropping them out of the static library.

--- /dev/null
+++ b/Libraries/LibRouting/AdmissionQueue.h
@@ -0,0 +1,63 @@
+// Requests that wait for a slot, by service. Urgent ones go first, then generations that lost their stream,
+// then patient requests. Within a rank, workspaces take turns by their weight (start-time fair queueing).
+
+#pragma once
+
+#include <LibCore/Ids.h>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Wisteria {
+
+// In the order in which they are served.
+enum class WaitingRank { Urgent, Resume, Patient };
+
+class AdmissionQueue
+{
+public:
+    void push(const ServiceName &, WaitingRank, const WorkspaceName &, double weight, const GenerationId &);
+    // The generation that is served next. It stays in the queue.
+    [[nodiscard]] std::optional<GenerationId> front(const ServiceName &, WaitingRank) const;
+    // Takes the front out and charges its workspace.
+    void pop(const ServiceName &, WaitingRank);
+    // Takes a generation out without charge. Unknown ones are ignored.
+    void remove(const ServiceName &, const GenerationId &);
+
+    [[nodiscard]] std::vector<ServiceName> services() const;
+    [[nodiscard]] std::size_t size(WaitingRank) const;
+    [[nodiscard]] bool isEmpty() const { return m_services.empty(); }
+
+private:
+    struct Item
+    {
+        GenerationId generation;
+        double cost{1};
+    };
+    struct Lane
+    {
+        std::deque<Item> items;
+        // Virtual time at which the lane's front may start. An empty lane keeps it, so that a workspace
+        // cannot shed its charge by asking for one thing at a time.
+        double start{0};
+    };
+    struct RankQueue
+    {
+        std::map<WorkspaceName, Lane> lanes;
+        // Virtual time: the start of the item served last. A workspace that was idle begins here.
+        double now{0};
+    };
+    using ServiceQueue = std::map<WaitingRank, RankQueue>;
+
+    [[nodiscard]] const RankQueue *find(const ServiceName &, WaitingRank) const;
+    void dropIfEmpty(const ServiceName &);
+
+    // Invariant: holds a service only while one of its requests waits.
+    std::map<ServiceName, ServiceQueue> m_services;
+    std::map<WaitingRank, std::size_t> m_sizes;
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/AttemptLauncher.cpp
@@ -0,0 +1,149 @@
+// Begins and ends attempts.
+
+#include <LibRouting/AttemptLauncher.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace Wisteria {
+
+namespace detail {
+
+// Alternatives that a decision's log line names.
+constexpr std::size_t maxAlternatives = 3;
+
+SlotClass slotClassFor(const Generation &generation)
+{
+    // A generation that lost its stream was admitted already; it must not wait behind new work.
+    if (generation.request.urgency == Urgency::Urgent || generation.hasDelivered())
+        return SlotClass::Priority;
+    return SlotClass::Patient;
+}
+
+std::size_t leastLoadedCached(std::span<const TargetCandidate> candidates)
+{
+    auto better = [](const TargetCandidate &a, const TargetCandidate &b) {
+        if (a.holdsHead != b.holdsHead)
+            return a.holdsHead;
+        return a.utilisation() < b.utilisation();
+    };
+    return static_cast<std::size_t>(std::ranges::min_element(candidates, better) - candidates.begin());
+}
+
+} // namespace detail
+
+CandidateQuery AttemptLauncher::queryFor(const Generation &generation) const
+{
+    CandidateQuery query;
+    query.service = generation.request.service;
+    query.head = generation.request.head;
+    query.slotClass = detail::slotClassFor(generation);
+    query.urgentReserve = m_state.configuration.preset().urgentReserve;
+    query.failed = generation.failedTargets;
+    for (const auto &it : generation.attempts)
+        query.running.push_back(it.target);
+    return query;
+}
+
+std::size_t AttemptLauncher::select(const Generation &generation, ResumeTarget how,
+                                    std::span<const TargetCandidate> candidates) const
+{
+    const PromptHead head = generation.request.head;
+    switch (how) {
+    case ResumeTarget::BySelector:
+        return m_state.selector->select(candidates, head);
+    case ResumeTarget::MostCached:
+        return detail::leastLoadedCached(candidates);
+    case ResumeTarget::RoundRobin:
+        return m_state.roundRobin.select(candidates, head);
+    }
+    return 0;
+}
+
+TargetChoice AttemptLauncher::choose(const Generation &generation, ResumeTarget how) const
+{
+    const Candidates candidates = m_state.targets.candidates(queryFor(generation), m_state.now);
+    TargetChoice choice;
+    if (!candidates.anyExists)
+        return choice;
+    choice.outcome = TargetChoice::Outcome::NoRoom;
+    if (candidates.withRoom.empty())
+        return choice;
+    const std::size_t chosen = select(generation, how, candidates.withRoom);
+    const TargetCandidate &target = candidates.withRoom[chosen];
+    choice.outcome = TargetChoice::Outcome::Chosen;
+    choice.target = target.id;
+    choice.reason = absl::StrCat(
+        std::string(how == ResumeTarget::BySelector ? m_state.selector->reason() : "resume policy"),
+        ", load ", target.load, "/", target.slots, target.holdsHead ? ", holds the prompt's head" : "");
+    for (const auto &it : candidates.withRoom) {
+        if (it.id != target.id && choice.alternatives.size() < detail::maxAlternatives)
+            choice.alternatives.push_back(it.id);
+    }
+    return choice;
+}
+
+void AttemptLauncher::start(Generation &generation, const TargetChoice &choice, DecisionKind kind)
+{
+    TargetState *target = m_state.targets.find(choice.target);
+    target->noteAttemptBegun(m_state.now);
+    target->cache().noteStored(generation.request.head);
+    ++generation.attemptsMade;
+    ++generation.attemptsSinceProgress;
+    const Attempt &attempt = m_state.generations.addAttempt(generation,
+                                                            Attempt{.target = choice.target,
+                                                                    .streamStart = generation.next,
+                                                                    .startedAt = m_state.now,
+                                                                    .lastProgress = m_state.now});
+    m_state.record(kind, generation.id(), choice.target, choice.reason, choice.alternatives);
+    m_state.out.push_back(StartAttempt{attempt.id, generation.id(), choice.target, generation.next,
+                                       generation.request.urgency});
+    m_state.touch(generation);
+}
+
+void AttemptLauncher::reattach(Generation &generation, const ResumePoint &point)
+{
+    m_state.targets.find(point.target)->noteReattachBegun();
+    ++generation.attemptsMade;
+    ++generation.attemptsSinceProgress;
+    const Attempt &attempt = m_state.generations.addAttempt(generation,
+                                                            Attempt{.target = point.target,
+                                                                    .kind = AttemptKind::Reattach,
+                                                                    .stream = point.stream,
+                                                                    .streamStart = point.streamStart,
+                                                                    .startedAt = m_state.now,
+                                                                    .lastProgress = m_state.now});
+    m_state.record(DecisionKind::Reattach, generation.id(), point.target, "the stream may still run");
+    m_state.out.push_back(ReattachAttempt{attempt.id, generation.id(), point.target, point.stream,
+                                          point.streamStart, generation.next});
+    m_state.touch(generation);
+}
+
+void AttemptLauncher::cancel(Generation &generation, AttemptId id)
+{
+    release(generation, id);
+    m_state.out.push_back(CancelAttempt{id});
+}
+
+void AttemptLauncher::cancelAllBut(Generation &generation, AttemptId winner)
+{
+    std::vector<AttemptId> losers;
+    for (const auto &it : generation.attempts) {
+        if (it.id != winner)
+            losers.push_back(it.id);
+    }
+    for (const auto &it : losers)
+        cancel(generation, it);
+}
+
+void AttemptLauncher::release(Generation &generation, AttemptId id)
+{
+    const Attempt attempt = m_state.generations.removeAttempt(generation, id);
+    if (TargetState *target = m_state.targets.find(attempt.target))
+        target->noteAttemptEnded(m_state.now);
+    m_state.roomMayHaveChanged = true;
+    m_state.touch(generation);
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/GenerationCloser.cpp
@@ -0,0 +1,87 @@
+// Ends generations: whole, refused, handed over or left by their caller.
+
+#include <LibRouting/GenerationCloser.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+// Whether the caller's last event id names the attempt's stream, so that the next router can re-attach to it.
+bool isKnownToCaller(const Attempt &attempt)
+{
+    return attempt.progress == AttemptProgress::Producing || attempt.kind == AttemptKind::Reattach;
+}
+
+} // namespace detail
+
+void GenerationCloser::complete(Generation &generation, FinishReason reason)
+{
+    const TargetId target = generation.attempts.empty() ? TargetId() : generation.attempts.front().target;
+    m_state.record(DecisionKind::Complete, generation.id(), target,
+                   reason == FinishReason::Stop ? "stop" : "length");
+    m_state.out.push_back(CompleteGeneration{generation.id(), generation.next, reason});
+    remove(generation);
+}
+
+void GenerationCloser::refuse(Generation &generation, ErrorCode code, std::string detail)
+{
+    refuse(generation.id(), code, std::move(detail));
+    remove(generation);
+}
+
+void GenerationCloser::handOver(Generation &generation)
+{
+    m_state.record(DecisionKind::HandOver, generation.id(), TargetId(), "this router stops");
+    m_state.out.push_back(HandOverGeneration{generation.id()});
+    // The stream runs on for the next router; only what the caller cannot name is cancelled.
+    std::vector<AttemptId> kept;
+    for (const auto &it : generation.attempts) {
+        if (detail::isKnownToCaller(it))
+            kept.push_back(it.id);
+    }
+    for (const auto &it : kept)
+        m_launcher.release(generation, it);
+    remove(generation);
+}
+
+void GenerationCloser::forget(Generation &generation)
+{
+    remove(generation);
+}
+
+void GenerationCloser::refuse(const GenerationId &id, ErrorCode code, std::string detail)
+{
+    m_state.record(DecisionKind::Refuse, id, TargetId(),
+                   std::string(errorName(code)) + (detail.empty() ? "" : ": " + detail));
+    m_state.out.push_back(RefuseGeneration{id, Error{code, std::move(detail), retryAfter(code)}});
+}
+
+void GenerationCloser::remove(Generation &generation)
+{
+    while (!generation.attempts.empty())
+        m_launcher.cancel(generation, generation.attempts.back().id);
+    if (generation.waiting)
+        m_state.queue.remove(generation.request.service, generation.id());
+    m_state.shares.remove(generation.request.workspace);
+    m_state.touched.erase(generation.id());
+    m_state.generations.remove(generation);
+}
+
+std::optional<absl::Duration> GenerationCloser::retryAfter(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::Draining:
+        return m_state.retryAfter(absl::Milliseconds(100));
+    case ErrorCode::WorkspaceLimitReached:
+    case ErrorCode::Overloaded:
+    case ErrorCode::ConfigurationStale:
+        return m_state.retryAfter(absl::Seconds(1));
+    case ErrorCode::NoTargetAvailable:
+    case ErrorCode::RetryBudgetExhausted:
+        return m_state.retryAfter(absl::Seconds(2));
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/GenerationCloser.h
@@ -0,0 +1,32 @@
+// The ways in which a generation leaves a router. Each tells the caller at once and frees everything.
+
+#pragma once
+
+#include <LibRouting/AttemptLauncher.h>
+
+namespace Wisteria {
+
+class GenerationCloser
+{
+public:
+    GenerationCloser(RoutingState &state, AttemptLauncher &launcher)
+        : m_state(state), m_launcher(launcher) { }
+
+    // The reference is dead after each of these.
+    void complete(Generation &, FinishReason);
+    void refuse(Generation &, ErrorCode, std::string detail);
+    void handOver(Generation &);
+    void forget(Generation &);
+
+    // Refuses a request that was not admitted.
+    void refuse(const GenerationId &, ErrorCode, std::string detail);
+
+private:
+    void remove(Generation &);
+    [[nodiscard]] std::optional<absl::Duration> retryAfter(ErrorCode);
+
+    RoutingState &m_state;
+    AttemptLauncher &m_launcher;
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/LeastLoadedSelector.cpp
@@ -0,0 +1,17 @@
+// Least load first; ties go to the first id.
+
+#include <LibRouting/LeastLoadedSelector.h>
+
+#include <algorithm>
+
+namespace Wisteria {
+
+const TargetSelectorRegistration<LeastLoadedSelector> LeastLoadedSelector::registration{"least-loaded"};
+
+std::size_t LeastLoadedSelector::select(std::span<const TargetCandidate> candidates, PromptHead)
+{
+    auto best = std::ranges::min_element(candidates, {}, &TargetCandidate::utilisation);
+    return static_cast<std::size_t>(best - candidates.begin());
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/PluginRegistry.h
@@ -0,0 +1,68 @@
+// The registry through which plug-ins of one interface are found by name. A plug-in registers itself by a
+// PluginRegistration at namespace scope; BuiltInPlugins.cpp makes the linker keep those of this library.
+
+#pragma once
+
+#include <LibCore/Verify.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Wisteria {
+
+template <typename Interface>
+class PluginRegistry
+{
+public:
+    using Factory = std::unique_ptr<Interface> (*)();
+
+    [[nodiscard]] static PluginRegistry &instance()
+    {
+        static PluginRegistry registry;
+        return registry;
+    }
+
+    // The name must be free.
+    void add(std::string name, Factory factory)
+    {
+        const bool added = m_factories.emplace(std::move(name), factory).second;
+        VERIFY(added);
+    }
+
+    // Null when no plug-in has the name.
+    [[nodiscard]] std::unique_ptr<Interface> create(std::string_view name) const
+    {
+        auto it = m_factories.find(name);
+        return it == m_factories.end() ? nullptr : it->second();
+    }
+
+    [[nodiscard]] std::vector<std::string> names() const
+    {
+        std::vector<std::string> out;
+        for (const auto &[name, factory] : m_factories)
+            out.push_back(name);
+        return out;
+    }
+
+private:
+    PluginRegistry() = default;
+
+    // Invariant: changed only while the program's static objects are made, so reads need no lock.
+    std::map<std::string, Factory, std::less<>> m_factories;
+};
+
+template <typename Interface, typename Plugin>
+class PluginRegistration
+{
+public:
+    explicit PluginRegistration(std::string name)
+    {
+        PluginRegistry<Interface>::instance().add(
+            std::move(name), []() -> std::unique_ptr<Interface> { return std::make_unique<Plugin>(); });
+    }
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/RestartPolicy.h
@@ -0,0 +1,21 @@
+// Baseline: a constant stall limit, then the attempt is replaced on the next target in turn, without regard
+// to caches or to streams that still run.
+
+#pragma once
+
+#include <LibRouting/ResumePolicy.h>
+
+namespace Wisteria {
+
+class RestartPolicy final : public ResumePolicy
+{
+public:
+    [[nodiscard]] absl::Duration stallLimit(const SilenceView &) const override { return absl::Seconds(5); }
+    [[nodiscard]] StallResponse stallResponse() const override { return StallResponse::Replace; }
+    [[nodiscard]] ResumeTarget resumeTarget(double) const override { return ResumeTarget::RoundRobin; }
+    [[nodiscard]] ReattachUse reattachUse() const override { return ReattachUse::StartAnew; }
+
+    static const ResumePolicyRegistration<RestartPolicy> registration;
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/RoundRobinSelector.cpp
@@ -0,0 +1,20 @@
+// The first id after the one chosen last.
+
+#include <LibRouting/RoundRobinSelector.h>
+
+#include <algorithm>
+
+namespace Wisteria {
+
+const TargetSelectorRegistration<RoundRobinSelector> RoundRobinSelector::registration{"round-robin"};
+
+std::size_t RoundRobinSelector::select(std::span<const TargetCandidate> candidates, PromptHead)
+{
+    auto next = std::ranges::upper_bound(candidates, m_last, {}, &TargetCandidate::id);
+    if (next == candidates.end())
+        next = candidates.begin();
+    m_last = next->id;
+    return static_cast<std::size_t>(next - candidates.begin());
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibRouting/RoundRobinSelector.h
@@ -0,0 +1,21 @@
+// Takes the targets in turn. A baseline that knows nothing of load or caches.
+
+#pragma once
+
+#include <LibRouting/TargetSelector.h>
+
+namespace Wisteria {
+
+class RoundRobinSelector final : public TargetSelector
+{
+public:
+    [[nodiscard]] std::size_t select(std::span<const TargetCandidate>, PromptHead) override;
+    [[nodiscard]] std::string_view reason() const override { return "round-robin"; }
+
+    static const TargetSelectorRegistration<RoundRobinSelector> registration;
+
+private:
+    TargetId m_last;
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibRouting/FakeHost.cpp
@@ -0,0 +1,80 @@
+// The host's clock and shorthand events.
+
+#include "FakeHost.h"
+
+namespace Wisteria {
+
+FakeHost::FakeHost(PresetSpec preset) : m_router(Router::create(m_random))
+{
+    preset.name = PresetName("test");
+    configuration.presetInForce = preset.name;
+    configuration.presets[preset.name] = preset;
+    ServiceSpec service{.name = ServiceName("digest"), .model = ModelName("m"), .modelVersion = "1"};
+    configuration.services[service.name] = service;
+    WorkspaceSpec workspace{.name = WorkspaceName("kochi")};
+    configuration.workspaces[workspace.name] = workspace;
+    configure();
+    feed(FreshnessChanged{true});
+}
+
+RoutingActions FakeHost::feed(const RoutingEvent &event)
+{
+    return m_router->handle(event, now);
+}
+
+RoutingActions FakeHost::pass(absl::Duration duration)
+{
+    const absl::Time end = now + duration;
+    RoutingActions out;
+    while (m_router->nextWakeUp() <= end) {
+        now = std::max(now, m_router->nextWakeUp());
+        auto actions = feed(Tick{});
+        out.insert(out.end(), actions.begin(), actions.end());
+    }
+    now = end;
+    return out;
+}
+
+void FakeHost::addTarget(const std::string &id, std::uint32_t slots, TargetPhase phase)
+{
+    feed(TargetChanged{TargetId(id), ServiceName("digest"), FailureDomain("a"), slots, phase});
+}
+
+RoutingActions FakeHost::configure()
+{
+    configuration.version = ConfigVersion(configuration.version.value() + 1);
+    return feed(ConfigurationChanged{configuration});
+}
+
+RoutingActions FakeHost::open(const std::string &id, Urgency urgency)
+{
+    return feed(RequestOpened{.generation = GenerationId(id),
+                              .workspace = WorkspaceName("kochi"),
+                              .service = ServiceName("digest"),
+                              .urgency = urgency,
+                              .promptTokens = 100,
+                              .maxTokens = 1000});
+}
+
+RoutingActions FakeHost::comeBack(const std::string &id, const ResumePoint &point)
+{
+    return feed(RequestOpened{.generation = GenerationId(id),
+                              .workspace = WorkspaceName("kochi"),
+                              .service = ServiceName("digest"),
+                              .promptTokens = 100,
+                              .maxTokens = 1000,
+                              .resume = point});
+}
+
+RoutingActions FakeHost::bring(AttemptId attempt, std::uint64_t from, std::uint64_t count)
+{
+    RoutingActions out;
+    for (std::uint64_t it = from; it < from + count; ++it) {
+        now += absl::Milliseconds(20);
+        auto actions = feed(TokenArrived{attempt, TokenOffset(it), std::to_string(it)});
+        out.insert(out.end(), actions.begin(), actions.end());
+    }
+    return out;
+}
+
+} // namespace Wisteria
