--- a/Libraries/LibPlatform/HttpObjectStore.cpp
+++ b/Libraries/LibPlatform/HttpObjectStore.cpp
@@ -3,11 +3,10 @@
 
 #include <LibPlatform/HttpObjectStore.h>
 
-#include <LibCore/Address.h>
+#include <LibPlatform/HttpClient.h>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <httplib.h>
 
 namespace Wisteria {
 
@@ -38,17 +37,6 @@
     return ObjectVersion(n);
 }
 
-httplib::Client makeClient(const std::string &host, int port, absl::Duration timeout)
-{
-    httplib::Client client(host, port);
-    auto ms = std::chrono::milliseconds(absl::ToInt64Milliseconds(timeout));
-    client.set_connection_timeout(ms);
-    client.set_read_timeout(ms);
-    client.set_write_timeout(ms);
-    client.set_tcp_nodelay(true);
-    return client;
-}
-
 ErrorOr<std::optional<StoredObject>> readResult(const httplib::Result &result, const std::string &name)
 {
     if (!result)
@@ -62,28 +50,27 @@
 
 } // namespace detail
 
-HttpObjectStore::HttpObjectStore(std::string host, int port, absl::Duration timeout)
-    : m_host(std::move(host)), m_port(port), m_timeout(timeout)
+HttpObjectStore::HttpObjectStore(Address address, absl::Duration timeout)
+    : m_address(std::move(address)), m_timeout(timeout)
 {
 }
 
 ErrorOr<std::unique_ptr<HttpObjectStore>> HttpObjectStore::create(const std::string &address,
                                                                   absl::Duration timeout)
 {
-    auto parsed = TRY(Address::parse(address));
-    return std::unique_ptr<HttpObjectStore>(new HttpObjectStore(parsed.host(), parsed.port(), timeout));
+    return std::unique_ptr<HttpObjectStore>(new HttpObjectStore(TRY(Address::parse(address)), timeout));
 }
 
 ErrorOr<std::optional<StoredObject>> HttpObjectStore::get(const std::string &kind, const std::string &name)
 {
-    auto client = detail::makeClient(m_host, m_port, m_timeout);
+    auto client = makeHttpClient(m_address, m_timeout);
     return detail::readResult(client.Get(detail::objectPath(kind, name)), name);
 }
 
 ErrorOr<ObjectVersion> HttpObjectStore::put(const std::string &kind, const std::string &name,
                                             const std::string &body, ObjectVersion expected)
 {
-    auto client = detail::makeClient(m_host, m_port, m_timeout);
+    auto client = makeHttpClient(m_address, m_timeout);
     httplib::Headers headers;
     if (expected == ObjectVersion())
         headers.emplace("If-None-Match", "*");
@@ -92,9 +79,8 @@
     auto result = client.Put(detail::objectPath(kind, name), headers, body, "application/json");
     if (!result) {
         // Only a refused connection proves that the write had no effect.
-        bool notSent = result.error() == httplib::Error::Connection
-            || result.error() == httplib::Error::ConnectionTimeout;
-        return makeError(notSent ? ErrorCode::StoreUnavailable : ErrorCode::StoreOutcomeUnknown,
+        return makeError(wasNeverSent(result.error()) ? ErrorCode::StoreUnavailable
+                                                      : ErrorCode::StoreOutcomeUnknown,
                          httplib::to_string(result.error()));
     }
     if (result->status == detail::statusPreconditionFailed)
@@ -112,7 +98,7 @@
 ErrorOr<std::optional<StoredObject>> HttpObjectStore::watch(const std::string &kind, const std::string &name,
                                                             ObjectVersion after, absl::Duration timeout)
 {
-    auto client = detail::makeClient(m_host, m_port, timeout + m_timeout);
+    auto client = makeHttpClient(m_address, timeout + m_timeout);
     auto path = absl::StrCat(detail::objectPath(kind, name), "?watch=true&after=", after.value(),
                              "&timeout_ms=", absl::ToInt64Milliseconds(timeout));
     return detail::readResult(client.Get(path), name);
--- a/Libraries/LibPlatform/HttpObjectStore.h
+++ b/Libraries/LibPlatform/HttpObjectStore.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <LibCore/Address.h>
 #include <LibPlatform/ObjectStore.h>
 
 #include <memory>
@@ -25,10 +26,9 @@
                                                              absl::Duration timeout) override;
 
 private:
-    HttpObjectStore(std::string host, int port, absl::Duration timeout);
+    HttpObjectStore(Address address, absl::Duration timeout);
 
-    const std::string m_host;
-    const int m_port;
+    const Address m_address;
     const absl::Duration m_timeout;
 };
 
