LibConfig: Apply changes and keep a confirmed copy of the configuration

Acknowledgements reach half of the list and half of the list before it, and a list change first has its base acknowledged: with odd lists one router apart, half of one and more than half of the other need not meet. A restarted router's poll answers count only after a confirmation that began restartEmbargo after its start: before that, an acknowledgement which it forgot may still complete a round.

--- a/Libraries/LibConfig/Change.h
+++ b/Libraries/LibConfig/Change.h
@@ -83,6 +83,9 @@
 [[nodiscard]] ErrorOr<FleetConfiguration> applyChange(const FleetConfiguration &,
                                                       const ConfigurationChange &);
 
+// Whether the edit changes the list of counted routers, whose changes must be acknowledged one by one.
+[[nodiscard]] bool changesCountedList(const Edit &);
+
 // JSON forms on the operators' interface. Reading fails with ErrorCode::InvalidRequest.
 [[nodiscard]] std::string toJson(const ConfigurationChange &);
 [[nodiscard]] ErrorOr<ConfigurationChange> configurationChangeFromJson(std::string_view);
--- a/Libraries/LibConfig/ConfigurationJson.h
+++ b/Libraries/LibConfig/ConfigurationJson.h
@@ -34,6 +34,8 @@
 void from_json(const nlohmann::json &, TargetSpec &);
 void to_json(nlohmann::json &, const CountedRouter &);
 void from_json(const nlohmann::json &, CountedRouter &);
+void to_json(nlohmann::json &, const AppliedChange &);
+void from_json(const nlohmann::json &, AppliedChange &);
 void to_json(nlohmann::json &, const FleetConfiguration &);
 void from_json(const nlohmann::json &, FleetConfiguration &);
 
--- a/Libraries/LibConfig/ConfigurationKeeper.h
+++ b/Libraries/LibConfig/ConfigurationKeeper.h
@@ -19,6 +19,15 @@
 // A router that has not confirmed its copy for this long takes no new work.
 inline constexpr absl::Duration freshnessBound = absl::Seconds(8);
 
+// Acknowledgements count for this long after the first push of their round. The host gives a push call at
+// most pushCallTimeout, so that an answer of an earlier round cannot reach a later one.
+inline constexpr absl::Duration acknowledgementWindow = absl::Seconds(3);
+inline constexpr absl::Duration pushCallTimeout = absl::Seconds(1);
+// A restarted router may have acknowledged a version and forgotten it. Its answers to polls count only after
+// a confirmation that began this long after its start, when every round that it may have acknowledged is
+// over. Invariant: above acknowledgementWindow + pushCallTimeout, with a margin for clock rates.
+inline constexpr absl::Duration restartEmbargo = absl::Seconds(5);
+
 // What a router knows about the latest version, as it travels on gossip.
 struct Confirmation
 {
@@ -64,8 +73,8 @@
 {
     RouterId from;
     ConfigVersion held;
-    // False while the peer's incarnation has had no confirmation of its own since its start; such an answer
-    // does not count.
+    // False while the peer's incarnation has had no confirmation of its own that began restartEmbargo after
+    // its start; such an answer does not count.
     bool confirmedSinceStart{false};
     absl::Time began;
 };
--- a/Libraries/LibConfig/FleetConfiguration.cpp
+++ b/Libraries/LibConfig/FleetConfiguration.cpp
@@ -209,6 +209,17 @@
     detail::read(in, "domain", router.domain);
 }
 
+void to_json(json &out, const AppliedChange &change)
+{
+    out = {{"change_id", change.changeId}, {"version", change.version}};
+}
+
+void from_json(const json &in, AppliedChange &change)
+{
+    detail::read(in, "change_id", change.changeId);
+    detail::read(in, "version", change.version);
+}
+
 void to_json(json &out, const FleetConfiguration &configuration)
 {
     out = {{"version", configuration.version},
@@ -218,7 +229,9 @@
            {"workspaces", detail::itemsOf(configuration.workspaces)},
            {"presets", detail::itemsOf(configuration.presets)},
            {"targets", detail::itemsOf(configuration.targets)},
-           {"counted_routers", configuration.countedRouters}};
+           {"counted_routers", configuration.countedRouters},
+           {"counted_before", configuration.countedBefore},
+           {"recent_changes", configuration.recentChanges}};
 }
 
 void from_json(const json &in, FleetConfiguration &configuration)
@@ -232,6 +245,8 @@
     detail::readItems(in, "presets", configuration.presets, name);
     detail::readItems(in, "targets", configuration.targets, [](const auto &spec) { return spec.id; });
     detail::read(in, "counted_routers", configuration.countedRouters);
+    detail::read(in, "counted_before", configuration.countedBefore);
+    detail::read(in, "recent_changes", configuration.recentChanges);
     if (!configuration.presetInForce.value().empty()
         && !configuration.presets.contains(configuration.presetInForce))
         detail::rejectField("preset_in_force", "names no preset");
@@ -244,6 +259,15 @@
     return it == presets.end() ? fallback : it->second;
 }
 
+std::optional<ConfigVersion> FleetConfiguration::versionOfChange(std::string_view changeId) const
+{
+    for (const auto &it : recentChanges) {
+        if (it.changeId == changeId)
+            return it.version;
+    }
+    return std::nullopt;
+}
+
 std::string toJson(const FleetConfiguration &configuration)
 {
     return json(configuration).dump();
--- a/Libraries/LibConfig/FleetConfiguration.h
+++ b/Libraries/LibConfig/FleetConfiguration.h
@@ -12,7 +12,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Wisteria {
@@ -118,6 +120,18 @@
     bool operator==(const CountedRouter &) const = default;
 };
 
+// A change that is part of the configuration, by which a retry of it is recognised.
+struct AppliedChange
+{
+    std::string changeId;
+    ConfigVersion version;
+
+    bool operator==(const AppliedChange &) const = default;
+};
+
+// Changes remembered for retries: more than six hours at 930 changes a day.
+inline constexpr std::size_t maxRecentChanges = 256;
+
 struct FleetConfiguration
 {
     ConfigVersion version;
@@ -130,11 +144,18 @@
     std::map<TargetId, TargetSpec> targets;
     // One versioned list for everybody, since two routers' own views of the members may differ.
     std::vector<CountedRouter> countedRouters;
+    // The list before its last change. Acknowledgements must reach half of both lists, so that a router which
+    // still counts by the older list meets the newer configuration.
+    std::vector<CountedRouter> countedBefore;
+    // Invariant: at most maxRecentChanges entries, the oldest first.
+    std::vector<AppliedChange> recentChanges;
 
     bool operator==(const FleetConfiguration &) const = default;
 
     // The preset in force, or a default one when none was put in force yet.
     [[nodiscard]] const PresetSpec &preset() const;
+    // The version in which the change was applied; empty when it is not among the recent changes.
+    [[nodiscard]] std::optional<ConfigVersion> versionOfChange(std::string_view changeId) const;
 };
 
 // The JSON form that the object API keeps and the operators' interface shows.
