--- a/Libraries/LibConfig/Settings.cpp
+++ b/Libraries/LibConfig/Settings.cpp
@@ -22,13 +22,11 @@
     return log;
 }
 
-ErrorOr<PlatformSettings> readPlatform(SettingsReader reader, std::string *weightStore)
+ErrorOr<PlatformSettings> readPlatform(SettingsReader reader)
 {
     PlatformSettings platform;
     reader.address("object_api", Presence::Required, platform.objectApi);
     reader.address("vm_list", Presence::Optional, platform.vmList);
-    if (weightStore)
-        reader.address("weight_store", Presence::Optional, *weightStore);
     reader.milliseconds("call_timeout_ms", absl::Milliseconds(10), absl::Seconds(60), platform.callTimeout);
     TRY_VOID(reader.finish());
     return platform;
@@ -87,7 +85,7 @@
     TRY_VOID(root.finish());
     detail::readAddresses(listen, settings);
     TRY_VOID(listen.finish());
-    settings.platform = TRY(detail::readPlatform(platform, nullptr));
+    settings.platform = TRY(detail::readPlatform(platform));
     settings.limits = TRY(detail::readLimits(limits));
     settings.timeouts = TRY(detail::readTimeouts(timeouts));
     settings.log = TRY(detail::readLog(log));
@@ -100,11 +98,11 @@
     PlacerSettings settings;
     root.name("id", Presence::Required, settings.id);
     root.name("domain", Presence::Required, settings.domain);
-    root.milliseconds("lease_ms", absl::Seconds(1), absl::Minutes(10), settings.leaseDuration);
+    root.count("downloads_at_once", 1, 1000, settings.downloadsAtOnce);
     const auto platform = root.section("platform");
     const auto log = root.section("log");
     TRY_VOID(root.finish());
-    settings.platform = TRY(detail::readPlatform(platform, &settings.weightStore));
+    settings.platform = TRY(detail::readPlatform(platform));
     settings.log = TRY(detail::readLog(log));
     return settings;
 }
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -40,7 +40,7 @@
     std::uint32_t callThreads{32};
     std::uint32_t maxConnections{2000};
     // Largest body of a caller's request.
-    std::uint32_t maxBodyBytes{2U << 20U};
+    std::uint32_t maxBodyBytes{8U << 20U};
     // Entries of the ring into the decision thread, and of each ring out of it.
     std::uint32_t eventRing{8192};
     std::uint32_t actionRing{8192};
@@ -76,8 +76,8 @@
     std::string id;
     FailureDomain domain;
     PlatformSettings platform;
-    std::string weightStore;
-    absl::Duration leaseDuration{absl::Seconds(10)};
+    // Orders over the whole fleet at once that make an engine download weights.
+    std::uint32_t downloadsAtOnce{4};
     LogSettings log;
 };
 
