LibLedger: Run calls at most once under claims and tickets

NotRun is a promise about every request of the caller under the key, so it is said only after a void of this incarnation took effect, or where the caller numbers its requests and no earlier one can have run. A store that is down gives NotRun to the first request (attempt 1) and Unknown to others: a retry cannot know whether the key ran at another router.

Events.h gains CallReceived::attempt and ::source, ClaimRecord::attempt and ::bodyKept; all have defaults.

--- /dev/null
+++ b/Libraries/LibLedger/Answers.h
@@ -0,0 +1,69 @@
+// The answers and log entries that the ledger's parts share, and the limits of what they remember.
+
+#pragma once
+
+#include <LibLedger/Events.h>
+
+#include <string_view>
+
+namespace Wisteria {
+
+// How long an outcome is remembered by the incarnation that dispatched the call.
+inline constexpr absl::Duration outcomeRetention = absl::Minutes(10);
+// A longer body is given to the callers that wait for it, but not kept for later ones.
+inline constexpr std::size_t maxKeptBodyBytes = 64 * 1024;
+// All kept bodies of claims, and all of tickets, each.
+inline constexpr std::size_t maxKeptBytes = 16 * 1024 * 1024;
+// Calls remembered under claims, and under tickets, each. At some 300 bytes a call.
+inline constexpr std::size_t maxRememberedCalls = 30000;
+
+namespace detail {
+
+// When a caller should come back: after the store, a target or a peer failed.
+inline constexpr absl::Duration failureRetryAfter = absl::Seconds(1);
+// After a refusal that another router would not give.
+inline constexpr absl::Duration elsewhereRetryAfter = absl::Milliseconds(100);
+
+[[nodiscard]] inline CallAnswer ranAnswer(int status, std::string body, BodyKept kept)
+{
+    CallAnswer answer{CallOutcome::Ran, status, std::move(body), std::nullopt};
+    if (kept == BodyKept::No)
+        answer.error = Error{ErrorCode::AnswerLost, "it ran; its body was too large to be kept"};
+    return answer;
+}
+
+[[nodiscard]] inline CallAnswer failedAnswer(CallOutcome outcome, ErrorCode code, std::string_view detail,
+                                             std::optional<absl::Duration> retryAfter = failureRetryAfter)
+{
+    return CallAnswer{outcome, 0, {}, Error{code, std::string(detail), retryAfter}};
+}
+
+inline void record(LedgerActions &out, CallId call, std::string_view decision, std::string_view reason)
+{
+    out.emplace_back(RecordCallDecision{call, std::string(decision), std::string(reason)});
+}
+
+[[nodiscard]] inline std::string_view outcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Ran:
+        return "ran";
+    case CallOutcome::NotRun:
+        return "not_run";
+    case CallOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+// Answers the call and logs why.
+inline void answerCall(LedgerActions &out, CallId call, const CallAnswer &answer)
+{
+    record(out, call, outcomeName(answer.outcome),
+           answer.error ? errorName(answer.error->code) : "target answered");
+    out.emplace_back(AnswerCall{call, answer});
+}
+
+} // namespace detail
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibLedger/ClaimedCalls.cpp
@@ -0,0 +1,338 @@
+// Arrivals, outcomes and memory of the calls under claims. ClaimedCallsStore.cpp has the store protocol.
+
+#include <LibLedger/ClaimedCalls.h>
+
+#include <LibCore/Verify.h>
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <xxhash.h>
+
+namespace Wisteria {
+
+using detail::ClaimedCall;
+using detail::ClaimPhase;
+using detail::Purpose;
+using detail::Recording;
+using detail::Waiter;
+
+namespace detail {
+
+[[nodiscard]] bool isSettled(const ClaimedCall &call)
+{
+    switch (call.phase) {
+    case ClaimPhase::Uncertain:
+    case ClaimPhase::Sealed:
+    case ClaimPhase::Held:
+        return true;
+    case ClaimPhase::Done:
+        return call.recording == Recording::Written;
+    default:
+        return false;
+    }
+}
+
+// Each part is preceded by its length, so that no two triples give one text.
+void appendPart(std::string &out, const std::string &part)
+{
+    absl::StrAppend(&out, part.size(), ":", part);
+}
+
+} // namespace detail
+
+ClaimName claimName(const CallReceived &received)
+{
+    std::string text;
+    detail::appendPart(text, received.workspace.value());
+    detail::appendPart(text, received.service.value());
+    detail::appendPart(text, received.key.value());
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    return ClaimName(
+        absl::StrCat(absl::Hex(hash.high64, absl::kZeroPad16), absl::Hex(hash.low64, absl::kZeroPad16)));
+}
+
+ClaimedCalls::ClaimedCalls(RouterId self, Incarnation incarnation, RandomSource &random)
+    : m_self(std::move(self)), m_incarnation(incarnation), m_random(random)
+{
+}
+
+bool ClaimedCalls::isIdle() const
+{
+    return m_settled == m_calls.size();
+}
+
+absl::Time ClaimedCalls::nextWakeUp() const
+{
+    return m_wakeUps.empty() ? absl::InfiniteFuture() : m_wakeUps.begin()->first;
+}
+
+void ClaimedCalls::receive(const CallReceived &received, absl::Time now, LedgerActions &out)
+{
+    const bool mayRun = m_draining == Draining::No && received.deadline > now;
+    Waiter waiter{received.call, received.attempt, received.deadline,
+                  mayRun ? Purpose::Run : Purpose::SealOnly, received.source};
+    auto it = m_calls.find(claimName(received));
+    if (it == m_calls.end())
+        return create(received, waiter, now, out);
+    if (it->second.digest != received.digest)
+        return detail::answerCall(out, received.call,
+                                  detail::failedAnswer(CallOutcome::NotRun, ErrorCode::IdempotencyKeyReused,
+                                                       "the key came with another body before",
+                                                       std::nullopt));
+    join(it->second, waiter, now, out);
+}
+
+void ClaimedCalls::create(const CallReceived &received, Waiter waiter, absl::Time now, LedgerActions &out)
+{
+    // The caller's first request can have run nowhere else, so that a refusal needs no store access.
+    const CallOutcome refused = received.attempt == 1 ? CallOutcome::NotRun : CallOutcome::Unknown;
+    if (waiter.purpose == Purpose::SealOnly && refused == CallOutcome::NotRun) {
+        const ErrorCode code =
+            m_draining == Draining::Yes ? ErrorCode::Draining : ErrorCode::DeadlineExceeded;
+        return detail::answerCall(
+            out, waiter.call,
+            detail::failedAnswer(refused, code, "refused on arrival", detail::elsewhereRetryAfter));
+    }
+    if (!makeRoom())
+        return detail::answerCall(
+            out, waiter.call,
+            detail::failedAnswer(refused, ErrorCode::Overloaded, "too many calls are under way"));
+    ClaimedCall &call = m_calls[claimName(received)];
+    call.name = claimName(received);
+    call.service = received.service;
+    call.digest = received.digest;
+    addWaiter(call, waiter);
+    proceedFromNone(call, now, out);
+}
+
+void ClaimedCalls::join(ClaimedCall &call, Waiter waiter, absl::Time now, LedgerActions &out)
+{
+    switch (call.phase) {
+    case ClaimPhase::Done:
+        return detail::answerCall(out, waiter.call, call.answer);
+    case ClaimPhase::Uncertain:
+        return detail::answerCall(out, waiter.call, call.answer);
+    case ClaimPhase::Sealed:
+    case ClaimPhase::Held:
+        return joinSealed(call, waiter, now, out);
+    default:
+        break;
+    }
+    addWaiter(call, waiter);
+    if (call.phase == ClaimPhase::Running || call.phase == ClaimPhase::Forwarding)
+        setDeadlineWakeUp(call);
+}
+
+// A request meets a call that was given up before.
+void ClaimedCalls::joinSealed(ClaimedCall &call, const Waiter &waiter, absl::Time now, LedgerActions &out)
+{
+    // An overtaken request must not undo what a later one was told.
+    if (waiter.attempt > 0 && waiter.attempt <= call.sealedAttempt)
+        return detail::answerCall(out, waiter.call, CallAnswer{CallOutcome::NotRun, 0, {}, call.reason});
+    --m_settled;
+    setWakeUp(call, absl::InfiniteFuture());
+    addWaiter(call, waiter);
+    call.tries = 0;
+    call.reason = Error();
+    // A void that was written before this request came says nothing about it.
+    call.written = ClaimRecord();
+    if (call.phase == ClaimPhase::Held)
+        return read(call, out);
+    // A forwarded request may be older than the void, although it comes after it.
+    if (waiter.source == CallSource::Caller)
+        call.waiters.back().voidSeen = call.version;
+    proceedFromVoid(call, now, out);
+}
+
+bool ClaimedCalls::makeRoom()
+{
+    if (m_calls.size() < maxRememberedCalls)
+        return true;
+    // What is forgotten here is answered from the store's record, or `Unknown`.
+    for (const auto &[time, name] : m_wakeUps) {
+        ClaimedCall &call = m_calls.at(name);
+        if (detail::isSettled(call)) {
+            forget(call);
+            return true;
+        }
+    }
+    return false;
+}
+
+void ClaimedCalls::handleTargetAnswer(const TargetAnswered &event, LedgerActions &out)
+{
+    ClaimedCall *call = find(event.call);
+    const bool expected = call && (call->phase == ClaimPhase::Running || call->phase == ClaimPhase::Uncertain)
+        && call->dispatchedAs == event.call;
+    if (!expected)
+        return;
+    if (call->phase == ClaimPhase::Uncertain)
+        --m_settled;
+    call->phase = ClaimPhase::Done;
+    setWakeUp(*call, absl::InfiniteFuture());
+    call->answer = detail::ranAnswer(event.status, event.body, BodyKept::Yes);
+    answerAll(*call, call->answer, out);
+    keepOutcome(*call);
+    recordOutcome(*call, out);
+}
+
+void ClaimedCalls::handleDispatchFailure(const DispatchFailed &event, absl::Time now, LedgerActions &out)
+{
+    ClaimedCall *call = find(event.call);
+    if (!call || call->phase != ClaimPhase::Running || call->dispatchedAs != event.call)
+        return;
+    if (event.sent == BytesSent::Maybe) {
+        call->answer =
+            detail::failedAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost, "the target's answer was lost");
+        answerAll(*call, call->answer, out);
+        return settle(*call, ClaimPhase::Uncertain, now);
+    }
+    call->reason = Error{ErrorCode::NoTargetAvailable, "no target took the call", detail::failureRetryAfter};
+    for (auto &it : call->waiters)
+        it.purpose = Purpose::SealOnly;
+    proceedFromOwnClaim(*call, now, out);
+}
+
+void ClaimedCalls::handleOwnerAnswer(const OwnerAnswered &event, LedgerActions &out)
+{
+    ClaimedCall *call = findPending(event.call);
+    if (!call || call->phase != ClaimPhase::Forwarding)
+        return;
+    const CallAnswer answer = event.answer.value_or(
+        detail::failedAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost, "its owner was not reached"));
+    if (answer.outcome != CallOutcome::NotRun) {
+        answerAll(*call, answer, out);
+        return forget(*call);
+    }
+    // The owner's `NotRun` speaks for the request that it was asked about and for those numbered before it.
+    auto isCovered = [&](const Waiter &it) {
+        return it.call == event.call || (it.attempt > 0 && it.attempt <= call->forwardedAttempt);
+    };
+    for (const auto &it : call->waiters) {
+        if (isCovered(it))
+            detail::answerCall(out, it.call, answer);
+    }
+    std::erase_if(call->waiters, isCovered);
+    if (call->waiters.empty())
+        return forget(*call);
+    read(*call, out);
+}
+
+void ClaimedCalls::tick(absl::Time now, LedgerActions &out)
+{
+    while (!m_wakeUps.empty() && m_wakeUps.begin()->first <= now) {
+        ClaimedCall &call = m_calls.at(m_wakeUps.begin()->second);
+        setWakeUp(call, absl::InfiniteFuture());
+        if (detail::isSettled(call))
+            forget(call);
+        else if (call.phase == ClaimPhase::Done)
+            recordOutcome(call, out);
+        else
+            expireWaiters(call, now, out);
+    }
+}
+
+void ClaimedCalls::expireWaiters(ClaimedCall &call, absl::Time now, LedgerActions &out)
+{
+    const CallAnswer answer = detail::failedAnswer(CallOutcome::Unknown, ErrorCode::DeadlineExceeded,
+                                                   "no outcome before the deadline");
+    for (const auto &it : call.waiters) {
+        if (it.deadline <= now)
+            detail::answerCall(out, it.call, answer);
+    }
+    std::erase_if(call.waiters, [&](const Waiter &it) { return it.deadline <= now; });
+    if (call.waiters.empty() && call.phase == ClaimPhase::Forwarding)
+        return forget(call);
+    setDeadlineWakeUp(call);
+}
+
+void ClaimedCalls::answerAll(ClaimedCall &call, const CallAnswer &answer, LedgerActions &out)
+{
+    for (const auto &it : call.waiters)
+        detail::answerCall(out, it.call, answer);
+    call.waiters.clear();
+}
+
+// Bounds what a finished call costs in memory.
+void ClaimedCalls::keepOutcome(ClaimedCall &call)
+{
+    const std::size_t size = call.answer.body.size();
+    if (size > maxKeptBodyBytes || m_keptBytes + size > maxKeptBytes) {
+        call.answer = detail::ranAnswer(call.answer.status, {}, BodyKept::No);
+        return;
+    }
+    m_keptBytes += size;
+}
+
+// Nothing is under way any more; what is known is kept for a while.
+void ClaimedCalls::settle(ClaimedCall &call, ClaimPhase phase, absl::Time now)
+{
+    call.phase = phase;
+    VERIFY(detail::isSettled(call) && call.waiters.empty());
+    ++m_settled;
+    setWakeUp(call, now + outcomeRetention);
+    // A late answer still comes under the id of the dispatch; nothing else does.
+    std::erase_if(call.ids, [&](CallId id) {
+        if (phase == ClaimPhase::Uncertain && id == call.dispatchedAs)
+            return false;
+        m_names.erase(id);
+        return true;
+    });
+}
+
+void ClaimedCalls::addWaiter(ClaimedCall &call, const Waiter &waiter)
+{
+    call.waiters.push_back(waiter);
+    call.ids.push_back(waiter.call);
+    m_names[waiter.call] = call.name;
+}
+
+ClaimedCall *ClaimedCalls::find(CallId id)
+{
+    auto it = m_names.find(id);
+    return it == m_names.end() ? nullptr : &m_calls.at(it->second);
+}
+
+ClaimedCall *ClaimedCalls::findPending(CallId id)
+{
+    ClaimedCall *call = find(id);
+    return call && call->pending == id ? call : nullptr;
+}
+
+void ClaimedCalls::setWakeUp(ClaimedCall &call, absl::Time time)
+{
+    m_wakeUps.erase({call.wakeAt, call.name});
+    call.wakeAt = time;
+    if (time != absl::InfiniteFuture())
+        m_wakeUps.emplace(time, call.name);
+}
+
+void ClaimedCalls::setDeadlineWakeUp(ClaimedCall &call)
+{
+    absl::Time earliest = absl::InfiniteFuture();
+    for (const auto &it : call.waiters)
+        earliest = std::min(earliest, it.deadline);
+    setWakeUp(call, earliest);
+}
+
+void ClaimedCalls::forget(ClaimedCall &call)
+{
+    if (detail::isSettled(call))
+        --m_settled;
+    if (call.phase == ClaimPhase::Done)
+        m_keptBytes -= call.answer.body.size();
+    setWakeUp(call, absl::InfiniteFuture());
+    for (const auto &it : call.ids)
+        m_names.erase(it);
+    m_calls.erase(ClaimName(call.name));
+}
+
+std::uint64_t ClaimedCalls::newNonce()
+{
+    std::uint64_t nonce = 0;
+    while (nonce == 0)
+        nonce = m_random.next();
+    return nonce;
+}
+
+} // namespace Wisteria
--- a/Libraries/LibLedger/Events.h
+++ b/Libraries/LibLedger/Events.h
@@ -38,12 +38,16 @@
     // The target's status and body, for Ran.
     int status{0};
     std::string body{};
-    // Why, for NotRun and Unknown; its retryAfter says when to come back.
+    // Why, for NotRun and Unknown; its retryAfter says when to come back. With Ran it is AnswerLost: the call
+    // ran, but its body was too large to be kept for a later asker.
     std::optional<Error> error{};
 };
 
 enum class ClaimState { Claimed, Voided, Done };
 
+// Whether a recorded outcome still has the target's body; one that is too large is recorded without it.
+enum class BodyKept { Yes, No };
+
 // The object that the object API keeps for a claim.
 struct ClaimRecord
 {
@@ -53,9 +57,12 @@
     std::uint64_t nonce{0};
     BodyDigest digest;
     ClaimState state{ClaimState::Claimed};
+    // For Voided: the caller's requests up to this one never run; see CallReceived::attempt.
+    std::uint32_t attempt{0};
     // For Done.
     int status{0};
     std::string body;
+    BodyKept bodyKept{BodyKept::Yes};
 
     bool operator==(const ClaimRecord &) const = default;
 };
@@ -63,6 +70,9 @@
 // ---- Events
 // -----------------------------------------------------------------------------------------------------
 
+// Who handed the call to this router.
+enum class CallSource { Caller, Router };
+
 struct CallReceived
 {
     CallId call;
@@ -72,6 +82,11 @@
     BodyDigest digest;
     // When the caller stops waiting.
     absl::Time deadline{absl::InfiniteFuture()};
+    // The caller's own count of its requests under this key, from 1; zero when it does not say. Without it a
+    // router cannot tell the first request from a retry of one that ran elsewhere.
+    std::uint32_t attempt{0};
+    // Router for a call that another router forwarded; its caller may have given it up long ago.
+    CallSource source{CallSource::Caller};
 };
 
 // How a conditional write ended.
--- /dev/null
+++ b/Libraries/LibLedger/Ticket.cpp
@@ -0,0 +1,64 @@
+// Text form and keyed check of tickets.
+
+#include <LibLedger/Ticket.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+#include <xxhash.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+constexpr const char *ticketPrefix = "wt1.";
+constexpr std::size_t checkDigits = 16;
+
+std::string checkedPart(const Ticket &ticket)
+{
+    return absl::StrCat(ticketPrefix, ticket.router.value(), ".", ticket.incarnation.value(), ".",
+                        ticket.number.value());
+}
+
+} // namespace detail
+
+bool looksLikeTicket(const IdempotencyKey &key)
+{
+    return key.value().starts_with(detail::ticketPrefix);
+}
+
+std::uint64_t ticketCheck(const Ticket &ticket, TicketSecret secret)
+{
+    const std::string text = detail::checkedPart(ticket);
+    return XXH64(text.data(), text.size(), secret.value());
+}
+
+IdempotencyKey toKey(const Ticket &ticket)
+{
+    return IdempotencyKey(
+        absl::StrCat(detail::checkedPart(ticket), ".", absl::Hex(ticket.check, absl::kZeroPad16)));
+}
+
+ErrorOr<Ticket> ticketFromKey(const IdempotencyKey &key)
+{
+    // The router's name may hold dots itself, so the numbers are taken from the right.
+    const std::vector<absl::string_view> parts = absl::StrSplit(key.value(), '.');
+    const std::size_t n = parts.size();
+    Ticket ticket;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+    if (!looksLikeTicket(key) || n < 5 || parts[n - 1].size() != detail::checkDigits
+        || !absl::SimpleAtoi(parts[n - 3], &incarnation) || !absl::SimpleAtoi(parts[n - 2], &number)
+        || !absl::SimpleHexAtoi(parts[n - 1], &ticket.check))
+        return makeError(ErrorCode::InvalidRequest, "malformed ticket");
+    ticket.router = RouterId(absl::StrJoin(parts.begin() + 1, parts.end() - 3, "."));
+    ticket.incarnation = Incarnation(incarnation);
+    ticket.number = TicketNumber(number);
+    // Only one spelling counts, or one ticket could be used under two keys.
+    if (toKey(ticket) != key)
+        return makeError(ErrorCode::InvalidRequest, "malformed ticket");
+    return ticket;
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibLedger/TicketedCalls.h
@@ -0,0 +1,111 @@
+// At-most-once calls under tickets: the issuing incarnation alone dispatches them, so that no store access is
+// on their path.
+//
+// A ticket that got `NotRun` is used up: the caller takes another one, which costs nothing. So `NotRun` holds
+// for good, whichever of the caller's requests arrives later.
+
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibLedger/Answers.h>
+#include <LibLedger/Ticket.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace Wisteria {
+
+namespace detail {
+
+enum class TicketPhase {
+    Running,
+    // Dispatched; the outcome was lost. A late answer still counts.
+    Uncertain,
+    Done,
+    // Refused before dispatch; it never runs.
+    UsedUp,
+};
+
+struct TicketWaiter
+{
+    CallId call;
+    absl::Time deadline;
+};
+
+struct TicketedCall
+{
+    TicketNumber number;
+    WorkspaceName workspace;
+    ServiceName service;
+    BodyDigest digest;
+    TicketPhase phase{TicketPhase::Running};
+    CallId dispatchedAs;
+    std::vector<TicketWaiter> waiters;
+    // What later askers hear, except while Running.
+    CallAnswer answer;
+    absl::Time wakeAt{absl::InfiniteFuture()};
+};
+
+} // namespace detail
+
+class TicketedCalls
+{
+public:
+    TicketedCalls(RouterId self, Incarnation incarnation, RandomSource &random);
+
+    [[nodiscard]] IdempotencyKey issue(absl::Time now);
+    [[nodiscard]] bool isIdle() const { return m_running == 0 && m_forwards.empty(); }
+    [[nodiscard]] absl::Time nextWakeUp() const;
+
+    // For keys of the tickets' form.
+    void receive(const CallReceived &, absl::Time now, LedgerActions &out);
+    void handleTargetAnswer(const TargetAnswered &, absl::Time now, LedgerActions &out);
+    void handleDispatchFailure(const DispatchFailed &, absl::Time now, LedgerActions &out);
+    void handleOwnerAnswer(const OwnerAnswered &, LedgerActions &out);
+    void startDrain() { m_draining = Draining::Yes; }
+    void tick(absl::Time now, LedgerActions &out);
+
+private:
+    enum class Draining { No, Yes };
+    enum class Validity { Valid, Expired, NeverIssued };
+
+    // The tickets from `first` on were issued at `time` or later.
+    struct IssueMark
+    {
+        TicketNumber first;
+        absl::Time time;
+    };
+
+    void receiveOwn(const Ticket &, const CallReceived &, absl::Time now, LedgerActions &out);
+    void join(detail::TicketedCall &, const CallReceived &, LedgerActions &out);
+    void use(const Ticket &, const CallReceived &, absl::Time now, LedgerActions &out);
+    void forward(const Ticket &, const CallReceived &, absl::Time now, LedgerActions &out);
+    void finish(detail::TicketedCall &, detail::TicketPhase, CallAnswer, absl::Time now, LedgerActions &out);
+    void expireWaiters(detail::TicketedCall &, absl::Time now, LedgerActions &out);
+    void expireForwards(absl::Time now, LedgerActions &out);
+    [[nodiscard]] Validity validityOf(const Ticket &, absl::Time now) const;
+    [[nodiscard]] detail::TicketedCall *findDispatched(CallId);
+    void setWakeUp(detail::TicketedCall &, absl::Time);
+    void setDeadlineWakeUp(detail::TicketedCall &);
+    void forget(detail::TicketedCall &);
+
+    RouterId m_self;
+    Incarnation m_incarnation;
+    TicketSecret m_secret;
+    Draining m_draining{Draining::No};
+    TicketNumber m_lastIssued;
+    // Invariant: rising in both members; covers every ticket that may still be used.
+    std::deque<IssueMark> m_marks;
+    std::map<TicketNumber, detail::TicketedCall> m_calls;
+    // Invariant: holds the dispatch ids of the Running and Uncertain calls.
+    std::map<CallId, TicketNumber> m_dispatched;
+    std::set<std::pair<absl::Time, TicketNumber>> m_wakeUps;
+    // Calls under tickets of other incarnations, and when their callers stop waiting.
+    std::map<CallId, absl::Time> m_forwards;
+    std::set<std::pair<absl::Time, CallId>> m_forwardDeadlines;
+    std::size_t m_running{0};
+    std::size_t m_keptBytes{0};
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibLedger/TestCallLedger.cpp
@@ -0,0 +1,358 @@
+// Single steps of the at-most-once calls: claims, lost replies, voids, tickets, drains.
+
+#include <LibLedger/CallLedger.h>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestCallLedger : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestCallLedger);
+    CPPUNIT_TEST(claimsDispatchesAndRecords);
+    CPPUNIT_TEST(readsBackItsOwnNonceAfterLostReply);
+    CPPUNIT_TEST(saysNotRunWithoutStoreOnlyToFirstRequest);
+    CPPUNIT_TEST(remembersClaimThatCannotBeRead);
+    CPPUNIT_TEST(voidsAfterDeadlineAndPassesOn);
+    CPPUNIT_TEST(saysNotRunWhenNoByteWasSent);
+    CPPUNIT_TEST(neverRetriesAfterByteMayHaveBeenSent);
+    CPPUNIT_TEST(forwardsToOwnerAndBelievesIt);
+    CPPUNIT_TEST(saysUnknownForItsEarlierIncarnation);
+    CPPUNIT_TEST(dispatchesConcurrentArrivalsOnce);
+    CPPUNIT_TEST(refusesAnotherBody);
+    CPPUNIT_TEST(retriesRecordingInBackground);
+    CPPUNIT_TEST(finishesRunningCallsOnDrain);
+    CPPUNIT_TEST(saysThatLargeBodyWasNotKept);
+    CPPUNIT_TEST(dispatchesTicketOnceWithoutStore);
+    CPPUNIT_TEST(refusesGuessedTickets);
+    CPPUNIT_TEST(neverDispatchesForeignOrOldTickets);
+    CPPUNIT_TEST(usesUpRefusedTickets);
+    CPPUNIT_TEST(readsRecordsBack);
+    CPPUNIT_TEST_SUITE_END();
+
+    SeededRandom m_random{7};
+    std::unique_ptr<CallLedger> m_ledger;
+    absl::Time m_now{absl::UnixEpoch()};
+    std::uint64_t m_lastCall{0};
+    LedgerActions m_out;
+
+    template <typename Event>
+    void handle(Event event)
+    {
+        m_out = m_ledger->handle(event, m_now);
+    }
+
+    CallReceived request(std::uint32_t attempt = 0, const std::string &key = "k") const
+    {
+        return CallReceived{
+            CallId(m_lastCall + 1), WorkspaceName("w"),       ServiceName("s"), IdempotencyKey(key),
+            BodyDigest(1),          m_now + absl::Seconds(5), attempt};
+    }
+
+    CallId receive(const CallReceived &received)
+    {
+        ++m_lastCall;
+        handle(received);
+        return received.call;
+    }
+
+    // The only action of this kind in the last step.
+    template <typename Action>
+    const Action &only() const
+    {
+        const Action *found = nullptr;
+        for (const auto &it : m_out) {
+            if (const auto *action = std::get_if<Action>(&it)) {
+                CPPUNIT_ASSERT(!found);
+                found = action;
+            }
+        }
+        CPPUNIT_ASSERT(found);
+        return *found;
+    }
+
+    template <typename Action>
+    std::size_t count() const
+    {
+        std::size_t n = 0;
+        for (const auto &it : m_out)
+            n += std::holds_alternative<Action>(it);
+        return n;
+    }
+
+    void assertAnswer(CallOutcome outcome, ErrorCode code) const
+    {
+        const CallAnswer &answer = only<AnswerCall>().answer;
+        CPPUNIT_ASSERT(outcome == answer.outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string(errorName(code)), std::string(errorName(answer.error.value().code)));
+    }
+
+    // Takes a call up to its dispatch; returns the claim's record.
+    ClaimRecord claimAndDispatch(const CallReceived &received)
+    {
+        receive(received);
+        const ClaimRecord record = only<WriteClaim>().record;
+        handle(ClaimWritten{received.call, WriteResult::Applied, ObjectVersion(1)});
+        CPPUNIT_ASSERT(only<Dispatch>().call == received.call);
+        return record;
+    }
+
+public:
+    void setUp() override { m_ledger = CallLedger::create(RouterId("a"), Incarnation(2), m_random); }
+
+    void claimsDispatchesAndRecords()
+    {
+        claimAndDispatch(request());
+        CPPUNIT_ASSERT(!m_ledger->isIdle());
+        handle(TargetAnswered{CallId(1), 200, "seat 4"});
+        CPPUNIT_ASSERT_EQUAL(std::string("seat 4"), only<AnswerCall>().answer.body);
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Done);
+        CPPUNIT_ASSERT(only<WriteClaim>().expected == ObjectVersion(1));
+        handle(ClaimWritten{CallId(1), WriteResult::Applied, ObjectVersion(2)});
+        CPPUNIT_ASSERT(m_ledger->isIdle());
+        receive(request());
+        CPPUNIT_ASSERT_EQUAL(std::string("seat 4"), only<AnswerCall>().answer.body);
+    }
+
+    void readsBackItsOwnNonceAfterLostReply()
+    {
+        const CallId call = receive(request());
+        const ClaimRecord record = only<WriteClaim>().record;
+        handle(ClaimWritten{call, WriteResult::Unsure});
+        CPPUNIT_ASSERT(only<ReadClaim>().call == call);
+        handle(ClaimRead{call, true, record, ObjectVersion(3)});
+        CPPUNIT_ASSERT(only<Dispatch>().call == call);
+    }
+
+    void saysNotRunWithoutStoreOnlyToFirstRequest()
+    {
+        handle(ClaimWritten{receive(request(1)), WriteResult::NotApplied});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::StoreUnavailable);
+        handle(ClaimWritten{receive(request(2, "other")), WriteResult::NotApplied});
+        assertAnswer(CallOutcome::Unknown, ErrorCode::StoreUnavailable);
+        handle(ClaimWritten{receive(request(0, "third")), WriteResult::NotApplied});
+        assertAnswer(CallOutcome::Unknown, ErrorCode::StoreUnavailable);
+    }
+
+    void remembersClaimThatCannotBeRead()
+    {
+        const CallId call = receive(request(1));
+        const ClaimRecord record = only<WriteClaim>().record;
+        handle(ClaimWritten{call, WriteResult::Unsure});
+        handle(ClaimRead{call, false});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::StoreOutcomeUnknown);
+        receive(request(1));
+        assertAnswer(CallOutcome::NotRun, ErrorCode::StoreOutcomeUnknown);
+        const CallId again = receive(request(2));
+        handle(ClaimRead{again, true, record, ObjectVersion(1)});
+        CPPUNIT_ASSERT(only<Dispatch>().call == again);
+    }
+
+    void voidsAfterDeadlineAndPassesOn()
+    {
+        const CallId call = receive(request());
+        m_now += absl::Seconds(6);
+        handle(ClaimWritten{call, WriteResult::Applied, ObjectVersion(1)});
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Voided);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count<Dispatch>());
+        const ClaimRecord voided = only<WriteClaim>().record;
+        handle(ClaimWritten{call, WriteResult::Applied, ObjectVersion(2)});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::DeadlineExceeded);
+        // The same router knows the void before the next request; another one first moves it.
+        receive(request());
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Claimed);
+        auto other = CallLedger::create(RouterId("b"), Incarnation(1), m_random);
+        m_ledger.swap(other);
+        const CallId elsewhere = receive(request());
+        handle(ClaimWritten{elsewhere, WriteResult::Conflict});
+        handle(ClaimRead{elsewhere, true, voided, ObjectVersion(2)});
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Voided);
+        CPPUNIT_ASSERT(only<WriteClaim>().expected == ObjectVersion(2));
+    }
+
+    void saysNotRunWhenNoByteWasSent()
+    {
+        claimAndDispatch(request());
+        handle(DispatchFailed{CallId(1), BytesSent::None});
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Voided);
+        handle(ClaimWritten{CallId(1), WriteResult::Applied, ObjectVersion(2)});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::NoTargetAvailable);
+    }
+
+    void neverRetriesAfterByteMayHaveBeenSent()
+    {
+        claimAndDispatch(request());
+        handle(DispatchFailed{CallId(1), BytesSent::Maybe});
+        assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+        receive(request());
+        assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+        // The answer may still come.
+        handle(TargetAnswered{CallId(1), 200, "late"});
+        receive(request());
+        CPPUNIT_ASSERT_EQUAL(std::string("late"), only<AnswerCall>().answer.body);
+    }
+
+    void forwardsToOwnerAndBelievesIt()
+    {
+        const ClaimRecord foreign{RouterId("b"), Incarnation(9), 5, BodyDigest(1), ClaimState::Claimed};
+        for (const bool reached : {true, false}) {
+            const CallId call = receive(request());
+            handle(ClaimWritten{call, WriteResult::Conflict});
+            handle(ClaimRead{call, true, foreign, ObjectVersion(1)});
+            CPPUNIT_ASSERT(only<ForwardToOwner>().incarnation == Incarnation(9));
+            if (reached) {
+                handle(OwnerAnswered{call, CallAnswer{CallOutcome::Ran, 200, "x"}});
+                CPPUNIT_ASSERT_EQUAL(std::string("x"), only<AnswerCall>().answer.body);
+                continue;
+            }
+            handle(OwnerAnswered{call, std::nullopt});
+            assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+        }
+    }
+
+    void saysUnknownForItsEarlierIncarnation()
+    {
+        const CallId call = receive(request());
+        handle(ClaimWritten{call, WriteResult::Conflict});
+        const ClaimRecord earlier{RouterId("a"), Incarnation(1), 5, BodyDigest(1), ClaimState::Claimed};
+        handle(ClaimRead{call, true, earlier, ObjectVersion(1)});
+        assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+    }
+
+    void dispatchesConcurrentArrivalsOnce()
+    {
+        const CallId call = receive(request());
+        receive(request());
+        CPPUNIT_ASSERT(m_out.empty());
+        handle(ClaimWritten{call, WriteResult::Applied, ObjectVersion(1)});
+        const CallId dispatched = only<Dispatch>().call;
+        receive(request());
+        CPPUNIT_ASSERT(m_out.empty());
+        handle(TargetAnswered{dispatched, 200, "x"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), count<AnswerCall>());
+    }
+
+    void refusesAnotherBody()
+    {
+        claimAndDispatch(request());
+        CallReceived other = request();
+        other.digest = BodyDigest(2);
+        receive(other);
+        assertAnswer(CallOutcome::NotRun, ErrorCode::IdempotencyKeyReused);
+    }
+
+    void retriesRecordingInBackground()
+    {
+        claimAndDispatch(request());
+        handle(TargetAnswered{CallId(1), 200, "x"});
+        for (int tries = 0; tries < 5; ++tries) {
+            handle(ClaimWritten{CallId(1), tries % 2 ? WriteResult::Unsure : WriteResult::NotApplied});
+            CPPUNIT_ASSERT(!m_ledger->isIdle());
+            CPPUNIT_ASSERT(m_ledger->nextWakeUp() > m_now);
+            m_now = m_ledger->nextWakeUp();
+            handle(LedgerTick{});
+            CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Done);
+        }
+        handle(ClaimWritten{CallId(1), WriteResult::Conflict});
+        CPPUNIT_ASSERT(m_ledger->isIdle());
+    }
+
+    void finishesRunningCallsOnDrain()
+    {
+        claimAndDispatch(request());
+        handle(LedgerDrainStarted{});
+        receive(request(1, "first"));
+        assertAnswer(CallOutcome::NotRun, ErrorCode::Draining);
+        // It may have run elsewhere: only a void of its claim proves that it did not.
+        const CallId call = receive(request(0, "maybe a repeat"));
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Voided);
+        handle(ClaimWritten{call, WriteResult::Applied, ObjectVersion(1)});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::Draining);
+        handle(TargetAnswered{CallId(1), 200, "x"});
+        CPPUNIT_ASSERT(only<AnswerCall>().answer.outcome == CallOutcome::Ran);
+    }
+
+    void saysThatLargeBodyWasNotKept()
+    {
+        const std::string body(1 << 20, 'x');
+        claimAndDispatch(request());
+        handle(TargetAnswered{CallId(1), 200, body});
+        CPPUNIT_ASSERT_EQUAL(body, only<AnswerCall>().answer.body);
+        CPPUNIT_ASSERT(only<WriteClaim>().record.bodyKept == BodyKept::No);
+        receive(request());
+        assertAnswer(CallOutcome::Ran, ErrorCode::AnswerLost);
+    }
+
+    void dispatchesTicketOnceWithoutStore()
+    {
+        const std::string key = m_ledger->issueTicket(m_now).value();
+        const CallId call = receive(request(0, key));
+        CPPUNIT_ASSERT(only<Dispatch>().call == call);
+        receive(request(0, key));
+        CPPUNIT_ASSERT(m_out.empty());
+        handle(TargetAnswered{call, 200, "x"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), count<AnswerCall>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count<WriteClaim>());
+        // Remembered for as long as the ticket could be used, then refused for good.
+        for (int minutes = 0; minutes < 25; ++minutes) {
+            receive(request(0, key));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), count<Dispatch>());
+            m_now += absl::Minutes(1);
+            handle(LedgerTick{});
+        }
+        receive(request(0, key));
+        assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+    }
+
+    void refusesGuessedTickets()
+    {
+        const std::string key = m_ledger->issueTicket(m_now).value();
+        std::string guessed = key;
+        guessed.back() = guessed.back() == '0' ? '1' : '0';
+        for (const auto &it :
+             {guessed, std::string("wt1.a.2.1"), std::string("wt1.a.2.01.") + key.substr(10)}) {
+            receive(request(0, it));
+            assertAnswer(CallOutcome::NotRun, ErrorCode::InvalidRequest);
+        }
+    }
+
+    void neverDispatchesForeignOrOldTickets()
+    {
+        auto other = CallLedger::create(RouterId("b.x"), Incarnation(4), m_random);
+        const CallId call = receive(request(0, other->issueTicket(m_now).value()));
+        CPPUNIT_ASSERT(only<ForwardToOwner>().owner == RouterId("b.x"));
+        CPPUNIT_ASSERT(only<ForwardToOwner>().incarnation == Incarnation(4));
+        handle(OwnerAnswered{call, std::nullopt});
+        assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+        other = CallLedger::create(RouterId("a"), Incarnation(1), m_random);
+        receive(request(0, other->issueTicket(m_now).value()));
+        assertAnswer(CallOutcome::Unknown, ErrorCode::AnswerLost);
+    }
+
+    void usesUpRefusedTickets()
+    {
+        const std::string key = m_ledger->issueTicket(m_now).value();
+        const CallId call = receive(request(0, key));
+        handle(DispatchFailed{call, BytesSent::None});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::NoTargetAvailable);
+        receive(request(0, key));
+        assertAnswer(CallOutcome::NotRun, ErrorCode::NoTargetAvailable);
+    }
+
+    void readsRecordsBack()
+    {
+        ClaimRecord record{RouterId("a"), Incarnation(3), ~0ull, BodyDigest(~0ull), ClaimState::Done};
+        record.status = 409;
+        record.body = "{\"seat\": \"\\n\"}";
+        CPPUNIT_ASSERT(claimRecordFromJson(toJson(record)).value() == record);
+        ClaimRecord voided{RouterId("a"), Incarnation(3), 1, BodyDigest(2), ClaimState::Voided, 4};
+        CPPUNIT_ASSERT(claimRecordFromJson(toJson(voided)).value() == voided);
+        for (const auto *it : {"", "{}", R"({"owner":"a","incarnation":1,"nonce":1,"digest":1,"state":"x"})"})
+            CPPUNIT_ASSERT(claimRecordFromJson(it).error().code == ErrorCode::ProtocolViolation);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestCallLedger);
+
+} // namespace Wisteria
