--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -87,7 +87,8 @@
     RouterId peer;
 };
 
-// What this router itself saw of a target: connections refused or streams lost, or a good answer.
+// What this router itself saw of a target: connections refused or streams lost, or a good answer. The host
+// probes suspect targets now and then, since they receive no work that would show them to be up again.
 struct TargetObserved
 {
     TargetId target;
@@ -132,6 +133,8 @@
 // ----------------------------------------------------------------------------------------------------
 
 // Send to the peer; report its answer as GossipReceived, or GossipFailed.
+// An empty peer name stands for a seed or a dead member, whose name behind the address is not known; its
+// failure needs no report.
 struct SendGossip
 {
     RouterId peer;
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -32,7 +32,7 @@
     [[nodiscard]] virtual MembershipActions handle(const MembershipEvent &event, absl::Time now) = 0;
     [[nodiscard]] virtual absl::Time nextWakeUp() const = 0;
 
-    // The answer to a peer's gossip message.
+    // The answer to a peer's gossip message. The host handles the message as GossipReceived first.
     [[nodiscard]] virtual GossipMessage answerTo(const GossipMessage &message, absl::Time now) = 0;
     // Live routers: the caller's failure domain first, then by load. Leaving and suspect ones are left out
     // unless there is no other.
