--- a/Libraries/LibRouting/Admission.cpp
+++ b/Libraries/LibRouting/Admission.cpp
@@ -133,6 +133,8 @@
 {
     while (auto id = m_state.queue.front(service, rank)) {
         Generation &generation = *m_state.generations.find(*id);
+        if (m_closer.refuseIfExpired(generation))
+            continue;
         const TargetChoice choice = m_launcher.choose(generation, ResumeTarget::BySelector);
         if (choice.outcome == TargetChoice::Outcome::NoRoom)
             return;
--- a/Libraries/LibRouting/GenerationCloser.cpp
+++ b/Libraries/LibRouting/GenerationCloser.cpp
@@ -29,6 +29,14 @@
     remove(generation);
 }
 
+bool GenerationCloser::refuseIfExpired(Generation &generation)
+{
+    if (m_state.now < generation.request.deadline)
+        return false;
+    refuse(generation, ErrorCode::DeadlineExceeded, "the caller's timeout passed");
+    return true;
+}
+
 void GenerationCloser::handOver(Generation &generation)
 {
     m_state.record(DecisionKind::HandOver, generation.id(), TargetId(), "this router stops");
--- a/Libraries/LibRouting/Recovery.cpp
+++ b/Libraries/LibRouting/Recovery.cpp
@@ -69,6 +69,8 @@
 
 void Recovery::handleConfiguration(Generation &generation)
 {
+    if (m_closer.refuseIfExpired(generation))
+        return;
     m_state.touch(generation);
     if (generation.attempts.empty())
         (void)followModel(generation);
@@ -94,10 +96,8 @@
 
 void Recovery::handleWakeUp(Generation &generation)
 {
-    if (m_state.now >= generation.request.deadline) {
-        m_closer.refuse(generation, ErrorCode::DeadlineExceeded, "the caller's timeout passed");
+    if (m_closer.refuseIfExpired(generation))
         return;
-    }
     m_state.touch(generation);
     if (generation.waiting)
         return;
@@ -131,7 +131,11 @@
     const bool replace =
         m_state.resumePolicy(generation.request.service).stallResponse() == StallResponse::Replace;
     if (replace || m_watch.isHopeless(generation, silent)) {
+        const bool hasOther = generation.attempts.size() > 1;
         handleBroken(generation, silent.id);
+        // Without another attempt the generation may be closed by now.
+        if (hasOther)
+            handleSilence(generation);
         return;
     }
     race(generation, silent);
@@ -210,7 +214,7 @@
 
 bool Recovery::mayGoOn(Generation &generation)
 {
-    if (!followModel(generation))
+    if (m_closer.refuseIfExpired(generation) || !followModel(generation))
         return false;
     const auto limit = generation.hasDelivered() ? detail::maxFruitlessResumes : detail::maxFruitlessRetries;
     if (generation.attemptsSinceProgress >= limit || generation.attemptsMade >= detail::maxAttemptsInAll) {
--- /dev/null
+++ b/Tests/LibRouting/FakeClock.h
@@ -0,0 +1,37 @@
+// A virtual clock that runs callbacks in the order of their times; equal times keep the order of their calls.
+
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+
+namespace Wisteria {
+
+class FakeClock
+{
+public:
+    using Callback = std::function<void()>;
+
+    [[nodiscard]] absl::Time now() const { return m_now; }
+    void at(absl::Time time, Callback callback) { m_queue.emplace(std::max(time, m_now), std::move(callback)); }
+    void after(absl::Duration delay, Callback callback) { at(m_now + delay, std::move(callback)); }
+
+    // Runs the next callback up to the end; false when there is none.
+    bool step(absl::Time end)
+    {
+        if (m_queue.empty() || m_queue.begin()->first > end)
+            return false;
+        auto node = m_queue.extract(m_queue.begin());
+        m_now = node.key();
+        node.mapped()();
+        return true;
+    }
+
+private:
+    absl::Time m_now{absl::FromUnixSeconds(1000)};
+    std::multimap<absl::Time, Callback> m_queue;
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibRouting/FakeWorld.h
@@ -0,0 +1,132 @@
+// Callers, routers and engines on one virtual clock, with random faults from one seed. What must always hold is
+// checked from outside: from what callers receive and engines are asked, never from a router's own belief.
+
+#pragma once
+
+#include "FakeEngine.h"
+
+#include <LibRouting/Router.h>
+
+#include <memory>
+#include <stdexcept>
+
+namespace Wisteria {
+
+// A broken promise, with what was seen.
+class FakeViolation : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+class FakeWorld
+{
+public:
+    explicit FakeWorld(std::uint64_t seed);
+    // Faults first, then a time without any in which each caller must get its end. Throws FakeViolation.
+    void run();
+
+    struct Counts
+    {
+        std::uint64_t completed{0};
+        std::uint64_t refused{0};
+        std::uint64_t left{0};
+        std::uint64_t attempts{0};
+        std::uint64_t faults{0};
+        std::uint64_t events{0};
+    };
+    [[nodiscard]] const Counts &counts() const { return m_counts; }
+
+private:
+    enum class CallerState { Connecting, Connected, Completed, Refused, Left };
+
+    struct Caller
+    {
+        std::size_t number{0};
+        GenerationId generation;
+        RequestOpened request;
+        CallerState state{CallerState::Connecting};
+        std::uint64_t router{0};
+        std::uint64_t length{0};
+        FinishReason reason{FinishReason::Stop};
+        std::vector<std::string> received;
+        // For each token, what its event id names.
+        std::vector<ResumePoint> points;
+        std::uint32_t openings{0};
+        std::uint32_t attemptsInOpening{0};
+    };
+
+    // One generation as the host of a router holds it.
+    struct Opening
+    {
+        std::size_t caller{0};
+        // Which of the caller's connections.
+        std::uint32_t connection{0};
+        std::vector<std::string> texts;
+    };
+
+    struct Process
+    {
+        std::uint64_t number{0};
+        std::unique_ptr<SeededRandom> random;
+        std::unique_ptr<Router> router;
+        bool isDead{false};
+        bool isDraining{false};
+        absl::Time pausedUntil{absl::InfinitePast()};
+        std::map<TargetId, TargetPhase> phases;
+        std::map<GenerationId, Opening> openings;
+        // Started and neither ended by the engine nor cancelled.
+        std::map<AttemptId, std::pair<GenerationId, TargetId>> attempts;
+        absl::Time tickAt{absl::InfinitePast()};
+    };
+
+    void addProcess();
+    void addCaller(std::size_t number);
+    void connect(std::size_t caller, absl::Duration delay);
+    void comeBack(Caller &);
+    [[nodiscard]] Process *pickProcess();
+    void open(std::uint64_t process, const RequestOpened &, const Opening &);
+
+    void feed(std::uint64_t process, const RoutingEvent &);
+    void scheduleTick(Process &);
+    void carryOut(Process &, const RoutingEvent &cause, const RoutingAction &);
+    void act(Process &, const RoutingEvent &, const StartAttempt &);
+    void act(Process &, const RoutingEvent &, const ReattachAttempt &);
+    void act(Process &, const RoutingEvent &, const CancelAttempt &);
+    void act(Process &, const RoutingEvent &, const DeliverToken &);
+    void act(Process &, const RoutingEvent &, const CompleteGeneration &);
+    void act(Process &, const RoutingEvent &, const RefuseGeneration &);
+    void act(Process &, const RoutingEvent &, const HandOverGeneration &);
+    void act(Process &, const RoutingEvent &, const RecordDecision &) { }
+    [[nodiscard]] Opening &openingOf(Process &, const GenerationId &, const char *what);
+    // The caller, if it still listens to this router.
+    [[nodiscard]] Caller *listener(const Process &, const Opening &);
+    void close(Process &, const GenerationId &);
+    void noteAttempt(Process &, Opening &, AttemptId, const GenerationId &, const TargetId &);
+
+    void injectFault();
+    void killProcess();
+    void stopProcess();
+    void dropCaller();
+    void leaveCaller();
+    void changeConfiguration();
+    void loseDomain();
+    void setPhase(std::size_t engine, TargetPhase);
+    void tell(const RoutingEvent &);
+    void report();
+
+    void checkEnd();
+    [[nodiscard]] std::uint64_t below(std::uint64_t n) { return m_random.below(n); }
+    [[nodiscard]] absl::Duration upTo(int ms) { return absl::Milliseconds(below(static_cast<std::uint64_t>(ms) + 1)); }
+
+    FakeClock m_clock;
+    SeededRandom m_random;
+    FleetConfiguration m_configuration;
+    std::vector<std::unique_ptr<FakeEngine>> m_engines;
+    std::vector<TargetChanged> m_targets;
+    std::vector<Process> m_processes;
+    std::vector<Caller> m_callers;
+    Counts m_counts;
+};
+
+} // namespace Wisteria
