--- a/Libraries/LibConfig/ChangeDriver.cpp
+++ b/Libraries/LibConfig/ChangeDriver.cpp
@@ -108,25 +108,39 @@
 {
     m_active->phase = ChangePhase::Writing;
     m_active->calledAt = now;
+    ++m_openWrites[m_active->entry.change.changeId];
     actions.emplace_back(
         WriteConfiguration{m_active->entry.change.changeId, m_active->next, m_active->expected});
 }
 
+bool ChangeDriver::closeWrite(const std::string &changeId)
+{
+    auto it = m_openWrites.find(changeId);
+    if (it == m_openWrites.end())
+        return true;
+    if (--it->second > 0)
+        return false;
+    m_openWrites.erase(it);
+    return true;
+}
+
 std::optional<FleetConfiguration> ChangeDriver::written(const ConfigurationWritten &event, absl::Time now,
                                                         KeeperActions &actions)
 {
+    const bool isLast = closeWrite(event.changeId);
     if (!m_active || m_active->phase != ChangePhase::Writing
         || m_active->entry.change.changeId != event.changeId)
         return std::nullopt;
     if (event.result)
         return m_active->next;
     const auto ec = event.result.error().code;
+    // With another write on its way, a failure may be the result of either.
+    if (ec == ErrorCode::StoreOutcomeUnknown || !isLast)
+        m_active->mayBeWritten = true;
     if (ec == ErrorCode::StoreUnavailable && !m_active->mayBeWritten) {
         answer(makeError(ec, "write", storeCallTimeout), now, actions);
         return std::nullopt;
     }
-    if (ec == ErrorCode::StoreOutcomeUnknown)
-        m_active->mayBeWritten = true;
     // Even a conflict is read back: an earlier try of this change may be what the update met.
     read(ChangePhase::ReadingBack, now, actions);
     return std::nullopt;
@@ -154,13 +168,16 @@
     std::erase_if(routers, [&](const auto &it) { return m_active->holders.contains(it.id); });
     m_active->pushedAt = now;
     if (!routers.empty())
-        actions.emplace_back(PushConfiguration{m_active->toAcknowledge, std::move(routers)});
+        actions.emplace_back(PushConfiguration{m_active->toAcknowledge, std::move(routers), now});
 }
 
 void ChangeDriver::acknowledged(const PushAcknowledged &event, absl::Time now, KeeperActions &actions)
 {
     if (!m_active || isWaitingForStore() || event.held < m_active->toAcknowledge.version)
         return;
+    // An answer to an earlier round may come from a router that has restarted since.
+    if (event.began < m_active->roundBegan)
+        return;
     m_active->holders.insert(event.from);
     checkAcknowledged(now, actions);
 }
--- a/Libraries/LibConfig/ChangeDriver.h
+++ b/Libraries/LibConfig/ChangeDriver.h
@@ -70,11 +70,15 @@
     void answer(ErrorOr<ConfigVersion> result, absl::Time now, KeeperActions &);
     void answerTimeout(absl::Time now, KeeperActions &);
     [[nodiscard]] bool isWaitingForStore() const;
+    // Notes one result of a write; true when it must be the result of the last one.
+    [[nodiscard]] bool closeWrite(const std::string &changeId);
 
     RouterId m_self;
     // Invariant: at most maxQueuedChanges.
     std::deque<Entry> m_queue;
     std::optional<Active> m_active;
+    // Writes without a result yet, by change id. Invariant: each count is positive.
+    std::map<std::string, unsigned> m_openWrites;
 };
 
 } // namespace Wisteria::detail
--- a/Libraries/LibConfig/ConfigurationKeeper.h
+++ b/Libraries/LibConfig/ConfigurationKeeper.h
@@ -84,6 +84,7 @@
     ConfigurationChange change;
 };
 
+// The result of a WriteConfiguration; each has exactly one.
 struct ConfigurationWritten
 {
     std::string changeId;
@@ -96,6 +97,8 @@
 {
     RouterId from;
     ConfigVersion held;
+    // The `began` of the PushConfiguration that it answers; required, an answer without it never counts.
+    absl::Time began{absl::InfinitePast()};
 };
 
 struct KeeperTick
@@ -131,6 +134,8 @@
 {
     FleetConfiguration configuration;
     std::vector<CountedRouter> to;
+    // Copied into PushAcknowledged, so that an answer to an earlier round does not count in a later one.
+    absl::Time began{absl::InfinitePast()};
 };
 
 // Fetch the configuration from a peer that holds a greater version.
--- a/Libraries/LibConfig/Settings.cpp
+++ b/Libraries/LibConfig/Settings.cpp
@@ -52,8 +52,7 @@
     constexpr auto least = absl::Milliseconds(10);
     RouterTimeouts timeouts;
     reader.milliseconds("connect_ms", least, absl::Seconds(30), timeouts.connect);
-    // NOTE: ConfigurationKeeper counts on pushCallTimeout, which is this key's greatest value.
-    reader.milliseconds("peer_call_ms", least, absl::Seconds(1), timeouts.peerCall);
+    reader.milliseconds("peer_call_ms", least, absl::Seconds(10), timeouts.peerCall);
     reader.milliseconds("target_idle_ms", least, absl::Hours(1), timeouts.targetIdle);
     reader.milliseconds("caller_idle_ms", least, absl::Hours(1), timeouts.callerIdle);
     TRY_VOID(reader.finish());
