--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -28,8 +28,11 @@
 // A differing digest is only a gap once news has stopped coming, and full exchanges are rare.
 constexpr absl::Duration quietBeforeFull = absl::Seconds(5);
 constexpr absl::Duration fullInterval = absl::Seconds(20);
+// The first message of a router is a full exchange, so that it knows the fleet before it takes work. One more
+// some rounds later finds those that started with it.
+constexpr std::uint64_t secondFullRound = 8;
 // Bounds of one message.
-constexpr std::size_t maxRouterRumors = 16;
+constexpr std::size_t maxRouterRumors = 48;
 constexpr std::size_t maxTargetRumors = 32;
 constexpr std::size_t maxDemand = 32;
 
@@ -52,8 +55,6 @@
         MembershipActions actions;
         m_now = now;
         std::visit([&](const auto &it) { on(it, now, actions); }, event);
-        if (m_seenChanges != m_routers.changes())
-            refreshReaders();
         m_targets.report(now, actions);
         return actions;
     }
@@ -108,8 +109,9 @@
         const auto sender = message.sender.id;
         m_routers.merge(message.sender, RecordSource::Direct, now, actions);
         m_routers.heardFrom(sender);
+        const auto source = message.full ? RecordSource::FullExchange : RecordSource::Relayed;
         for (const auto &it : message.routers)
-            m_routers.merge(it, RecordSource::Relayed, now, actions);
+            m_routers.merge(it, source, now, actions);
         for (const auto &it : message.targets)
             m_targets.merge(it, now);
         if (sender == m_routers.self().id)
@@ -247,7 +249,7 @@
             return;
         const auto &address = addresses[m_random.below(addresses.size())];
         // The name behind an address may have changed, so a failure here says nothing about a member.
-        auto message = makeMessage(Extent::Rumors);
+        auto message = makeMessage(m_round == 1 ? Extent::Full : Extent::Rumors);
         // What is said of the one behind the address, so that it can refute its death.
         if (const auto *record = m_routers.findByAddress(address))
             message.routers.push_back(*record);
@@ -256,7 +258,8 @@
 
     void send(const RouterId &peer, MembershipActions &actions)
     {
-        const auto extent = std::exchange(m_sendFull, false) ? Extent::Full : Extent::Rumors;
+        const bool isFull = std::exchange(m_sendFull, false) || m_round == 1 || m_round == secondFullRound;
+        const auto extent = isFull ? Extent::Full : Extent::Rumors;
         const auto *record = m_routers.find(peer);
         auto message = makeMessage(extent);
         // A suspect that is alive learns of it here, and refutes.
--- a/Libraries/LibMembership/RouterBook.cpp
+++ b/Libraries/LibMembership/RouterBook.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-RouterBook::RouterBook(RouterRecord self) : m_self(std::move(self))
+RouterBook::RouterBook(RouterRecord self) : m_self(std::move(self)), m_rumors(saltOf(m_self.id.value()))
 {
     m_announcedLoad = m_self.loadPerMille;
     m_rumors.add(m_self.id);
@@ -53,7 +53,8 @@
     auto &entry = it->second;
     if (isNew) {
         m_memberCount += record.phase == MemberPhase::Dead ? 0 : 1;
-        m_rumors.add(record.id);
+        if (source != RecordSource::FullExchange)
+            m_rumors.add(record.id);
         noteChange(record, actions);
         return;
     }
--- a/Libraries/LibMembership/RouterBook.h
+++ b/Libraries/LibMembership/RouterBook.h
@@ -9,7 +9,8 @@
 
 namespace Wisteria::detail {
 
-enum class RecordSource { Direct, Relayed };
+// Records of a full exchange are not passed on when they are new here: the members that sent them know them.
+enum class RecordSource { Direct, Relayed, FullExchange };
 
 class RouterBook
 {
--- a/Libraries/LibMembership/TargetBook.h
+++ b/Libraries/LibMembership/TargetBook.h
@@ -15,7 +15,7 @@
 class TargetBook
 {
 public:
-    explicit TargetBook(RouterId self) : m_self(std::move(self)) { }
+    explicit TargetBook(RouterId self) : m_self(std::move(self)), m_rumors(saltOf(m_self.value())) { }
 
     void configure(const FleetConfiguration &, absl::Time now);
     void merge(const TargetRecord &, absl::Time now);
