--- a/Services/Router/Metrics.cpp
+++ b/Services/Router/Metrics.cpp
@@ -7,9 +7,6 @@
 
 #include <array>
 
-// NOTE: GCC 12 takes a member that Boost's accumulator assigns in its constructor for uninitialized.
-#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
-
 namespace Wisteria {
 
 namespace detail {
--- a/Services/Router/Metrics.h
+++ b/Services/Router/Metrics.h
@@ -5,11 +5,16 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
+
+// NOTE: GCC 12 takes a member that the accumulator assigns in its constructor for uninitialized.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#pragma GCC diagnostic pop
 
 #include <cstdint>
 #include <map>
--- a/Services/Router/RouterProcess.cpp
+++ b/Services/Router/RouterProcess.cpp
@@ -76,8 +76,8 @@
         m_self.id, m_self.incarnation, m_random, *this, *m_store, *m_peers, *m_targetCalls, m_log, m_metrics,
         [this](const RouterId &router) { return m_fleet->peerAddress(router); });
     FleetListener &listener = *this;
-    m_fleet = std::make_unique<FleetHost>(m_self, settings.seeds, m_random, *this, *m_store, *m_peers, listener,
-                                          m_log, settings.timeouts.peerCall, monotonicNow());
+    m_fleet = std::make_unique<FleetHost>(m_self, settings.seeds, m_random, *this, *m_store, *m_peers,
+                                          listener, m_log, settings.timeouts.peerCall, monotonicNow());
     m_peerServer = TRY(PeerServer::create(settings.peerListen, m_self.id, *this));
     m_poller = std::make_unique<TargetPoller>(*this, std::move(vms));
     m_thread = std::thread([this] { run(); });
