--- /dev/null
+++ b/Tests/LibLedger/FakeCallWorld.cpp
@@ -0,0 +1,392 @@
+// Behaviour of the fakes, and the checks at each run and each answer.
+
+#include <LibLedger/FakeCallWorld.h>
+
+#include <algorithm>
+
+namespace Wisteria {
+
+namespace detail {
+
+constexpr std::size_t routers = 3;
+constexpr int bookingsPerRun = 12;
+constexpr int maxRequests = 12;
+constexpr absl::Duration storeTimeout = absl::Seconds(1);
+constexpr absl::Duration peerTimeout = absl::Seconds(2);
+
+} // namespace detail
+
+void CallCounts::add(const CallCounts &other)
+{
+    bookings += other.bookings;
+    requests += other.requests;
+    runs += other.runs;
+    ran += other.ran;
+    notRun += other.notRun;
+    unknown += other.unknown;
+    lostReplies += other.lostReplies;
+    faults += other.faults;
+}
+
+FakeCallWorld::FakeCallWorld(std::uint64_t seed)
+    : m_random(seed), m_processes(detail::routers), m_faultsEnd(m_time.now() + absl::Minutes(4))
+{
+    for (auto &it : m_processes)
+        start(it);
+}
+
+std::string FakeCallWorld::run()
+{
+    for (int n = 0; n < detail::bookingsPerRun; ++n)
+        m_time.after(m_random.between(absl::ZeroDuration(), absl::Minutes(5)), [this] { book(); });
+    m_time.after(absl::Seconds(1), [this] { injectFault(); });
+    const absl::Time end = m_time.now() + absl::Minutes(30);
+    while (m_broken.empty() && m_time.runNext(end)) { }
+    return m_broken;
+}
+
+void FakeCallWorld::breakWith(std::size_t booking, const std::string &reason)
+{
+    if (m_broken.empty())
+        m_broken = "booking " + m_bookings[booking].key.value() + ": " + reason;
+}
+
+void FakeCallWorld::start(Process &process)
+{
+    ++process.incarnation;
+    process.random = std::make_unique<SeededRandom>(m_random.source().next());
+    const auto n = static_cast<std::size_t>(&process - m_processes.data());
+    process.ledger = CallLedger::create(RouterId("r" + std::to_string(n)), Incarnation(process.incarnation),
+                                        *process.random);
+    process.pausedUntil = absl::InfinitePast();
+    process.draining = false;
+    process.inbox.clear();
+    process.replies.clear();
+    process.requests.clear();
+    process.lastCall = 0;
+}
+
+void FakeCallWorld::deliver(std::size_t process, std::uint64_t incarnation, const VirtualTime::Step &step)
+{
+    Process &to = m_processes[process];
+    if (to.incarnation != incarnation)
+        return;
+    if (m_time.now() < to.pausedUntil)
+        to.inbox.push_back(step);
+    else
+        step();
+}
+
+void FakeCallWorld::report(std::size_t process, std::uint64_t incarnation, const LedgerEvent &event)
+{
+    deliver(process, incarnation, [this, process, event] { handle(process, event); });
+}
+
+void FakeCallWorld::handle(std::size_t process, const LedgerEvent &event)
+{
+    for (const auto &it : m_processes[process].ledger->handle(event, m_time.now()))
+        perform(process, it);
+    scheduleTick(process);
+}
+
+void FakeCallWorld::scheduleTick(std::size_t process)
+{
+    const Process &of = m_processes[process];
+    const absl::Time due = of.ledger->nextWakeUp();
+    if (due == absl::InfiniteFuture())
+        return;
+    m_time.after(std::max(due - m_time.now(), absl::Milliseconds(1)),
+                 [this, process, incarnation = of.incarnation] {
+                     const Process &to = m_processes[process];
+                     const bool isDue = to.ledger->nextWakeUp() <= m_time.now();
+                     if (to.incarnation == incarnation && m_time.now() >= to.pausedUntil && isDue)
+                         handle(process, LedgerTick{});
+                 });
+}
+
+void FakeCallWorld::perform(std::size_t process, const LedgerAction &action)
+{
+    if (const auto *it = std::get_if<WriteClaim>(&action))
+        writeClaim(process, *it);
+    if (const auto *it = std::get_if<ReadClaim>(&action))
+        readClaim(process, *it);
+    if (const auto *it = std::get_if<Dispatch>(&action))
+        dispatch(process, *it);
+    if (const auto *it = std::get_if<ForwardToOwner>(&action))
+        forward(process, *it);
+    if (const auto *it = std::get_if<AnswerCall>(&action))
+        answer(process, *it);
+}
+
+void FakeCallWorld::writeClaim(std::size_t process, const WriteClaim &write)
+{
+    const std::uint64_t incarnation = m_processes[process].incarnation;
+    const bool lost = isFaulty() && m_random.oneIn(5);
+    if (lost) {
+        ++m_counts.lostReplies;
+        m_time.after(detail::storeTimeout, [this, process, incarnation, call = write.call] {
+            report(process, incarnation, ClaimWritten{call, WriteResult::Unsure});
+        });
+        // The write itself may be lost, too, or land long after the client gave it up.
+        if (m_random.oneIn(3))
+            return;
+    }
+    m_time.after(m_random.networkDelay(), [this, process, incarnation, write, lost] {
+        ClaimWritten event{write.call, WriteResult::NotApplied};
+        if (m_time.now() >= m_storeDownUntil) {
+            Stored &stored = m_store[write.name];
+            event.result = WriteResult::Conflict;
+            if (stored.version == write.expected) {
+                stored = Stored{write.record, ObjectVersion(++m_lastVersion)};
+                event = ClaimWritten{write.call, WriteResult::Applied, stored.version};
+            }
+        }
+        if (!lost)
+            m_time.after(m_random.networkDelay(),
+                         [this, process, incarnation, event] { report(process, incarnation, event); });
+    });
+}
+
+void FakeCallWorld::readClaim(std::size_t process, const ReadClaim &read)
+{
+    const std::uint64_t incarnation = m_processes[process].incarnation;
+    m_time.after(m_random.networkDelay(), [this, process, incarnation, read] {
+        ClaimRead event{read.call};
+        event.answered = m_time.now() >= m_storeDownUntil && !(isFaulty() && m_random.oneIn(10));
+        auto it = m_store.find(read.name);
+        if (event.answered && it != m_store.end() && it->second.version != ObjectVersion()) {
+            event.record = it->second.record;
+            event.version = it->second.version;
+        }
+        m_time.after(m_random.networkDelay(),
+                     [this, process, incarnation, event] { report(process, incarnation, event); });
+    });
+}
+
+void FakeCallWorld::dispatch(std::size_t process, const Dispatch &dispatch)
+{
+    const std::uint64_t incarnation = m_processes[process].incarnation;
+    const CallId call = dispatch.call;
+    const auto request = m_processes[process].requests.find(call);
+    if (request == m_processes[process].requests.end()) {
+        m_broken = "a dispatch of a call that was answered or never made";
+        return;
+    }
+    const auto booking = static_cast<std::size_t>(request->second.digest.value());
+    enum class Fate { Answered, RefusedUnsent, DroppedBefore, DroppedAfter };
+    Fate fate = Fate::Answered;
+    if (m_random.oneIn(isFaulty() ? 3 : 1000000))
+        fate = static_cast<Fate>(1 + m_random.below(3));
+    if (fate == Fate::RefusedUnsent)
+        return m_time.after(m_random.networkDelay(), [this, process, incarnation, call] {
+            report(process, incarnation, DispatchFailed{call, BytesSent::None});
+        });
+    m_time.after(m_random.networkDelay(), [this, process, incarnation, call, booking, fate] {
+        if (fate != Fate::DroppedBefore)
+            runAtTarget(booking);
+        const absl::Duration slow = m_random.networkDelay();
+        if (fate == Fate::Answered)
+            return m_time.after(slow, [this, process, incarnation, call, booking] {
+                report(process, incarnation, TargetAnswered{call, 200, std::to_string(booking)});
+            });
+        m_time.after(slow, [this, process, incarnation, call] {
+            report(process, incarnation, DispatchFailed{call, BytesSent::Maybe});
+        });
+        // Late, after the failure was reported.
+        if (fate == Fate::DroppedAfter && m_random.oneIn(2))
+            m_time.after(slow + absl::Seconds(1), [this, process, incarnation, call, booking] {
+                report(process, incarnation, TargetAnswered{call, 200, std::to_string(booking)});
+            });
+    });
+}
+
+void FakeCallWorld::forward(std::size_t process, const ForwardToOwner &forward)
+{
+    const std::uint64_t incarnation = m_processes[process].incarnation;
+    const CallReceived request = m_processes[process].requests.at(forward.call);
+    const auto owner = static_cast<std::size_t>(forward.owner.value().at(1) - '0');
+    m_time.after(detail::peerTimeout, [this, process, incarnation, call = forward.call] {
+        report(process, incarnation, OwnerAnswered{call, std::nullopt});
+    });
+    if (m_time.now() < m_cuts[{process, owner}])
+        return;
+    ReplyTo reply;
+    reply.peer = [this, process, incarnation, owner, call = forward.call](const CallAnswer &answer) {
+        if (m_time.now() >= m_cuts[{owner, process}])
+            m_time.after(m_random.networkDelay(), [this, process, incarnation, call, answer] {
+                report(process, incarnation, OwnerAnswered{call, answer});
+            });
+    };
+    m_time.after(m_random.networkDelay(), [this, owner, forward, reply, request] {
+        deliver(owner, forward.incarnation.value(), [this, owner, reply, request] {
+            CallReceived forwarded = request;
+            forwarded.source = CallSource::Router;
+            receive(owner, static_cast<std::size_t>(request.digest.value()), reply, forwarded);
+        });
+    });
+}
+
+void FakeCallWorld::receive(std::size_t process, std::size_t, ReplyTo reply, CallReceived received)
+{
+    Process &to = m_processes[process];
+    received.call = CallId(++to.lastCall);
+    to.replies[received.call] = std::move(reply);
+    to.requests[received.call] = received;
+    handle(process, received);
+}
+
+void FakeCallWorld::answer(std::size_t process, const AnswerCall &action)
+{
+    Process &from = m_processes[process];
+    auto it = from.replies.find(action.call);
+    if (it == from.replies.end()) {
+        m_broken = "a call was answered twice";
+        return;
+    }
+    const ReplyTo reply = it->second;
+    from.replies.erase(it);
+    // The host forgets a call once it is answered, so that a dispatch must name one that still waits.
+    from.requests.erase(action.call);
+    if (reply.peer)
+        return reply.peer(action.answer);
+    m_time.after(m_random.networkDelay(),
+                 [this, reply, answer = action.answer] { hear(reply.booking, reply.request, answer); });
+}
+
+void FakeCallWorld::runAtTarget(std::size_t booking)
+{
+    ++m_counts.runs;
+    if (++m_bookings[booking].runs > 1)
+        breakWith(booking, "it ran twice");
+    if (m_bookings[booking].toldNotRun)
+        breakWith(booking, "it ran after not_run, without a new request");
+}
+
+void FakeCallWorld::book()
+{
+    const std::size_t n = m_bookings.size();
+    ++m_counts.bookings;
+    Booking &booking = m_bookings.emplace_back();
+    booking.kind = static_cast<KeyKind>(m_random.below(3));
+    booking.key = IdempotencyKey("k" + std::to_string(n));
+    request(n);
+}
+
+void FakeCallWorld::request(std::size_t n)
+{
+    Booking &booking = m_bookings[n];
+    if (booking.finished || ++booking.requests > detail::maxRequests)
+        return;
+    ++m_counts.requests;
+    auto router = static_cast<std::size_t>(m_random.below(detail::routers));
+    const bool needsTicket = booking.kind == KeyKind::Ticket && booking.attempt == 0;
+    if (needsTicket)
+        booking.key = m_processes[router].ledger->issueTicket(m_time.now());
+    booking.toldNotRun = false;
+    ++booking.attempt;
+    const std::uint64_t request = booking.request = ++m_lastRequest;
+    CallReceived received{CallId(), WorkspaceName("w"), ServiceName("s"), booking.key, BodyDigest(n)};
+    received.attempt = booking.kind == KeyKind::Numbered ? booking.attempt : 0;
+    const absl::Duration patience = m_random.between(absl::Seconds(1), absl::Seconds(8));
+    // An unnumbered request that the network holds up cannot be told from a new one: see docs.
+    const absl::Duration delay =
+        booking.kind == KeyKind::Unnumbered ? absl::ZeroDuration() : m_random.networkDelay();
+    const std::uint64_t incarnation = m_processes[router].incarnation;
+    m_time.after(delay, [this, n, request, router, incarnation, received, patience] {
+        deliver(router, incarnation, [this, n, request, router, received, patience] {
+            CallReceived it = received;
+            it.deadline = m_time.now() + patience;
+            receive(router, n, ReplyTo{n, request}, it);
+        });
+    });
+    // The caller gives the request up, which may live on.
+    m_time.after(patience, [this, n, request] {
+        if (m_bookings[n].request == request)
+            this->request(n);
+    });
+}
+
+void FakeCallWorld::hear(std::size_t n, std::uint64_t request, const CallAnswer &answer)
+{
+    Booking &booking = m_bookings[n];
+    if (answer.outcome == CallOutcome::Ran && (answer.body != std::to_string(n) || booking.runs != 1))
+        breakWith(n, "a foreign answer, or one without a run");
+    if (booking.request != request)
+        return;
+    booking.request = 0;
+    switch (answer.outcome) {
+    case CallOutcome::Ran:
+        ++m_counts.ran;
+        booking.finished = true;
+        return;
+    case CallOutcome::NotRun:
+        ++m_counts.notRun;
+        if (booking.runs > 0)
+            breakWith(n, "not_run was said of a call that ran");
+        booking.toldNotRun = true;
+        // A refused ticket is replaced.
+        if (booking.kind == KeyKind::Ticket)
+            booking.attempt = 0;
+        break;
+    case CallOutcome::Unknown:
+        ++m_counts.unknown;
+        break;
+    }
+    retryLater(n);
+}
+
+void FakeCallWorld::retryLater(std::size_t n)
+{
+    m_time.after(m_random.between(absl::Milliseconds(50), absl::Seconds(20)), [this, n] {
+        if (m_bookings[n].request == 0)
+            request(n);
+    });
+}
+
+void FakeCallWorld::injectFault()
+{
+    if (!isFaulty())
+        return;
+    ++m_counts.faults;
+    const auto n = static_cast<std::size_t>(m_random.below(detail::routers));
+    Process &process = m_processes[n];
+    const absl::Time until = m_time.now() + m_random.between(absl::Milliseconds(100), absl::Seconds(20));
+    switch (m_random.below(6)) {
+    case 0:
+    case 1:
+        process.pausedUntil = until;
+        m_time.after(until - m_time.now(), [this, n] { wake(n); });
+        break;
+    case 2:
+        start(process);
+        break;
+    case 3:
+        m_storeDownUntil = m_time.now() + m_random.between(absl::ZeroDuration(), absl::Minutes(2));
+        break;
+    case 4:
+        m_cuts[{n, (n + 1 + m_random.below(detail::routers - 1)) % detail::routers}] = until;
+        break;
+    default:
+        deliver(n, process.incarnation, [this, n] { handle(n, LedgerDrainStarted{}); });
+        // A drained router is replaced once it is idle.
+        m_time.after(until - m_time.now(), [this, n, incarnation = process.incarnation] {
+            if (m_processes[n].incarnation == incarnation && m_processes[n].ledger->isIdle())
+                start(m_processes[n]);
+        });
+    }
+    m_time.after(m_random.between(absl::Milliseconds(100), absl::Seconds(10)), [this] { injectFault(); });
+}
+
+void FakeCallWorld::wake(std::size_t process)
+{
+    Process &woken = m_processes[process];
+    if (m_time.now() < woken.pausedUntil)
+        return;
+    std::deque<VirtualTime::Step> inbox;
+    inbox.swap(woken.inbox);
+    for (const auto &it : inbox)
+        it();
+    handle(process, LedgerTick{});
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibLedger/FakeCallWorld.h
@@ -0,0 +1,123 @@
+// Fakes for the ledgers of several routers on a virtual clock: store, target, peers and retrying callers.
+// What is checked is seen from the outside: runs at the target and answers at the callers.
+
+#pragma once
+
+#include <LibLedger/CallLedger.h>
+#include <Support/VirtualTime.h>
+
+#include <deque>
+#include <map>
+
+namespace Wisteria {
+
+enum class KeyKind { Numbered, Unnumbered, Ticket };
+
+struct CallCounts
+{
+    int bookings{0};
+    int requests{0};
+    int runs{0};
+    int ran{0};
+    int notRun{0};
+    int unknown{0};
+    int lostReplies{0};
+    int faults{0};
+
+    void add(const CallCounts &other);
+};
+
+class FakeCallWorld
+{
+public:
+    explicit FakeCallWorld(std::uint64_t seed);
+
+    // Runs with faults, then without them; returns what was broken, or nothing.
+    [[nodiscard]] std::string run();
+    [[nodiscard]] const CallCounts &counts() const { return m_counts; }
+
+private:
+    // What must run at most once, whatever keys its caller used for it.
+    struct Booking
+    {
+        KeyKind kind{KeyKind::Numbered};
+        IdempotencyKey key;
+        std::uint32_t attempt{0};
+        // The caller's open request; answers to earlier ones are not heard.
+        std::uint64_t request{0};
+        int requests{0};
+        int runs{0};
+        // Told NotRun, with no new request since.
+        bool toldNotRun{false};
+        bool finished{false};
+    };
+
+    // Where the answer to a call goes: to a caller's request or to a peer's call.
+    struct ReplyTo
+    {
+        std::size_t booking{0};
+        std::uint64_t request{0};
+        std::function<void(const CallAnswer &)> peer;
+    };
+
+    struct Process
+    {
+        std::uint64_t incarnation{0};
+        std::unique_ptr<SeededRandom> random;
+        std::unique_ptr<CallLedger> ledger;
+        absl::Time pausedUntil{absl::InfinitePast()};
+        bool draining{false};
+        std::deque<VirtualTime::Step> inbox;
+        std::map<CallId, ReplyTo> replies;
+        std::map<CallId, CallReceived> requests;
+        std::uint64_t lastCall{0};
+    };
+
+    struct Stored
+    {
+        ClaimRecord record;
+        ObjectVersion version;
+    };
+
+    // Routers.
+    void start(Process &);
+    void deliver(std::size_t process, std::uint64_t incarnation, const VirtualTime::Step &);
+    void handle(std::size_t process, const LedgerEvent &);
+    void report(std::size_t process, std::uint64_t incarnation, const LedgerEvent &);
+    void scheduleTick(std::size_t process);
+    void perform(std::size_t process, const LedgerAction &);
+    void writeClaim(std::size_t process, const WriteClaim &);
+    void readClaim(std::size_t process, const ReadClaim &);
+    void dispatch(std::size_t process, const Dispatch &);
+    void forward(std::size_t process, const ForwardToOwner &);
+    void answer(std::size_t process, const AnswerCall &);
+    void receive(std::size_t process, std::size_t booking, ReplyTo, CallReceived);
+
+    // Target and callers.
+    void runAtTarget(std::size_t booking);
+    void book();
+    void request(std::size_t booking);
+    void hear(std::size_t booking, std::uint64_t request, const CallAnswer &);
+    void retryLater(std::size_t booking);
+
+    void injectFault();
+    void wake(std::size_t process);
+    [[nodiscard]] bool isFaulty() const { return m_time.now() < m_faultsEnd; }
+    void breakWith(std::size_t booking, const std::string &);
+
+    VirtualTime m_time;
+    TestRandom m_random;
+    std::vector<Process> m_processes;
+    std::vector<Booking> m_bookings;
+    std::map<ClaimName, Stored> m_store;
+    std::uint64_t m_lastRequest{0};
+    std::uint64_t m_lastVersion{0};
+    absl::Time m_storeDownUntil{absl::InfinitePast()};
+    // One-way cuts between routers, by (from, to).
+    std::map<std::pair<std::size_t, std::size_t>, absl::Time> m_cuts;
+    absl::Time m_faultsEnd;
+    CallCounts m_counts;
+    std::string m_broken;
+};
+
+} // namespace Wisteria
