--- a/Tests/StandIns/common/StandIn.h
+++ b/Tests/StandIns/common/StandIn.h
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -132,4 +133,15 @@
     return server.listen_after_bind() ? 0 : 1;
 }
 
+// Runs the program and turns an exception of a library into an exit code.
+inline int runGuarded(int (*run)(int, char **), int argc, char **argv) noexcept
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception &e) {
+        std::fputs(e.what(), stderr);
+        return 1;
+    }
+}
+
 } // namespace Wisteria::StandIns
--- a/Tests/StandIns/engine/EngineState.h
+++ b/Tests/StandIns/engine/EngineState.h
@@ -33,7 +33,8 @@
     [[nodiscard]] bool serves(const std::string &model) const
     {
         absl::MutexLock lock(&m_mutex);
-        return m_state["model"] == "" || m_state["model"] == model;
+        auto loaded = m_state["model"].get<std::string>();
+        return loaded.empty() || loaded == model;
     }
 
     void handlePut(const httplib::Request &request, httplib::Response &response)
--- a/Tests/StandIns/engine/main.cpp
+++ b/Tests/StandIns/engine/main.cpp
@@ -264,5 +264,5 @@
 
 int main(int argc, char **argv)
 {
-    return Wisteria::StandIns::run(argc, argv);
+    return Wisteria::StandIns::runGuarded(Wisteria::StandIns::run, argc, argv);
 }
