--- a/Tests/LibConfig/TestSettings.cpp
+++ b/Tests/LibConfig/TestSettings.cpp
@@ -44,7 +44,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9001"), router.peerAdvertised);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), router.seeds.size());
         const auto placer = placerSettingsFromToml(readExample("placer.toml"), "placer.toml").value();
-        CPPUNIT_ASSERT(placer.leaseDuration == absl::Seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(6), placer.downloadsAtOnce);
         const auto caller = callerSettingsFromToml(readExample("caller.toml"), "caller.toml").value();
         CPPUNIT_ASSERT(caller.timeout == absl::Minutes(10));
         const auto operators =
