LibLedger: Move a claim to a new version after a void that may land late

Specs/AtMostOnceCalls.pml found a second run: a void of an own claim lost its reply and was still under way, the claim was read back unchanged and dispatched for a new request, then the void landed and another router took the call over. A claim whose void may still land is written anew before its dispatch.

--- a/Libraries/LibLedger/ClaimedCalls.h
+++ b/Libraries/LibLedger/ClaimedCalls.h
@@ -76,6 +76,8 @@
     std::uint64_t claimNonce{0};
     Possession possession{Possession::None};
     ClaimRecord written;
+    // The version over which a void of this incarnation may still land; zero for none.
+    ObjectVersion voidMayLandOver;
     // Of `waiters`, from the front: those that were there when the void under way was written.
     std::size_t coveredWaiters{0};
     // Requests up to this one were told, or may be told, that they did not run.
--- a/Libraries/LibLedger/ClaimedCallsStore.cpp
+++ b/Libraries/LibLedger/ClaimedCallsStore.cpp
@@ -88,9 +88,13 @@
 void ClaimedCalls::proceedFromOwnClaim(ClaimedCall &call, absl::Time now, LedgerActions &out)
 {
     // After a pause nobody may be waiting any more.
-    if (detail::wantsRun(call, now))
-        return dispatch(call, out);
-    writeVoid(call, call.version, now, out);
+    if (!detail::wantsRun(call, now))
+        return writeVoid(call, call.version, now, out);
+    // A void whose reply was lost could land after the dispatch, and let another router take the call over.
+    // Moving the claim to a new version keeps it out.
+    if (call.voidMayLandOver == call.version)
+        return writeClaim(call, call.version, now, out);
+    dispatch(call, out);
 }
 
 void ClaimedCalls::writeClaim(ClaimedCall &call, ObjectVersion expected, absl::Time now, LedgerActions &out)
@@ -115,6 +119,7 @@
     call.written = ClaimRecord{m_self, m_incarnation, newNonce(), call.digest, ClaimState::Voided};
     call.written.attempt = detail::greatestAttempt(call);
     call.coveredWaiters = call.waiters.size();
+    call.voidMayLandOver = expected;
     if (++call.tries > detail::maxTries)
         return giveUpWriting(call, detail::storeOutcomeUnknown(), now, out);
     call.phase = ClaimPhase::Sealing;
--- a/Tests/LibLedger/FakeCallWorld.cpp
+++ b/Tests/LibLedger/FakeCallWorld.cpp
@@ -131,7 +131,10 @@
         if (m_random.oneIn(3))
             return;
     }
-    m_time.after(m_random.networkDelay(), [this, process, incarnation, write, lost] {
+    const bool late = lost && m_random.oneIn(2);
+    const absl::Duration delay =
+        late ? m_random.between(absl::ZeroDuration(), absl::Minutes(1)) : m_random.networkDelay();
+    m_time.after(delay, [this, process, incarnation, write, lost] {
         ClaimWritten event{write.call, WriteResult::NotApplied};
         if (m_time.now() >= m_storeDownUntil) {
             Stored &stored = m_store[write.name];
--- a/Tests/LibLedger/TestCallLedger.cpp
+++ b/Tests/LibLedger/TestCallLedger.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(neverDispatchesForgottenClaimAgain);
     CPPUNIT_TEST(sealsForForwardedRequestThatMayBeOld);
     CPPUNIT_TEST(passesVoidOnToLateJoiner);
+    CPPUNIT_TEST(claimsAnewWhenItsVoidMayLandLate);
     CPPUNIT_TEST(refusesAnotherBody);
     CPPUNIT_TEST(retriesRecordingInBackground);
     CPPUNIT_TEST(finishesRunningCallsOnDrain);
@@ -271,6 +272,21 @@
         CPPUNIT_ASSERT(only<Dispatch>().call == late);
     }
 
+    void claimsAnewWhenItsVoidMayLandLate()
+    {
+        const ClaimRecord record = claimAndDispatch(request());
+        handle(DispatchFailed{CallId(1), BytesSent::None});
+        handle(ClaimWritten{CallId(1), WriteResult::Unsure});
+        handle(ClaimRead{CallId(1), false});
+        const CallId again = receive(request());
+        handle(ClaimRead{again, true, record, ObjectVersion(1)});
+        // A dispatch under version 1 could be followed by the void, and by another router's dispatch.
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Claimed);
+        CPPUNIT_ASSERT(only<WriteClaim>().expected == ObjectVersion(1));
+        handle(ClaimWritten{again, WriteResult::Applied, ObjectVersion(2)});
+        CPPUNIT_ASSERT(only<Dispatch>().call == again);
+    }
+
     void refusesAnotherBody()
     {
         claimAndDispatch(request());
