--- a/Libraries/LibCaller/AttemptPacer.cpp
+++ b/Libraries/LibCaller/AttemptPacer.cpp
@@ -40,7 +40,7 @@
 {
 }
 
-ErrorOr<EntryPoint> AttemptPacer::next()
+ErrorOr<RouterEndpoint> AttemptPacer::next()
 {
     if (m_lastError) {
         auto wait = m_backoff.nextWait();
@@ -62,7 +62,7 @@
     return tl::unexpected(deadlineError());
 }
 
-void AttemptPacer::recordFailure(const EntryPoint &entryPoint, const Error &error)
+void AttemptPacer::recordFailure(const RouterEndpoint &entryPoint, const Error &error)
 {
     m_lastError = error;
     auto rest = detail::restAfter(error);
--- a/Libraries/LibCaller/AttemptPacer.h
+++ b/Libraries/LibCaller/AttemptPacer.h
@@ -17,10 +17,10 @@
 
     // Waits until an attempt may be made and says where. Errors: DeadlineExceeded, or the last failure once
     // the retry budget is spent.
-    [[nodiscard]] ErrorOr<EntryPoint> next();
+    [[nodiscard]] ErrorOr<RouterEndpoint> next();
 
     // Records a failed attempt. Later ones go elsewhere as long as the failure or its Retry-After says so.
-    void recordFailure(const EntryPoint &entryPoint, const Error &error);
+    void recordFailure(const RouterEndpoint &entryPoint, const Error &error);
     // The request got ahead: the retry budget is whole again.
     void recordProgress() { m_backoff.reset(); }
 
--- a/Libraries/LibCaller/CallDriver.cpp
+++ b/Libraries/LibCaller/CallDriver.cpp
@@ -30,7 +30,7 @@
 
 } // namespace detail
 
-CallDriver::CallDriver(const CallRequest &request, Transport &transport, EntryPoints &entryPoints,
+CallDriver::CallDriver(const ServiceCall &request, Transport &transport, EntryPoints &entryPoints,
                        AttemptPacer &pacer, absl::Duration stallLimit)
     : m_request(request), m_transport(transport), m_entryPoints(entryPoints), m_pacer(pacer),
       m_stallLimit(stallLimit), m_key(request.key)
@@ -56,7 +56,7 @@
     }
 }
 
-std::optional<CallResult> CallDriver::attempt(const EntryPoint &entryPoint)
+std::optional<CallResult> CallDriver::attempt(const RouterEndpoint &entryPoint)
 {
     if (auto prepared = prepareKey(entryPoint); !prepared) {
         m_pacer.recordFailure(entryPoint, prepared.error());
@@ -71,7 +71,7 @@
     return std::nullopt;
 }
 
-ErrorOr<void> CallDriver::prepareKey(const EntryPoint &entryPoint)
+ErrorOr<void> CallDriver::prepareKey(const RouterEndpoint &entryPoint)
 {
     bool isOwnKey = m_key && m_ticketIssuer.empty();
     if (m_request.repetition == Repetition::Idempotent || isOwnKey || m_maybeSent)
@@ -83,7 +83,7 @@
     return {};
 }
 
-std::optional<CallResult> CallDriver::takeAnswer(const EntryPoint &entryPoint, const HttpAnswer &answer)
+std::optional<CallResult> CallDriver::takeAnswer(const RouterEndpoint &entryPoint, const HttpAnswer &answer)
 {
     auto json = nlohmann::json::parse(answer.body, nullptr, false);
     auto outcome = json.is_object() && json.contains("outcome") && json["outcome"].is_string()
@@ -102,8 +102,11 @@
     return std::nullopt;
 }
 
-std::optional<CallResult> CallDriver::takeNotRun(const EntryPoint &entryPoint, const Error &error)
+std::optional<CallResult> CallDriver::takeNotRun(const RouterEndpoint &entryPoint, const Error &error)
 {
+    // The router looked at the request alone: that says nothing of an earlier attempt under the same key.
+    if (m_maybeSent && detail::refusesTheRequest(error.code))
+        return giveUp(error);
     m_maybeSent = false;
     // A spent ticket never runs any more; the caller's own key may be claimed anew.
     if (!m_ticketIssuer.empty()) {
--- a/Libraries/LibCaller/CallDriver.h
+++ b/Libraries/LibCaller/CallDriver.h
@@ -10,23 +10,23 @@
 class CallDriver
 {
 public:
-    CallDriver(const CallRequest &request, Transport &transport, EntryPoints &entryPoints,
+    CallDriver(const ServiceCall &request, Transport &transport, EntryPoints &entryPoints,
                AttemptPacer &pacer, absl::Duration stallLimit);
 
     [[nodiscard]] CallResult run();
 
 private:
     // One attempt. Empty: try again.
-    [[nodiscard]] std::optional<CallResult> attempt(const EntryPoint &entryPoint);
-    [[nodiscard]] std::optional<CallResult> takeAnswer(const EntryPoint &entryPoint,
+    [[nodiscard]] std::optional<CallResult> attempt(const RouterEndpoint &entryPoint);
+    [[nodiscard]] std::optional<CallResult> takeAnswer(const RouterEndpoint &entryPoint,
                                                        const HttpAnswer &answer);
-    [[nodiscard]] std::optional<CallResult> takeNotRun(const EntryPoint &entryPoint, const Error &error);
+    [[nodiscard]] std::optional<CallResult> takeNotRun(const RouterEndpoint &entryPoint, const Error &error);
     // Makes sure that there is a key which this router may be given.
-    [[nodiscard]] ErrorOr<void> prepareKey(const EntryPoint &entryPoint);
+    [[nodiscard]] ErrorOr<void> prepareKey(const RouterEndpoint &entryPoint);
     [[nodiscard]] HttpRequest makeRequest(std::string body) const;
     [[nodiscard]] CallResult giveUp(const Error &error) const;
 
-    const CallRequest &m_request;
+    const ServiceCall &m_request;
     Transport &m_transport;
     EntryPoints &m_entryPoints;
     AttemptPacer &m_pacer;
--- a/Libraries/LibCaller/CallerClient.cpp
+++ b/Libraries/LibCaller/CallerClient.cpp
@@ -26,14 +26,14 @@
 ErrorOr<Completion> CallerClient::complete(const CompletionRequest &request, TokenReceiver onToken)
 {
     AttemptPacer pacer(m_entryPoints, m_clock, m_random, m_options.retry, request.timeout);
-    CompletionDriver driver(request, m_transport, pacer, m_options.stallLimit, std::move(onToken));
+    CompletionDriver driver(request, m_transport, pacer, m_options.streamStallLimit, std::move(onToken));
     return driver.run();
 }
 
-CallResult CallerClient::call(const CallRequest &request)
+CallResult CallerClient::call(const ServiceCall &request)
 {
     AttemptPacer pacer(m_entryPoints, m_clock, m_random, m_options.retry, request.timeout);
-    CallDriver driver(request, m_transport, m_entryPoints, pacer, m_options.stallLimit);
+    CallDriver driver(request, m_transport, m_entryPoints, pacer, m_options.callStallLimit);
     return driver.run();
 }
 
--- a/Libraries/LibCaller/CallerClient.h
+++ b/Libraries/LibCaller/CallerClient.h
@@ -20,8 +20,11 @@
     std::vector<std::string> seeds;
     FailureDomain domain;
     RetryPolicy retry;
-    // A router that sends nothing for this long is taken for lost.
-    absl::Duration stallLimit{absl::Seconds(30)};
+    // A router that sends nothing on a stream for this long is taken for lost. It sends a comment each half
+    // second while it has nothing else to send.
+    absl::Duration streamStallLimit{absl::Seconds(2)};
+    // How long a router may stay silent over a call before it is asked again with the same key.
+    absl::Duration callStallLimit{absl::Seconds(30)};
     absl::Duration discoveryTimeout{absl::Seconds(2)};
 };
 
@@ -50,7 +53,7 @@
 
 enum class Repetition { AtMostOnce, Idempotent };
 
-struct CallRequest
+struct ServiceCall
 {
     WorkspaceName workspace;
     ServiceName service;
@@ -97,7 +100,7 @@
     // ProtocolViolation, and the last failure once the retry budget is spent.
     [[nodiscard]] ErrorOr<Completion> complete(const CompletionRequest &request, TokenReceiver onToken);
 
-    [[nodiscard]] CallResult call(const CallRequest &request);
+    [[nodiscard]] CallResult call(const ServiceCall &request);
 
     [[nodiscard]] EntryPoints &entryPoints() { return m_entryPoints; }
 
--- a/Libraries/LibCaller/CompletionDriver.cpp
+++ b/Libraries/LibCaller/CompletionDriver.cpp
@@ -24,7 +24,7 @@
     }
 }
 
-ErrorOr<CompletionDriver::Progress> CompletionDriver::attempt(const EntryPoint &entryPoint)
+ErrorOr<CompletionDriver::Progress> CompletionDriver::attempt(const RouterEndpoint &entryPoint)
 {
     HttpRequest request;
     try {
@@ -49,7 +49,7 @@
     return Progress::GoOn;
 }
 
-ErrorOr<CompletionDriver::Progress> CompletionDriver::judge(const EntryPoint &entryPoint,
+ErrorOr<CompletionDriver::Progress> CompletionDriver::judge(const RouterEndpoint &entryPoint,
                                                             const Error &cutReason)
 {
     switch (m_stream.end()) {
--- a/Libraries/LibCaller/CompletionDriver.h
+++ b/Libraries/LibCaller/CompletionDriver.h
@@ -19,8 +19,8 @@
     enum class Progress { Ended, GoOn };
 
     // One connection. Errors are final.
-    [[nodiscard]] ErrorOr<Progress> attempt(const EntryPoint &entryPoint);
-    [[nodiscard]] ErrorOr<Progress> judge(const EntryPoint &entryPoint, const Error &cutReason);
+    [[nodiscard]] ErrorOr<Progress> attempt(const RouterEndpoint &entryPoint);
+    [[nodiscard]] ErrorOr<Progress> judge(const RouterEndpoint &entryPoint, const Error &cutReason);
     [[nodiscard]] HttpRequest makeRequest() const;
     [[nodiscard]] Completion completion() const;
 
--- a/Libraries/LibCaller/EntryPoints.cpp
+++ b/Libraries/LibCaller/EntryPoints.cpp
@@ -19,7 +19,7 @@
 constexpr absl::Duration silentPause = absl::Seconds(1);
 constexpr absl::Duration maxLifetime = absl::Minutes(10);
 
-EntryPoint entryPointFromJson(const nlohmann::json &json)
+RouterEndpoint entryPointFromJson(const nlohmann::json &json)
 {
     return {RouterId(json.at("router").get<std::string>()), json.at("address").get<std::string>(),
             FailureDomain(json.value("domain", ""))};
@@ -54,15 +54,15 @@
         m_entryPoints.push_back({RouterId(), it, FailureDomain()});
 }
 
-std::optional<EntryPoint> EntryPoints::choose()
+std::optional<RouterEndpoint> EntryPoints::choose()
 {
     return chooseBeside({});
 }
 
-std::optional<EntryPoint> EntryPoints::chooseBeside(const std::string &other)
+std::optional<RouterEndpoint> EntryPoints::chooseBeside(const std::string &other)
 {
     refreshIfDue();
-    std::optional<EntryPoint> last;
+    std::optional<RouterEndpoint> last;
     for (const auto &it : m_entryPoints) {
         if (isHeldBack(it.address))
             continue;
@@ -98,7 +98,7 @@
         holdBack(it.address, duration);
 }
 
-ErrorOr<IdempotencyKey> EntryPoints::ticketFrom(const EntryPoint &entryPoint)
+ErrorOr<IdempotencyKey> EntryPoints::ticketFrom(const RouterEndpoint &entryPoint)
 {
     auto answer = TRY(ask(entryPoint.address, 1));
     take(answer);
--- a/Libraries/LibCaller/EntryPoints.h
+++ b/Libraries/LibCaller/EntryPoints.h
@@ -12,7 +12,7 @@
 
 namespace Wisteria {
 
-struct EntryPoint
+struct RouterEndpoint
 {
     // Empty for a seed address that discovery has not confirmed yet.
     RouterId router;
@@ -20,12 +20,12 @@
     std::string address;
     FailureDomain domain;
 
-    bool operator==(const EntryPoint &) const = default;
+    bool operator==(const RouterEndpoint &) const = default;
 };
 
 struct DiscoveryAnswer
 {
-    std::vector<EntryPoint> entryPoints;
+    std::vector<RouterEndpoint> entryPoints;
     absl::Duration lifetime;
     std::vector<IdempotencyKey> tickets;
 };
@@ -42,9 +42,9 @@
 
     // The best address that may be tried now. Asks for the entry points when the last answer's lifetime is
     // over. Empty while all known addresses are held back; nextTry() says until when.
-    [[nodiscard]] std::optional<EntryPoint> choose();
+    [[nodiscard]] std::optional<RouterEndpoint> choose();
     // The best address besides `other`, or `other` itself when there is none.
-    [[nodiscard]] std::optional<EntryPoint> chooseBeside(const std::string &other);
+    [[nodiscard]] std::optional<RouterEndpoint> chooseBeside(const std::string &other);
     [[nodiscard]] absl::Time nextTry() const;
 
     // Keeps an address back for a while, after a failure or because it said Retry-After.
@@ -53,9 +53,9 @@
 
     // A ticket that this very address issued. Errors: those of the transport; Internal when the answer held
     // none.
-    [[nodiscard]] ErrorOr<IdempotencyKey> ticketFrom(const EntryPoint &entryPoint);
+    [[nodiscard]] ErrorOr<IdempotencyKey> ticketFrom(const RouterEndpoint &entryPoint);
 
-    [[nodiscard]] const std::vector<EntryPoint> &known() const { return m_entryPoints; }
+    [[nodiscard]] const std::vector<RouterEndpoint> &known() const { return m_entryPoints; }
 
 private:
     [[nodiscard]] ErrorOr<DiscoveryAnswer> ask(const std::string &address, int tickets);
@@ -69,7 +69,7 @@
     const FailureDomain m_domain;
     const absl::Duration m_timeout;
     // Invariant: never empty; the seeds until the first answer.
-    std::vector<EntryPoint> m_entryPoints;
+    std::vector<RouterEndpoint> m_entryPoints;
     absl::Time m_validUntil{absl::InfinitePast()};
     std::map<std::string, absl::Time> m_heldBackUntil;
 };
--- a/Tests/LibCaller/TestCalls.cpp
+++ b/Tests/LibCaller/TestCalls.cpp
@@ -33,7 +33,7 @@
     FakeClock m_clock;
     FakeTransport m_transport{m_clock};
     SeededRandom m_random{7};
-    CallRequest m_request{WorkspaceName("w"), ServiceName("booking"), "book", "{}"};
+    ServiceCall m_request{WorkspaceName("w"), ServiceName("booking"), "book", "{}"};
 
     CallResult call()
     {
@@ -112,6 +112,10 @@
         m_transport.script("a", {loseReply(), answerJson(404, refusal)});
         CPPUNIT_ASSERT(std::holds_alternative<CallUnknown>(call()));
         m_transport.entryPoints.clear();
+        const std::string notRun = R"({"outcome":"not_run","error":{"type":"unknown_service","message":""}})";
+        m_transport.script("a", {loseReply(), answerJson(404, notRun)});
+        CPPUNIT_ASSERT(std::holds_alternative<CallUnknown>(call()));
+        m_transport.entryPoints.clear();
         m_transport.script("a", {answerJson(404, refusal)});
         CPPUNIT_ASSERT(std::holds_alternative<CallNotRun>(call()));
     }
--- a/Tests/LibCaller/TestCompletion.cpp
+++ b/Tests/LibCaller/TestCompletion.cpp
@@ -129,7 +129,7 @@
         m_transport.script("b", {streamBytes(tokenEvents(5, tokens) + finishEvents())});
         auto began = m_clock.now();
         assertWhole(complete());
-        CPPUNIT_ASSERT(m_clock.now() - began == CallerOptions().stallLimit);
+        CPPUNIT_ASSERT(m_clock.now() - began == CallerOptions().streamStallLimit);
     }
 
     void refusesRepeatedToken()
