--- a/Specs/Generation.pml
+++ b/Specs/Generation.pml
@@ -22,7 +22,7 @@
 #define ROUTERS 2
 #define STREAMS 3
 /* Engine deaths, cut connections, router deaths, drains and reconnects of an impatient caller, together. */
-#define FAULTS 3
+#define FAULTS 2
 #define NONE 15
 
 #define BITS 2
