--- a/Utilities/wisteria-measure/Slopes.h
+++ b/Utilities/wisteria-measure/Slopes.h
@@ -2,9 +2,20 @@
 
 #pragma once
 
+#include <LibConfig/FleetConfiguration.h>
+
 namespace Wisteria::Measure {
 
-// Prints the table; the exit status.
+// Prints all tables; the exit status.
 [[nodiscard]] int printSlopes();
 
+// A configuration of the given size, with one generation service.
+[[nodiscard]] FleetConfiguration sizedConfiguration(std::uint32_t workspaces, std::uint32_t targets,
+                                                    std::uint32_t routers);
+
+void printRouterSlopes();
+void printGossipSlopes();
+void printConfigurationSlopes();
+void printLedgerSlopes();
+
 } // namespace Wisteria::Measure
