LibRouting: Keep a returning answer with the model it was opened under

RequestOpened::openedUnder lets a host carry the service's stamp along, so that the second router refuses with answer_lost instead of going on with a newer model. The failing event orders now change models, leave out tokens, and check the model, freshness and full targets of each attempt.

--- a/Libraries/LibRouting/Events.h
+++ b/Libraries/LibRouting/Events.h
@@ -67,6 +67,10 @@
     // When the caller stops waiting.
     absl::Time deadline{absl::InfiniteFuture()};
     std::optional<ResumePoint> resume;
+    // ItemStamp::changedIn of the service when the generation was first opened, for a caller that comes back.
+    // A host that carries it along (in the generation's id, say) keeps an answer from going on with another
+    // model.
+    std::optional<ConfigVersion> openedUnder;
 };
 
 struct CallerLeft
--- a/Libraries/LibRouting/Recovery.cpp
+++ b/Libraries/LibRouting/Recovery.cpp
@@ -38,15 +38,21 @@
     Generation *generation = m_state.generations.findByAttempt(event.attempt);
     if (!generation)
         return;
-    const TargetId target = generation->find(event.attempt)->target;
-    m_launcher.release(*generation, event.attempt);
     if (event.failure == AttemptFailure::RequestRejected) {
+        m_launcher.release(*generation, event.attempt);
         m_closer.refuse(*generation, ErrorCode::InvalidRequest, "the engine rejected the request");
         return;
     }
-    noteFailure(*generation, target, event.failure);
-    if (generation->attempts.empty())
-        goOn(*generation);
+    handleEnded(*generation, event.attempt, event.failure);
+}
+
+void Recovery::handleEnded(Generation &generation, AttemptId id, AttemptFailure failure)
+{
+    const TargetId target = generation.find(id)->target;
+    m_launcher.release(generation, id);
+    noteFailure(generation, target, failure);
+    if (generation.attempts.empty())
+        goOn(generation);
 }
 
 void Recovery::handleBroken(Generation &generation, AttemptId id)
@@ -89,6 +95,7 @@
         m_closer.refuse(generation, ErrorCode::UnknownService, generation.request.service.value());
         return false;
     }
+    generation.request.openedUnder.reset();
     generation.model = service->model;
     generation.modelVersion = service->modelVersion;
     return true;
--- a/Libraries/LibRouting/Recovery.h
+++ b/Libraries/LibRouting/Recovery.h
@@ -14,7 +14,9 @@
 
     // The engine, or the connection to it, ended the attempt.
     void handle(const AttemptFailed &);
-    // The attempt broke the protocol: its tokens no longer continue the answer.
+    // The attempt is over at the engine without the answer's end.
+    void handleEnded(Generation &, AttemptId, AttemptFailure);
+    // The attempt is of no use any more, though the engine may still run it.
     void handleBroken(Generation &, AttemptId);
     // All attempts at the target are lost.
     void handleGone(const TargetId &);
--- a/Libraries/LibRouting/RoutingState.cpp
+++ b/Libraries/LibRouting/RoutingState.cpp
@@ -78,7 +78,10 @@
 bool RoutingState::hasSameModel(const Generation &generation) const
 {
     const ServiceSpec *spec = service(generation.request.service);
-    return spec && spec->model == generation.model && spec->modelVersion == generation.modelVersion;
+    if (!spec || spec->model != generation.model || spec->modelVersion != generation.modelVersion)
+        return false;
+    const auto &openedUnder = generation.request.openedUnder;
+    return !openedUnder || *openedUnder == spec->stamp.changedIn;
 }
 
 absl::Duration RoutingState::retryAfter(absl::Duration base)
--- a/Libraries/LibRouting/Sequencer.cpp
+++ b/Libraries/LibRouting/Sequencer.cpp
@@ -44,7 +44,7 @@
     if (!generation)
         return;
     if (event.end != generation->next) {
-        m_recovery.handleBroken(*generation, event.attempt);
+        m_recovery.handleEnded(*generation, event.attempt, AttemptFailure::StreamLost);
         return;
     }
     m_launcher.cancelAllBut(*generation, event.attempt);
--- a/Tests/LibRouting/FakeEngine.cpp
+++ b/Tests/LibRouting/FakeEngine.cpp
@@ -12,7 +12,8 @@
     return std::to_string(salt) + ":" + std::to_string(std::hash<std::string>()(material));
 }
 
-bool FakeEngine::continues(const GenerationId &generation, const std::string &previous, const std::string &text)
+bool FakeEngine::continues(const GenerationId &generation, const std::string &previous,
+                           const std::string &text)
 {
     const auto salt = std::stoull(text.substr(0, text.find(':')));
     return text == token(generation, previous, salt);
@@ -120,6 +121,9 @@
 
 void FakeEngine::send(FakeLink link, RoutingEvent event)
 {
+    // A broken engine leaves out a token now and then.
+    if (std::holds_alternative<TokenArrived>(event) && m_random.below(500) == 0)
+        return;
     absl::Time &last = m_lastSent[link];
     last = std::max({last, m_pausedUntil, m_clock.now() + between(1, 10)});
     m_clock.at(last, [this, link, event] { m_sink(link.first, event); });
@@ -143,8 +147,9 @@
         const std::string previous = stream.texts.empty() ? "" : stream.texts.back();
         stream.texts.push_back(token(stream.generation, previous, stream.salt));
         if (stream.link)
-            send(*stream.link, TokenArrived{stream.link->second, TokenOffset(stream.texts.size() - 1),
-                                            stream.texts.back()});
+            send(
+                *stream.link,
+                TokenArrived{stream.link->second, TokenOffset(stream.texts.size() - 1), stream.texts.back()});
     }
     if (stream.texts.size() < stream.length)
         m_clock.after(between(10, 60), [this, name, incarnation] { step(name, incarnation); });
--- a/Tests/LibRouting/FakeWorld.h
+++ b/Tests/LibRouting/FakeWorld.h
@@ -1,5 +1,5 @@
-// Callers, routers and engines on one virtual clock, with random faults from one seed. What must always hold is
-// checked from outside: from what callers receive and engines are asked, never from a router's own belief.
+// Callers, routers and engines on one virtual clock, with random faults from one seed. What must always hold
+// is checked from outside: from what callers receive and engines are asked, never from a router's own belief.
 
 #pragma once
 
@@ -53,6 +53,9 @@
         // For each token, what its event id names.
         std::vector<ResumePoint> points;
         std::uint32_t openings{0};
+        // The service's version stamp when the present answer was begun.
+        ConfigVersion openedUnder;
+        std::string modelVersion;
         std::uint32_t attemptsInOpening{0};
     };
 
@@ -63,6 +66,14 @@
         // Which of the caller's connections.
         std::uint32_t connection{0};
         std::vector<std::string> texts;
+        std::string modelVersion;
+    };
+
+    struct HostedAttempt
+    {
+        GenerationId generation;
+        TargetId target;
+        EngineStreamId stream;
     };
 
     struct Process
@@ -72,11 +83,13 @@
         std::unique_ptr<Router> router;
         bool isDead{false};
         bool isDraining{false};
+        bool isFresh{false};
+        std::map<ServiceName, ServiceSpec> services;
         absl::Time pausedUntil{absl::InfinitePast()};
         std::map<TargetId, TargetPhase> phases;
         std::map<GenerationId, Opening> openings;
         // Started and neither ended by the engine nor cancelled.
-        std::map<AttemptId, std::pair<GenerationId, TargetId>> attempts;
+        std::map<AttemptId, HostedAttempt> attempts;
         absl::Time tickAt{absl::InfinitePast()};
     };
 
@@ -102,7 +115,7 @@
     // The caller, if it still listens to this router.
     [[nodiscard]] Caller *listener(const Process &, const Opening &);
     void close(Process &, const GenerationId &);
-    void noteAttempt(Process &, Opening &, AttemptId, const GenerationId &, const TargetId &);
+    void noteAttempt(Process &, Opening &, AttemptId, HostedAttempt);
 
     void injectFault();
     void killProcess();
@@ -117,7 +130,10 @@
 
     void checkEnd();
     [[nodiscard]] std::uint64_t below(std::uint64_t n) { return m_random.below(n); }
-    [[nodiscard]] absl::Duration upTo(int ms) { return absl::Milliseconds(below(static_cast<std::uint64_t>(ms) + 1)); }
+    [[nodiscard]] absl::Duration upTo(int ms)
+    {
+        return absl::Milliseconds(below(static_cast<std::uint64_t>(ms) + 1));
+    }
 
     FakeClock m_clock;
     SeededRandom m_random;
--- a/Tests/LibRouting/FakeWorldFaults.cpp
+++ b/Tests/LibRouting/FakeWorldFaults.cpp
@@ -3,6 +3,7 @@
 #include "FakeWorld.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Wisteria {
 
@@ -131,7 +132,11 @@
     for (const char *it : {"digest", "other"}) {
         ServiceSpec &service = m_configuration.services[ServiceName(it)];
         service.name = ServiceName(it);
-        service.modelVersion = std::to_string(below(2));
+        const std::string modelVersion = std::to_string(below(3) / 2);
+        if (service.modelVersion == modelVersion)
+            continue;
+        service.modelVersion = modelVersion;
+        service.stamp.changedIn = m_configuration.version;
     }
     WorkspaceSpec &workspace = m_configuration.workspaces[WorkspaceName("kochi")];
     workspace.name = WorkspaceName("kochi");
