LibPlatform: Keep the parsed VM list alive while reading it

A leaving VM was never noticed. Cause: a range-for over a part of a temporary JSON value read freed memory and saw an empty list. Ruled out: the weighing of the list in the member table, whose tests pass. TestPlatformClients failed first (0 of 2 entries); now it and the process test of a leaving VM pass.

--- a/Libraries/LibPlatform/VmDirectory.cpp
+++ b/Libraries/LibPlatform/VmDirectory.cpp
@@ -34,7 +34,10 @@
     {
         std::vector<VmEntry> vms;
         try {
-            for (const auto &it : nlohmann::json::parse(body).at("vms")) {
+            // The parsed value needs a name: a range-for over a part of a temporary would outlive the
+            // temporary.
+            const auto answer = nlohmann::json::parse(body);
+            for (const auto &it : answer.at("vms")) {
                 auto state = it.at("state").get<std::string>();
                 vms.push_back(VmEntry{TargetId(it.at("target").get<std::string>()), state == "leaving"});
             }
