LibConfig: Count poll answers that were asked after the poll began

The router's host stamps a poll a little later than the keeper; with an equal time required, no poll would have confirmed. The host also copies the began of a push into its acknowledgement.

--- a/Libraries/LibConfig/ConfigurationKeeper.cpp
+++ b/Libraries/LibConfig/ConfigurationKeeper.cpp
@@ -32,7 +32,7 @@
 class Keeper final : public ConfigurationKeeper
 {
 public:
-    Keeper(RouterId self, bool readsStore, absl::Time startedAt)
+    Keeper(const RouterId &self, bool readsStore, absl::Time startedAt)
         : m_self(self), m_readsStore(readsStore), m_startedAt(startedAt), m_changes(self)
     {
     }
@@ -107,7 +107,8 @@
         // here, so only a new poll under the fetched configuration may confirm.
         if (event.held > m_pollVersion)
             m_pollBegan = absl::InfiniteFuture();
-        if (event.began != m_pollBegan || !event.confirmedSinceStart)
+        // A question that was asked after the poll began is as good as one of the poll itself.
+        if (event.began < m_pollBegan || !event.confirmedSinceStart)
             return;
         m_pollAnswers.insert(event.from);
         checkPoll();
--- a/Libraries/LibConfig/SettingsReader.cpp
+++ b/Libraries/LibConfig/SettingsReader.cpp
@@ -195,14 +195,16 @@
 
 ErrorOr<void> SettingsReader::finish() const
 {
-    for (const auto &[key, value] : m_table.as_table()) {
+    for (const auto &entry : m_table.as_table()) {
+        const std::string &key = entry.first;
         if (std::find(m_known.begin(), m_known.end(), key) != m_known.end())
             continue;
         const auto nearest =
             std::min_element(m_known.begin(), m_known.end(), [&](const auto &a, const auto &b) {
                 return editDistance(a, key) < editDistance(b, key);
             });
-        return tl::unexpected(errorAt(key, value, absl::StrCat("is unknown; the nearest key is ", *nearest)));
+        return tl::unexpected(
+            errorAt(key, entry.second, absl::StrCat("is unknown; the nearest key is ", *nearest)));
     }
     if (m_error)
         return tl::unexpected(*m_error);
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -43,7 +43,7 @@
 class Table final : public MemberTable
 {
 public:
-    Table(RouterRecord self, std::vector<std::string> seeds, RandomSource &random)
+    Table(const RouterRecord &self, std::vector<std::string> seeds, RandomSource &random)
         : m_random(random), m_seeds(std::move(seeds)), m_routers(self), m_targets(self.id)
     {
         std::erase(m_seeds, self.peerAddress);
@@ -93,6 +93,7 @@
         std::sort(records.begin(), records.end(),
                   [&](const auto &a, const auto &b) { return key(a) < key(b); });
         std::vector<EntryPoint> points;
+        points.reserve(records.size());
         for (const auto &it : records)
             points.push_back({it.id, it.callerAddress, it.domain});
         return points;
@@ -198,7 +199,7 @@
     std::optional<RouterId> nextPeer()
     {
         for (auto *wish : {&m_retry, &m_fullWith}) {
-            const auto id = std::exchange(*wish, std::nullopt);
+            auto id = std::exchange(*wish, std::nullopt);
             const auto *record = id ? m_routers.find(*id) : nullptr;
             if (!record || record->phase == MemberPhase::Dead)
                 continue;
@@ -208,7 +209,7 @@
         if (m_order.empty())
             shuffleOrder();
         while (!m_order.empty()) {
-            const auto id = m_order.front();
+            auto id = m_order.front();
             m_order.pop_front();
             const auto *record = m_routers.find(id);
             if (record && record->phase != MemberPhase::Dead)
--- a/Services/Router/FleetHost.cpp
+++ b/Services/Router/FleetHost.cpp
@@ -253,11 +253,11 @@
 {
     auto configuration = std::make_shared<FleetConfiguration>(action.configuration);
     for (const auto &router : action.to) {
-        m_pool.post([this, configuration, router] {
+        m_pool.post([this, configuration, router, began = action.began] {
             auto held = m_peers.pushConfiguration(router.peerAddress, *configuration, m_peerTimeout);
             // A process that took over the address under another name must not count for this one.
             if (held && held->router == router.id)
-                m_sink.post(KeeperEvent(PushAcknowledged{router.id, held->digest.held}));
+                m_sink.post(KeeperEvent(PushAcknowledged{router.id, held->digest.held, began}));
         });
     }
 }
--- a/Tests/LibConfig/FakeConfigFleet.cpp
+++ b/Tests/LibConfig/FakeConfigFleet.cpp
@@ -59,7 +59,7 @@
         work();
 }
 
-void FakeConfigFleet::call(std::size_t from, std::size_t to, std::function<Work(Node &)> atPeer)
+void FakeConfigFleet::call(std::size_t from, std::size_t to, const std::function<Work(Node &)> &atPeer)
 {
     if (m_cut[from][to])
         return;
--- a/Tests/LibConfig/FakeConfigFleet.h
+++ b/Tests/LibConfig/FakeConfigFleet.h
@@ -58,7 +58,7 @@
 
     // Runs the work at the node once it is awake, if it still is the same incarnation.
     void deliver(std::size_t node, std::uint64_t incarnation, Work);
-    void call(std::size_t from, std::size_t to, std::function<Work(Node &)> atPeer);
+    void call(std::size_t from, std::size_t to, const std::function<Work(Node &)> &atPeer);
     void start(std::size_t node);
     void tick(std::size_t node, std::uint64_t incarnation);
     void gossip(std::size_t node, std::uint64_t incarnation);
