--- a/Services/Router/FleetHost.cpp
+++ b/Services/Router/FleetHost.cpp
@@ -118,6 +118,11 @@
         if (it.id == router)
             return it.peerAddress;
     }
+    // A router that has just started knows some peers from the configuration before gossip names them.
+    for (const auto &it : m_configuration.countedRouters) {
+        if (it.id == router)
+            return it.peerAddress;
+    }
     return std::nullopt;
 }
 
@@ -254,7 +259,7 @@
     auto configuration = std::make_shared<FleetConfiguration>(action.configuration);
     for (const auto &router : action.to) {
         m_pool.post([this, configuration, router, began = action.began] {
-            auto held = m_peers.pushConfiguration(router.peerAddress, *configuration, m_peerTimeout);
+            auto held = m_peers.pushConfiguration(router.peerAddress, *configuration, pushCallTimeout);
             // A process that took over the address under another name must not count for this one.
             if (held && held->router == router.id)
                 m_sink.post(KeeperEvent(PushAcknowledged{router.id, held->digest.held, began}));
--- a/Tests/LibRouting/FakeWorld.cpp
+++ b/Tests/LibRouting/FakeWorld.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::size_t engineCount = 6;
-constexpr std::size_t callerCount = 12;
+constexpr std::size_t callerCount = 16;
+constexpr std::uint32_t slotsOfEngine = 2;
 constexpr absl::Duration faultTime = absl::Seconds(6);
 constexpr absl::Duration quietTime = absl::Seconds(240);
 constexpr std::uint32_t mostAttemptsAnOpening = 32;
@@ -32,7 +33,7 @@
         // The last engine belongs to another service.
         const ServiceName service(it + 1 == engineCount ? "other" : "digest");
         const FailureDomain domain("d" + std::to_string(it % 3));
-        m_targets.push_back(TargetChanged{id, service, domain, 4, TargetPhase::Live});
+        m_targets.push_back(TargetChanged{id, service, domain, slotsOfEngine, TargetPhase::Live});
     }
     for (int it = 0; it < 3; ++it)
         addProcess();
@@ -128,9 +129,19 @@
         m_clock.at(process.pausedUntil, [this, number, request, opening] { open(number, request, opening); });
         return;
     }
-    if (!process.isDead)
-        process.openings[request.generation] = opening;
-    feed(number, request);
+    if (process.isDead)
+        return;
+    Opening &placed = process.openings[request.generation] = opening;
+    RequestOpened event = request;
+    Caller &caller = m_callers[opening.caller];
+    const ServiceSpec &service = process.services.at(request.service);
+    if (!request.resume) {
+        caller.openedUnder = service.stamp.changedIn;
+        caller.modelVersion = service.modelVersion;
+    }
+    placed.modelVersion = caller.modelVersion;
+    event.openedUnder = caller.openedUnder;
+    feed(number, event);
 }
 
 FakeWorld::Process *FakeWorld::pickProcess()
@@ -153,12 +164,18 @@
         return;
     }
     ++m_counts.events;
+    if (const auto *it = std::get_if<AttemptStarted>(&event); it && process.attempts.contains(it->attempt))
+        process.attempts[it->attempt].stream = it->stream;
     if (const auto *it = std::get_if<AttemptFailed>(&event))
         process.attempts.erase(it->attempt);
     if (const auto *it = std::get_if<AttemptFinished>(&event))
         process.attempts.erase(it->attempt);
     if (const auto *it = std::get_if<TargetChanged>(&event))
         process.phases[it->target] = it->phase;
+    if (const auto *it = std::get_if<FreshnessChanged>(&event))
+        process.isFresh = it->fresh;
+    if (const auto *it = std::get_if<ConfigurationChanged>(&event))
+        process.services = it->configuration.services;
     for (const auto &action : process.router->handle(event, m_clock.now()))
         carryOut(process, event, action);
     if (std::holds_alternative<Tick>(event))
@@ -201,20 +218,19 @@
     return listens ? &caller : nullptr;
 }
 
-void FakeWorld::noteAttempt(Process &process, Opening &opening, AttemptId id, const GenerationId &generation,
-                            const TargetId &target)
+void FakeWorld::noteAttempt(Process &process, Opening &opening, AttemptId id, HostedAttempt hosted)
 {
     ++m_counts.attempts;
-    process.attempts[id] = {generation, target};
-    std::size_t running = 0;
-    for (const auto &[attempt, of] : process.attempts)
-        running += of.first == generation ? 1 : 0;
+    std::size_t running = 1;
+    for (const auto &[attempt, other] : process.attempts)
+        running += other.generation == hosted.generation ? 1 : 0;
+    process.attempts[id] = std::move(hosted);
     require(running <= 2, "more than two attempts at once");
     Caller &caller = m_callers[opening.caller];
     require(++caller.attemptsInOpening <= mostAttemptsAnOpening, "too many attempts for a request");
 }
 
-void FakeWorld::act(Process &process, const RoutingEvent &, const StartAttempt &action)
+void FakeWorld::act(Process &process, const RoutingEvent &cause, const StartAttempt &action)
 {
     Opening &opening = openingOf(process, action.generation, "start");
     const Caller &caller = m_callers[opening.caller];
@@ -224,7 +240,16 @@
             "new work on a leaving or gone target");
     require(m_targets[index].service == caller.request.service, "target of another service");
     require(action.from.value() == opening.texts.size(), "attempt does not open with the delivered prefix");
-    noteAttempt(process, opening, action.attempt, action.generation, action.target);
+    require(process.isFresh || !std::holds_alternative<RequestOpened>(cause), "a stale router took new work");
+    const std::string &modelVersion = process.services.at(caller.request.service).modelVersion;
+    if (opening.texts.empty())
+        opening.modelVersion = modelVersion;
+    require(opening.modelVersion == modelVersion, "the answer goes on with another model");
+    if (&caller == listener(process, opening) && caller.received.empty()) {
+        m_callers[opening.caller].modelVersion = modelVersion;
+        m_callers[opening.caller].openedUnder = process.services.at(caller.request.service).stamp.changedIn;
+    }
+    noteAttempt(process, opening, action.attempt, {action.generation, action.target, {}});
     const FakeLink link{process.number, action.attempt};
     m_clock.after(absl::Milliseconds(2),
                   [this, index, link, action, texts = opening.texts, length = caller.length,
@@ -236,7 +261,7 @@
     Opening &opening = openingOf(process, action.generation, "re-attach");
     const auto index = static_cast<std::size_t>(std::stoi(action.target.value().substr(1)));
     require(process.phases.at(action.target) != TargetPhase::Gone, "re-attach to a gone target");
-    noteAttempt(process, opening, action.attempt, action.generation, action.target);
+    noteAttempt(process, opening, action.attempt, {action.generation, action.target, action.stream});
     const FakeLink link{process.number, action.attempt};
     m_clock.after(absl::Milliseconds(2),
                   [this, index, link, action] { m_engines[index]->reattach(link, action); });
@@ -246,7 +271,7 @@
 {
     auto it = process.attempts.find(action.attempt);
     require(it != process.attempts.end(), "cancel of an attempt that is over");
-    const auto index = static_cast<std::size_t>(std::stoi(it->second.second.value().substr(1)));
+    const auto index = static_cast<std::size_t>(std::stoi(it->second.target.value().substr(1)));
     process.attempts.erase(it);
     const FakeLink link{process.number, action.attempt};
     m_clock.after(absl::Milliseconds(2), [this, index, link] { m_engines[index]->cancel(link); });
@@ -317,8 +342,8 @@
     // The engine streams run on; the host just closes its connections.
     std::erase_if(process.attempts, [&](const auto &it) {
         const auto &point = m_callers[opening.caller].points;
-        return it.second.first == action.generation && !point.empty()
-            && point.back().target == it.second.second;
+        return it.second.generation == action.generation && !point.empty()
+            && point.back().target == it.second.target && point.back().stream == it.second.stream;
     });
     close(process, action.generation);
 }
--- /dev/null
+++ b/Tests/LibRouting/TestAdmission.cpp
@@ -0,0 +1,188 @@
+// What comes in, what waits and what is refused at once.
+
+#include "FakeHost.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestAdmission : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestAdmission);
+    CPPUNIT_TEST(refusesUnknownNames);
+    CPPUNIT_TEST(refusesWhileStaleButReattaches);
+    CPPUNIT_TEST(keepsReserveForUrgent);
+    CPPUNIT_TEST(letsUrgentPastPatient);
+    CPPUNIT_TEST(boundsQueueAndRefusesAtOnce);
+    CPPUNIT_TEST(sharesSlotsByWeight);
+    CPPUNIT_TEST(holdsWorkspaceLimitOverRouters);
+    CPPUNIT_TEST(refusesWaitersWhenTargetsAreGone);
+    CPPUNIT_TEST(endsWaitingAtDeadline);
+    CPPUNIT_TEST(usesSuspectOnlyWhenNothingElse);
+    CPPUNIT_TEST(ignoresOlderConfiguration);
+    CPPUNIT_TEST(handsWaitersOverAtDrain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void refusesUnknownNames()
+    {
+        FakeHost host;
+        CPPUNIT_ASSERT(refusal(host.open("g")) == ErrorCode::NoTargetAvailable);
+        host.configuration.workspaces.clear();
+        host.configure();
+        CPPUNIT_ASSERT(refusal(host.open("g")) == ErrorCode::UnknownWorkspace);
+        host.configuration.services.begin()->second.kind = ServiceKind::Plain;
+        host.configure();
+        CPPUNIT_ASSERT(refusal(host.open("g")) == ErrorCode::UnknownService);
+    }
+
+    void refusesWhileStaleButReattaches()
+    {
+        FakeHost host;
+        host.addTarget("t1");
+        host.feed(FreshnessChanged{false});
+        auto refused = only<RefuseGeneration>(host.open("g")).at(0).error;
+        CPPUNIT_ASSERT(refused.code == ErrorCode::ConfigurationStale && refused.retryAfter);
+        const ResumePoint point{TargetId("t1"), EngineStreamId("s"), TokenOffset(0), TokenOffset(5)};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<ReattachAttempt>(host.comeBack("h", point)).size());
+    }
+
+    void keepsReserveForUrgent()
+    {
+        FakeHost host({.urgentReserve = 0.5});
+        host.addTarget("t1", 4);
+        CPPUNIT_ASSERT(starts(host.open("p1")) && starts(host.open("p2")));
+        CPPUNIT_ASSERT(!starts(host.open("p3")));
+        CPPUNIT_ASSERT(starts(host.open("u1", Urgency::Urgent)));
+        CPPUNIT_ASSERT(starts(host.open("u2", Urgency::Urgent)));
+    }
+
+    void letsUrgentPastPatient()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.addTarget("t1", 1);
+        const auto running = only<StartAttempt>(host.open("p1")).at(0);
+        CPPUNIT_ASSERT(!starts(host.open("p2")));
+        CPPUNIT_ASSERT(starts(host.open("u1", Urgency::Urgent)));
+        CPPUNIT_ASSERT(!starts(host.open("u2", Urgency::Urgent)));
+        auto next = only<StartAttempt>(host.feed(AttemptFinished{running.attempt, TokenOffset(0)}));
+        CPPUNIT_ASSERT(next.at(0).generation == GenerationId("u2"));
+    }
+
+    void boundsQueueAndRefusesAtOnce()
+    {
+        FakeHost host({.urgentReserve = 0, .maxWaiting = 1});
+        host.addTarget("t1", 1);
+        host.open("p1");
+        CPPUNIT_ASSERT(!refusal(host.open("p2")));
+        CPPUNIT_ASSERT(refusal(host.open("p3")) == ErrorCode::Overloaded);
+    }
+
+    void sharesSlotsByWeight()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.configuration.workspaces[WorkspaceName("heavy")] = {.name = WorkspaceName("heavy"), .weight = 3};
+        host.configure();
+        host.addTarget("t1", 1);
+        auto running = only<StartAttempt>(host.open("g")).at(0);
+        for (int it = 0; it < 12; ++it) {
+            host.open("light" + std::to_string(it));
+            RequestOpened heavy{.generation = GenerationId("heavy" + std::to_string(it)),
+                                .workspace = WorkspaceName("heavy"),
+                                .service = ServiceName("digest")};
+            host.feed(heavy);
+        }
+        int served = 0;
+        for (int it = 0; it < 12; ++it) {
+            running = only<StartAttempt>(host.feed(AttemptFinished{running.attempt, TokenOffset(0)})).at(0);
+            served += running.generation.value().starts_with("heavy") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(served >= 8 && served <= 10);
+    }
+
+    void holdsWorkspaceLimitOverRouters()
+    {
+        FakeHost host;
+        host.configuration.workspaces.begin()->second.maxGenerations = 3;
+        host.configure();
+        host.addTarget("t1", 16);
+        host.feed(WorkspaceDemandReported{WorkspaceName("kochi"), 2, 2});
+        CPPUNIT_ASSERT(starts(host.open("g1")));
+        CPPUNIT_ASSERT(refusal(host.open("g2")) == ErrorCode::WorkspaceLimitReached);
+        host.feed(CallerLeft{GenerationId("g1")});
+        host.feed(WorkspaceDemandReported{WorkspaceName("kochi"), 2, 2});
+        CPPUNIT_ASSERT(starts(host.open("g3")));
+    }
+
+    void refusesWaitersWhenTargetsAreGone()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.addTarget("t1", 1);
+        host.open("g1");
+        host.open("g2");
+        host.addTarget("t1", 1, TargetPhase::Leaving);
+        host.open("g3");
+        CPPUNIT_ASSERT(host.router().demand().at(WorkspaceName("kochi")) == 1);
+        CPPUNIT_ASSERT(refusal(host.open("g4")) == ErrorCode::NoTargetAvailable);
+    }
+
+    void endsWaitingAtDeadline()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.addTarget("t1", 1);
+        const auto running = only<StartAttempt>(host.open("g1")).at(0);
+        host.feed(RequestOpened{.generation = GenerationId("g2"),
+                                .workspace = WorkspaceName("kochi"),
+                                .service = ServiceName("digest"),
+                                .deadline = host.now + absl::Seconds(1)});
+        CPPUNIT_ASSERT(refusal(host.pass(absl::Milliseconds(1010))) == ErrorCode::DeadlineExceeded);
+        CPPUNIT_ASSERT(!starts(host.feed(AttemptFinished{running.attempt, TokenOffset(0)})));
+    }
+
+    void usesSuspectOnlyWhenNothingElse()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.addTarget("t1", 2, TargetPhase::Suspect);
+        host.addTarget("t2", 1);
+        CPPUNIT_ASSERT(only<StartAttempt>(host.open("g1")).at(0).target == TargetId("t2"));
+        CPPUNIT_ASSERT(!starts(host.open("g2")));
+        auto moved = only<StartAttempt>(
+            host.feed(TargetChanged{TargetId("t2"), ServiceName("digest"), {}, 1, TargetPhase::Leaving}));
+        CPPUNIT_ASSERT(moved.at(0).target == TargetId("t1"));
+    }
+
+    void ignoresOlderConfiguration()
+    {
+        FakeHost host;
+        host.addTarget("t1");
+        FleetConfiguration older = host.configuration;
+        older.services.clear();
+        host.configure();
+        host.feed(ConfigurationChanged{older});
+        CPPUNIT_ASSERT(starts(host.open("g")));
+    }
+
+    void handsWaitersOverAtDrain()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.addTarget("t1", 1);
+        host.open("g1");
+        host.open("g2");
+        auto handed = only<HandOverGeneration>(host.feed(DrainStarted{}));
+        CPPUNIT_ASSERT(handed.size() == 1 && handed[0].generation == GenerationId("g2"));
+        CPPUNIT_ASSERT(!host.router().isIdle());
+    }
+
+private:
+    static bool starts(const RoutingActions &actions) { return !only<StartAttempt>(actions).empty(); }
+    static std::optional<ErrorCode> refusal(const RoutingActions &actions)
+    {
+        auto refused = only<RefuseGeneration>(actions);
+        return refused.empty() ? std::nullopt : std::optional(refused[0].error.code);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAdmission);
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibRouting/TestEstimates.cpp
@@ -0,0 +1,181 @@
+// The estimates and bounds behind the decisions: gaps, load, budget, shares, selection.
+
+#include <LibRouting/AffinitySelector.h>
+#include <LibRouting/RetryBudget.h>
+#include <LibRouting/RoutingState.h>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestEstimates : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestEstimates);
+    CPPUNIT_TEST(gapsFollowTheEngine);
+    CPPUNIT_TEST(onePauseDoesNotBlind);
+    CPPUNIT_TEST(firstTokensScaleWithPrefill);
+    CPPUNIT_TEST(loadAddsOwnWorkSinceReport);
+    CPPUNIT_TEST(failuresInRowCoolDownLonger);
+    CPPUNIT_TEST(budgetBoundsRetriesButNotResumes);
+    CPPUNIT_TEST(sharesFollowDemand);
+    CPPUNIT_TEST(sharesBoundOvershoot);
+    CPPUNIT_TEST(affinityKeepsHeadsTogether);
+    CPPUNIT_TEST(pluginsAreRegistered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void gapsFollowTheEngine()
+    {
+        GapEstimator fast;
+        GapEstimator slow;
+        for (int it = 0; it < 200; ++it) {
+            fast.addTokenGap(absl::Milliseconds(20 + it % 5));
+            slow.addTokenGap(absl::Milliseconds(800 + it % 200));
+        }
+        CPPUNIT_ASSERT(fast.tokenGapTail() < absl::Milliseconds(300));
+        CPPUNIT_ASSERT(slow.tokenGapTail() > absl::Milliseconds(990));
+        CPPUNIT_ASSERT(slow.tokenGapTail() < absl::Seconds(2));
+    }
+
+    void onePauseDoesNotBlind()
+    {
+        GapEstimator gaps;
+        for (int it = 0; it < 200; ++it)
+            gaps.addTokenGap(absl::Milliseconds(40));
+        const absl::Duration before = gaps.tokenGapTail();
+        gaps.addTokenGap(absl::Seconds(30));
+        CPPUNIT_ASSERT(gaps.tokenGapTail() <= before * 4);
+    }
+
+    void firstTokensScaleWithPrefill()
+    {
+        GapEstimator gaps;
+        for (int it = 0; it < 50; ++it)
+            gaps.addFirstTokenGap(absl::Milliseconds(200), 1024);
+        CPPUNIT_ASSERT(gaps.firstTokenTail(8 * 1024) > absl::Milliseconds(800));
+        CPPUNIT_ASSERT(gaps.firstTokenTail(0) < absl::Milliseconds(800));
+    }
+
+    void loadAddsOwnWorkSinceReport()
+    {
+        const absl::Time t0 = absl::FromUnixSeconds(1000);
+        TargetState target(TargetChanged{.target = TargetId("t"), .slots = 8});
+        target.noteAttemptBegun(t0);
+        target.noteAttemptBegun(t0 + absl::Seconds(2));
+        // Measured between the two: it holds the first, five of other routers, and one that waits.
+        target.apply(LoadReported{TargetId("t"), 6, 1, absl::Seconds(2)}, t0 + absl::Seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(8), target.load(t0 + absl::Seconds(3)));
+        target.noteAttemptEnded(t0 + absl::Seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(7), target.load(t0 + absl::Seconds(4)));
+        // A report that was overtaken changes nothing.
+        target.apply(LoadReported{TargetId("t"), 0, 0, absl::Seconds(9)}, t0 + absl::Seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(7), target.load(t0 + absl::Seconds(5)));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), target.load(t0 + absl::Seconds(60)));
+    }
+
+    void failuresInRowCoolDownLonger()
+    {
+        absl::Time now = absl::FromUnixSeconds(1000);
+        TargetState target(TargetChanged{.target = TargetId("t"), .slots = 8});
+        target.noteFailure(now);
+        target.noteFailure(now);
+        now += absl::Milliseconds(2100);
+        CPPUNIT_ASSERT(!target.isCoolingDown(now));
+        target.noteFailure(now);
+        CPPUNIT_ASSERT(target.isCoolingDown(now + absl::Milliseconds(2100)));
+        target.noteProgress(now);
+        CPPUNIT_ASSERT(!target.isCoolingDown(now));
+    }
+
+    void budgetBoundsRetriesButNotResumes()
+    {
+        RetryBudget budget;
+        const absl::Time now = absl::FromUnixSeconds(1000);
+        for (int it = 0; it < 100; ++it)
+            budget.noteFirstAttempt(now);
+        CPPUNIT_ASSERT_EQUAL(15, taken(budget, RetryBudget::Kind::Retry, now));
+        CPPUNIT_ASSERT_EQUAL(40, taken(budget, RetryBudget::Kind::Resume, now));
+        CPPUNIT_ASSERT_EQUAL(0, taken(budget, RetryBudget::Kind::Race, now));
+        CPPUNIT_ASSERT_EQUAL(5, taken(budget, RetryBudget::Kind::Retry, now + absl::Seconds(31)));
+    }
+
+    void sharesFollowDemand()
+    {
+        const WorkspaceSpec spec{.name = WorkspaceName("w"), .maxGenerations = 100};
+        WorkspaceShares shares;
+        CPPUNIT_ASSERT_EQUAL(100, admitted(shares, spec));
+        WorkspaceShares small;
+        small.setDemandElsewhere(spec.name, 80, 5);
+        CPPUNIT_ASSERT(admitted(small, spec) <= 2);
+    }
+
+    void sharesBoundOvershoot()
+    {
+        // Ten routers with equal demand all admit as much as they may between two reports.
+        constexpr std::uint32_t routers = 10;
+        const WorkspaceSpec spec{.name = WorkspaceName("w"), .maxGenerations = 100};
+        std::vector<WorkspaceShares> all(routers);
+        int total = 0;
+        for (auto &it : all) {
+            for (int own = 0; own < 8; ++own)
+                it.add(spec.name);
+            it.setDemandElsewhere(spec.name, 8 * (routers - 1), routers);
+            total += 8 + admitted(it, spec);
+        }
+        CPPUNIT_ASSERT(total >= 100 && total <= 100 + static_cast<int>(routers) + 3);
+    }
+
+    void affinityKeepsHeadsTogether()
+    {
+        AffinitySelector selector;
+        std::vector<TargetCandidate> candidates;
+        for (int it = 0; it < 20; ++it)
+            candidates.push_back({.id = TargetId("t" + std::to_string(it)), .slots = 16});
+        int moved = 0;
+        for (std::uint64_t it = 0; it < 1000; ++it) {
+            const PromptHead head(it * 0x9e3779b97f4a7c15ULL);
+            const TargetId before = candidates[selector.select(candidates, head)].id;
+            const std::span<const TargetCandidate> fewer(candidates.data(), candidates.size() - 1);
+            const TargetId after = fewer[selector.select(fewer, head)].id;
+            moved += before != after ? 1 : 0;
+        }
+        // Only the heads of the target that left move: about 1 in 20.
+        CPPUNIT_ASSERT(moved > 20 && moved < 90);
+        const PromptHead head(7);
+        const std::size_t home = selector.select(candidates, head);
+        candidates[home].load = 16;
+        CPPUNIT_ASSERT(selector.select(candidates, head) != home);
+    }
+
+    void pluginsAreRegistered()
+    {
+        SeededRandom random(1);
+        const RoutingState state(random);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), TargetSelectorRegistry::instance().names().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), ResumePolicyRegistry::instance().names().size());
+        CPPUNIT_ASSERT(!ResumePolicyRegistry::instance().create("unheard-of"));
+    }
+
+private:
+    static int taken(RetryBudget &budget, RetryBudget::Kind kind, absl::Time now)
+    {
+        constexpr std::uint32_t running = 40;
+        int n = 0;
+        while (budget.tryTake(kind, 0.1, running, now))
+            ++n;
+        return n;
+    }
+
+    static int admitted(WorkspaceShares &shares, const WorkspaceSpec &spec)
+    {
+        int n = 0;
+        for (; shares.mayAdmit(spec); ++n)
+            shares.add(spec.name);
+        return n;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestEstimates);
+
+} // namespace Wisteria
