--- a/Utilities/wisteria-measure/Engine.cpp
+++ b/Utilities/wisteria-measure/Engine.cpp
@@ -188,16 +188,24 @@
     m_work += (stepBase / m_slots + stepPerStream) * streams + prefillPerToken * prefilled;
     m_isStepping = true;
     m_queue.after(work / m_speed, [this, life = m_life] {
-        if (life != m_life)
-            return;
-        std::map<std::uint64_t, std::vector<RoutingEvent>> out;
-        decode(out);
-        for (auto &[incarnation, events] : out)
-            m_sink(incarnation, std::move(events));
-        step();
+        if (life == m_life)
+            endStep();
     });
 }
 
+void Engine::endStep()
+{
+    if (isPaused()) {
+        whenAwake([this] { endStep(); });
+        return;
+    }
+    std::map<std::uint64_t, std::vector<RoutingEvent>> out;
+    decode(out);
+    for (auto &[incarnation, events] : out)
+        m_sink(incarnation, std::move(events));
+    step();
+}
+
 void Engine::admitWaiting()
 {
     auto isUrgent = [&](const EngineStreamId &id) {
--- a/Utilities/wisteria-measure/Engine.h
+++ b/Utilities/wisteria-measure/Engine.h
@@ -93,6 +93,7 @@
     void whenAwake(EventQueue::Callback);
     void wake();
     void step();
+    void endStep();
     void admitWaiting();
     // Spends the step's prefill tokens; urgent streams come first.
     std::uint32_t prefill();
