--- a/Utilities/wisteria-measure/Cost.h
+++ b/Utilities/wisteria-measure/Cost.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <ctime>
+#include <fstream>
 #include <malloc.h>
+#include <unistd.h>
 
 namespace Wisteria::Measure {
 
@@ -25,6 +27,16 @@
     return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
 }
 
+// Bytes of this process that are in memory.
+[[nodiscard]] inline double residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    double pages = 0;
+    double resident = 0;
+    statm >> pages >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
 // Runs the work and returns its microseconds.
 template <typename Work>
 [[nodiscard]] double microsecondsOf(Work &&work)
--- a/Utilities/wisteria-measure/GossipSlopes.cpp
+++ b/Utilities/wisteria-measure/GossipSlopes.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <iostream>
 
 namespace Wisteria::Measure {
@@ -97,6 +98,17 @@
         }
     }
 
+    // The first router leaves; the time until all others know it.
+    [[nodiscard]] absl::Duration spreadLeave()
+    {
+        const absl::Time began = m_now;
+        constexpr absl::Duration longest = absl::Seconds(60);
+        perform(0, m_tables[0]->handle(LeaveStarted{}, m_now));
+        while (!isLeaveKnown() && m_now - began < longest)
+            runFor(roundLength);
+        return m_now - began;
+    }
+
     void resetCounts() { m_messages = m_bytes = m_largest = 0; }
     // Gossip messages and their answers, sent by all routers together.
     [[nodiscard]] double messages() const { return static_cast<double>(m_messages); }
@@ -106,16 +118,19 @@
     {
         return (heapBytes() - m_heapBefore) / static_cast<double>(m_tables.size());
     }
-    [[nodiscard]] bool isComplete() const
+
+private:
+    [[nodiscard]] bool isLeaveKnown() const
     {
-        for (const auto &it : m_tables) {
-            if (it->routers().size() < m_tables.size() - 1)
+        for (std::size_t n = 1; n < m_tables.size(); ++n) {
+            const auto routers = m_tables[n]->routers();
+            auto it = std::ranges::find(routers, RouterId("router-0"), &RouterRecord::id);
+            if (it == routers.end() || it->phase != MemberPhase::Leaving)
                 return false;
         }
         return true;
     }
 
-private:
     static constexpr absl::Duration roundLength = absl::Milliseconds(500);
 
     static std::string address(std::uint32_t n)
@@ -185,9 +200,9 @@
 void printGossipSlopes()
 {
     std::cout << "gossip of one router by routers and workspaces, 600 targets, after 30 s, over 20 s\n";
-    std::cout << absl::StreamFormat("  %8s %10s %12s %12s %14s %12s %14s %9s\n", "routers", "workspaces",
+    std::cout << absl::StreamFormat("  %8s %10s %12s %12s %14s %12s %14s %14s\n", "routers", "workspaces",
                                     "messages/s", "bytes/s out", "largest bytes", "cpu us/s", "memory bytes",
-                                    "complete");
+                                    "leave known s");
     constexpr absl::Duration settling = absl::Seconds(30);
     constexpr absl::Duration measured = absl::Seconds(20);
     constexpr std::uint32_t targets = 600;
@@ -198,10 +213,14 @@
             fleet.resetCounts();
             const double spent = microsecondsOf([&] { fleet.runFor(measured); });
             const double routerSeconds = absl::ToDoubleSeconds(measured) * routers;
-            std::cout << absl::StreamFormat(
-                "  %8d %10d %12.2f %12.0f %14d %12.0f %14.0f %9s\n", routers, workspaces,
-                fleet.messages() / routerSeconds, fleet.bytes() / routerSeconds, fleet.largest(),
-                spent / routerSeconds, fleet.bytesPerTable(), fleet.isComplete() ? "yes" : "no");
+            const double messages = fleet.messages() / routerSeconds;
+            const double bytes = fleet.bytes() / routerSeconds;
+            const std::size_t largest = fleet.largest();
+            const double memory = fleet.bytesPerTable();
+            const double leaveSeconds = absl::ToDoubleSeconds(fleet.spreadLeave());
+            std::cout << absl::StreamFormat("  %8d %10d %12.2f %12.0f %14d %12.0f %14.0f %14.1f\n", routers,
+                                            workspaces, messages, bytes, largest, spent / routerSeconds,
+                                            memory, leaveSeconds);
         }
     }
 }
--- a/Utilities/wisteria-measure/Slopes.cpp
+++ b/Utilities/wisteria-measure/Slopes.cpp
@@ -13,7 +13,10 @@
 
 #include <array>
 #include <iostream>
+#include <latch>
+#include <thread>
 #include <utility>
+#include <vector>
 
 namespace Wisteria::Measure {
 
@@ -83,18 +86,20 @@
 void printConfigurationSlopes()
 {
     std::cout << "configuration by workspaces, targets and counted routers\n";
-    std::cout << absl::StreamFormat("  %10s %8s %8s %12s %12s %12s %12s %12s\n", "workspaces", "targets",
-                                    "routers", "json bytes", "write us", "parse us", "router us",
-                                    "members us");
+    std::cout << absl::StreamFormat("  %10s %8s %8s %12s %12s %12s %12s %12s %12s\n", "workspaces", "targets",
+                                    "routers", "json bytes", "heap bytes", "write us", "parse us",
+                                    "router us", "members us");
     constexpr std::array<std::array<std::uint32_t, 3>, 4> sizes{
         {{10, 30, 7}, {100, 150, 50}, {310, 300, 150}, {310, 600, 410}}};
     for (const auto &[workspaces, targets, routers] : sizes) {
+        const double before = heapBytes();
         const auto configuration = sizedConfiguration(workspaces, targets, routers);
+        const double heap = heapBytes() - before;
         std::string json;
         const double writing = microsecondsOf([&] { json = toJson(configuration); });
         const double parsing = microsecondsOf([&] { (void)fleetConfigurationFromJson(json); });
-        std::cout << absl::StreamFormat("  %10d %8d %8d %12d %12.0f %12.0f %12.0f %12.0f\n", workspaces,
-                                        targets, routers, json.size(), writing, parsing,
+        std::cout << absl::StreamFormat("  %10d %8d %8d %12d %12.0f %12.0f %12.0f %12.0f %12.0f\n",
+                                        workspaces, targets, routers, json.size(), heap, writing, parsing,
                                         detail::configurationMicroseconds(configuration),
                                         detail::membershipMicroseconds(configuration));
     }
@@ -119,12 +124,61 @@
     }
 }
 
+void printClaimCalls()
+{
+    SeededRandom random(1);
+    auto ledger = CallLedger::create(RouterId("router-0"), Incarnation(1), random);
+    const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    CallReceived call;
+    call.call = CallId(1);
+    call.workspace = WorkspaceName("w0");
+    call.service = ServiceName("bookings");
+    call.key = IdempotencyKey("a-caller's-own-key");
+    call.digest = BodyDigest(1);
+    call.attempt = 1;
+    std::size_t writes = 0;
+    std::size_t reads = 0;
+    auto count = [&](const LedgerActions &actions) {
+        for (const auto &it : actions) {
+            writes += std::holds_alternative<WriteClaim>(it) ? 1 : 0;
+            reads += std::holds_alternative<ReadClaim>(it) ? 1 : 0;
+        }
+    };
+    count(ledger->handle(call, now));
+    count(ledger->handle(ClaimWritten{call.call, WriteResult::Applied, ObjectVersion(1)}, now));
+    count(ledger->handle(TargetAnswered{call.call, 200, "done"}, now));
+    count(ledger->handle(ClaimWritten{call.call, WriteResult::Applied, ObjectVersion(2)}, now));
+    std::cout << absl::StreamFormat("a claimed call without faults: %d store writes, %d store reads\n",
+                                    writes, reads);
+}
+
+void printThreadCost()
+{
+    constexpr int threadCount = 300;
+    std::latch allStarted(threadCount);
+    std::latch stop(1);
+    const double before = residentBytes();
+    std::vector<std::jthread> threads;
+    for (int n = 0; n < threadCount; ++n) {
+        threads.emplace_back([&] {
+            allStarted.count_down();
+            stop.wait();
+        });
+    }
+    allStarted.wait();
+    const double grown = residentBytes() - before;
+    stop.count_down();
+    std::cout << absl::StreamFormat("a waiting thread: %.0f resident bytes\n", grown / threadCount);
+}
+
 int printSlopes()
 {
     printRouterSlopes();
     printGossipSlopes();
     printConfigurationSlopes();
     printLedgerSlopes();
+    printClaimCalls();
+    printThreadCost();
     return 0;
 }
 
--- a/Utilities/wisteria-measure/Slopes.h
+++ b/Utilities/wisteria-measure/Slopes.h
@@ -17,5 +17,7 @@
 void printGossipSlopes();
 void printConfigurationSlopes();
 void printLedgerSlopes();
+void printClaimCalls();
+void printThreadCost();
 
 } // namespace Wisteria::Measure
