LibRouting: Refuse at once what would outwait its own timeout

A request whose estimated wait, from the rate at which its service's generations end here, goes past its deadline is refused as overloaded instead of waiting in vain; Retry-After follows the same estimate. The tests also bound fruitless attempts, time the race for both ends of the thrift knob and keep re-attach within the service.

--- a/Libraries/LibRouting/Admission.cpp
+++ b/Libraries/LibRouting/Admission.cpp
@@ -2,8 +2,24 @@
 
 #include <LibRouting/Admission.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
+namespace detail {
+
+// When the queue will have moved on by about half, where its pace is known.
+std::optional<absl::Duration> comeBackAfter(RoutingState &state, std::optional<absl::Duration> wait)
+{
+    if (!wait)
+        return std::nullopt;
+    constexpr absl::Duration least = absl::Milliseconds(500);
+    constexpr absl::Duration most = absl::Seconds(30);
+    return state.retryAfter(std::clamp(*wait / 2, least, most));
+}
+
+} // namespace detail
+
 Admission::Admission(RoutingState &state, AttemptLauncher &launcher, GenerationCloser &closer,
                      Recovery &recovery)
     : m_state(state), m_launcher(launcher), m_closer(closer), m_recovery(recovery)
@@ -111,8 +127,16 @@
 
 void Admission::enqueue(Generation &generation, WaitingRank rank)
 {
+    const ServiceName &service = generation.request.service;
+    const auto wait = m_state.waits.waitAt(service, m_state.queue.sizeUpTo(service, rank), m_state.now);
+    const auto comeBackAfter = detail::comeBackAfter(m_state, wait);
     if (m_state.queue.size(rank) >= m_state.configuration.preset().maxWaiting) {
-        m_closer.refuse(generation, ErrorCode::Overloaded, "too many requests wait here");
+        m_closer.refuse(generation, ErrorCode::Overloaded, "too many requests wait here", comeBackAfter);
+        return;
+    }
+    if (wait && m_state.now + *wait > generation.request.deadline) {
+        m_closer.refuse(generation, ErrorCode::Overloaded, "the wait would outlast the caller's timeout",
+                        comeBackAfter);
         return;
     }
     const WorkspaceSpec &workspace = *m_state.workspace(generation.request.workspace);
--- a/Libraries/LibRouting/AdmissionQueue.cpp
+++ b/Libraries/LibRouting/AdmissionQueue.cpp
@@ -84,6 +84,19 @@
     return it == m_sizes.end() ? 0 : it->second;
 }
 
+std::size_t AdmissionQueue::sizeUpTo(const ServiceName &service, WaitingRank rank) const
+{
+    std::size_t n = 0;
+    for (auto it : {WaitingRank::Urgent, WaitingRank::Resume, WaitingRank::Patient}) {
+        const RankQueue *queue = it <= rank ? find(service, it) : nullptr;
+        if (!queue)
+            continue;
+        for (const auto &[workspace, lane] : queue->lanes)
+            n += lane.items.size();
+    }
+    return n;
+}
+
 const AdmissionQueue::RankQueue *AdmissionQueue::find(const ServiceName &service, WaitingRank rank) const
 {
     auto it = m_services.find(service);
--- a/Libraries/LibRouting/AdmissionQueue.h
+++ b/Libraries/LibRouting/AdmissionQueue.h
@@ -29,6 +29,8 @@
 
     [[nodiscard]] std::vector<ServiceName> services() const;
     [[nodiscard]] std::size_t size(WaitingRank) const;
+    // Requests of the service that are served before a new one of the rank, as far as ranks decide.
+    [[nodiscard]] std::size_t sizeUpTo(const ServiceName &, WaitingRank) const;
     [[nodiscard]] bool isEmpty() const { return m_services.empty(); }
 
 private:
--- a/Libraries/LibRouting/Events.h
+++ b/Libraries/LibRouting/Events.h
@@ -222,7 +222,9 @@
     Error error;
 };
 
-// The caller should go on at another router from its last event id. No token is lost, no work is thrown away.
+// The caller should go on at another router from its last event id. No token is lost, no work is thrown away:
+// the host closes the generation's engine connections without cancelling their streams, except for the
+// attempts that a CancelAttempt names.
 struct HandOverGeneration
 {
     GenerationId generation;
--- a/Libraries/LibRouting/GenerationCloser.cpp
+++ b/Libraries/LibRouting/GenerationCloser.cpp
@@ -23,9 +23,10 @@
     remove(generation);
 }
 
-void GenerationCloser::refuse(Generation &generation, ErrorCode code, std::string detail)
+void GenerationCloser::refuse(Generation &generation, ErrorCode code, std::string detail,
+                              std::optional<absl::Duration> comeBackAfter)
 {
-    refuse(generation.id(), code, std::move(detail));
+    refuse(generation.id(), code, std::move(detail), comeBackAfter);
     remove(generation);
 }
 
@@ -57,17 +58,21 @@
     remove(generation);
 }
 
-void GenerationCloser::refuse(const GenerationId &id, ErrorCode code, std::string detail)
+void GenerationCloser::refuse(const GenerationId &id, ErrorCode code, std::string detail,
+                              std::optional<absl::Duration> comeBackAfter)
 {
     m_state.record(DecisionKind::Refuse, id, TargetId(),
                    std::string(errorName(code)) + (detail.empty() ? "" : ": " + detail));
-    m_state.out.push_back(RefuseGeneration{id, Error{code, std::move(detail), retryAfter(code)}});
+    m_state.out.push_back(RefuseGeneration{
+        id, Error{code, std::move(detail), comeBackAfter ? comeBackAfter : retryAfter(code)}});
 }
 
 void GenerationCloser::remove(Generation &generation)
 {
     while (!generation.attempts.empty())
         m_launcher.cancel(generation, generation.attempts.back().id);
+    if (generation.attemptsMade > 0)
+        m_state.waits.noteGenerationEnded(generation.request.service, m_state.now);
     if (generation.waiting)
         m_state.queue.remove(generation.request.service, generation.id());
     m_state.shares.remove(generation.request.workspace);
--- a/Libraries/LibRouting/GenerationCloser.h
+++ b/Libraries/LibRouting/GenerationCloser.h
@@ -14,7 +14,9 @@
 
     // The reference is dead after each of these.
     void complete(Generation &, FinishReason);
-    void refuse(Generation &, ErrorCode, std::string detail);
+    // A wait of which more is known than its kind tells goes in as `comeBackAfter`.
+    void refuse(Generation &, ErrorCode, std::string detail,
+                std::optional<absl::Duration> comeBackAfter = std::nullopt);
     void handOver(Generation &);
     void forget(Generation &);
 
@@ -22,7 +24,8 @@
     // may bring other events before the Tick of a deadline.
     [[nodiscard]] bool refuseIfExpired(Generation &);
     // Refuses a request that was not admitted.
-    void refuse(const GenerationId &, ErrorCode, std::string detail);
+    void refuse(const GenerationId &, ErrorCode, std::string detail,
+                std::optional<absl::Duration> comeBackAfter = std::nullopt);
 
 private:
     void remove(Generation &);
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -8,6 +8,7 @@
 #include <LibRouting/RetryBudget.h>
 #include <LibRouting/RoundRobinSelector.h>
 #include <LibRouting/TargetTable.h>
+#include <LibRouting/WaitEstimator.h>
 #include <LibRouting/WorkspaceShares.h>
 
 #include <map>
@@ -33,6 +34,7 @@
     AdmissionQueue queue;
     WorkspaceShares shares;
     RetryBudget budget;
+    WaitEstimator waits;
 
     // Invariant: made from the preset in force.
     std::unique_ptr<TargetSelector> selector;
--- /dev/null
+++ b/Libraries/LibRouting/WaitEstimator.h
@@ -0,0 +1,37 @@
+// Estimates how long a request will wait for a slot, from the rate at which a service's generations end here.
+
+#pragma once
+
+#include <LibCore/Ids.h>
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <optional>
+
+namespace Wisteria {
+
+class WaitEstimator
+{
+public:
+    void noteGenerationEnded(const ServiceName &, absl::Time now);
+    // The wait of the request at the position (zero is the front); empty while too few generations have
+    // ended.
+    [[nodiscard]] std::optional<absl::Duration> waitAt(const ServiceName &, std::size_t position,
+                                                       absl::Time now) const;
+
+private:
+    struct Ends
+    {
+        absl::Time first;
+        absl::Time last;
+        // Ends so far, each faded by its age.
+        double faded{0};
+    };
+
+    [[nodiscard]] static double fadedAt(const Ends &, absl::Time now);
+
+    std::map<ServiceName, Ends> m_ends;
+};
+
+} // namespace Wisteria
--- a/Tests/LibRouting/FakeWorld.cpp
+++ b/Tests/LibRouting/FakeWorld.cpp
@@ -321,6 +321,7 @@
         require(m_clock.now() >= deadline, "the deadline has not passed");
     else
         require(onOpening || m_clock.now() < deadline, "held back until the deadline");
+    ++m_counts.refusals[std::string(errorName(code)) + (opening.texts.empty() ? "" : " after tokens")];
     if (Caller *caller = listener(process, opening)) {
         // Some callers take the refusal for final, some come back as it says.
         if (action.error.retryAfter && below(2) == 0) {
--- a/Tests/LibRouting/FakeWorld.h
+++ b/Tests/LibRouting/FakeWorld.h
@@ -34,6 +34,8 @@
         std::uint64_t attempts{0};
         std::uint64_t faults{0};
         std::uint64_t events{0};
+        // Refusals by their error's name, those that callers came back from included.
+        std::map<std::string, std::uint64_t> refusals;
     };
     [[nodiscard]] const Counts &counts() const { return m_counts; }
 
--- a/Tests/LibRouting/TestAdmission.cpp
+++ b/Tests/LibRouting/TestAdmission.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(holdsWorkspaceLimitOverRouters);
     CPPUNIT_TEST(refusesWaitersWhenTargetsAreGone);
     CPPUNIT_TEST(endsWaitingAtDeadline);
+    CPPUNIT_TEST(refusesAtOnceWhatWouldOutwaitItsTimeout);
     CPPUNIT_TEST(usesSuspectOnlyWhenNothingElse);
     CPPUNIT_TEST(ignoresOlderConfiguration);
     CPPUNIT_TEST(handsWaitersOverAtDrain);
@@ -140,6 +141,30 @@
         CPPUNIT_ASSERT(!starts(host.feed(AttemptFinished{running.attempt, TokenOffset(0)})));
     }
 
+    void refusesAtOnceWhatWouldOutwaitItsTimeout()
+    {
+        FakeHost host({.urgentReserve = 0});
+        host.addTarget("t1", 1);
+        // One generation ends every two seconds, and six more wait.
+        auto running = only<StartAttempt>(host.open("g0")).at(0);
+        for (int it = 1; it <= 6; ++it)
+            host.open("g" + std::to_string(it));
+        for (int it = 7; it <= 14; ++it) {
+            host.now += absl::Seconds(2);
+            running = only<StartAttempt>(host.feed(AttemptFinished{running.attempt, TokenOffset(0)})).at(0);
+            host.open("g" + std::to_string(it));
+        }
+        RequestOpened request{.generation = GenerationId("short"),
+                              .workspace = WorkspaceName("kochi"),
+                              .service = ServiceName("digest"),
+                              .deadline = host.now + absl::Seconds(5)};
+        const Error error = only<RefuseGeneration>(host.feed(request)).at(0).error;
+        CPPUNIT_ASSERT(error.code == ErrorCode::Overloaded);
+        CPPUNIT_ASSERT(error.retryAfter > absl::Seconds(3) && error.retryAfter < absl::Seconds(20));
+        request.deadline = host.now + absl::Seconds(60);
+        CPPUNIT_ASSERT(only<RefuseGeneration>(host.feed(request)).empty());
+    }
+
     void usesSuspectOnlyWhenNothingElse()
     {
         FakeHost host({.urgentReserve = 0});
--- a/Tests/LibRouting/TestRouter.cpp
+++ b/Tests/LibRouting/TestRouter.cpp
@@ -21,6 +21,11 @@
     CPPUNIT_TEST(staysWithModelOfItsOpening);
     CPPUNIT_TEST(handsOverAfterDrainLimit);
     CPPUNIT_TEST(countsNoSilenceWhileNotRunning);
+    CPPUNIT_TEST(boundsFruitlessAttempts);
+    CPPUNIT_TEST(reattachesOnlyWithinTheService);
+    CPPUNIT_TEST(restartNeverReattaches);
+    CPPUNIT_TEST(thriftDelaysTheRace);
+    CPPUNIT_TEST(prefersTargetWithThePrefix);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,7 +163,83 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), only<DeliverToken>(host.bring(first.attempt, 20)).size());
     }
 
+    void boundsFruitlessAttempts()
+    {
+        FakeHost host({.retryBudget = 10});
+        const auto first = start(host);
+        auto other = only<StartAttempt>(host.open("h")).at(0);
+        host.bring(first.attempt, 0, 3);
+        CPPUNIT_ASSERT_EQUAL(3, fail(host, other.attempt));
+        CPPUNIT_ASSERT_EQUAL(6, fail(host, first.attempt));
+        CPPUNIT_ASSERT(host.router().demand().empty());
+    }
+
+    void reattachesOnlyWithinTheService()
+    {
+        FakeHost host;
+        host.addTarget("t1");
+        host.feed(TargetChanged{TargetId("t2"), ServiceName("other"), FailureDomain("a"), 4});
+        const ResumePoint point{TargetId("t2"), EngineStreamId("s"), TokenOffset(0), TokenOffset(5)};
+        auto actions = host.comeBack("g", point);
+        CPPUNIT_ASSERT(only<ReattachAttempt>(actions).empty());
+        CPPUNIT_ASSERT(only<StartAttempt>(actions).at(0).target == TargetId("t1"));
+    }
+
+    void restartNeverReattaches()
+    {
+        FakeHost host({.resume = {.policy = "restart"}});
+        host.addTarget("t1");
+        const ResumePoint point{TargetId("t1"), EngineStreamId("s"), TokenOffset(0), TokenOffset(5)};
+        CPPUNIT_ASSERT(only<StartAttempt>(host.comeBack("g", point)).at(0).from == TokenOffset(5));
+    }
+
+    void thriftDelaysTheRace()
+    {
+        CPPUNIT_ASSERT(raceDelay(0) < absl::Milliseconds(600));
+        CPPUNIT_ASSERT(raceDelay(1) > absl::Milliseconds(1500));
+        CPPUNIT_ASSERT(raceDelay(1) < absl::Seconds(3));
+    }
+
+    void prefersTargetWithThePrefix()
+    {
+        FakeHost host({.resume = {.thrift = 1}});
+        const auto first = start(host);
+        for (int it = 3; it <= 9; ++it)
+            host.addTarget("t" + std::to_string(it));
+        host.feed(CacheReported{TargetId("t7"), {PromptHead()}, {}});
+        host.bring(first.attempt, 0, 3);
+        const bool wasThere = first.target == TargetId("t7");
+        auto again = only<StartAttempt>(host.feed(AttemptFailed{first.attempt, AttemptFailure::StreamLost}));
+        CPPUNIT_ASSERT(wasThere || again.at(0).target == TargetId("t7"));
+    }
+
 private:
+    // Fails the attempt and all that follow it; counts them up to the refusal.
+    static int fail(FakeHost &host, AttemptId attempt)
+    {
+        for (int n = 1; n < 100; ++n) {
+            auto actions = host.feed(AttemptFailed{attempt, AttemptFailure::NotStarted});
+            if (!only<RefuseGeneration>(actions).empty())
+                return n;
+            auto next = only<StartAttempt>(actions);
+            if (next.empty())
+                next = only<StartAttempt>(host.pass(absl::Seconds(3)));
+            attempt = next.at(0).attempt;
+        }
+        return 100;
+    }
+
+    // From an engine's last token to the second attempt.
+    static absl::Duration raceDelay(double thrift)
+    {
+        FakeHost host({.resume = {.thrift = thrift}});
+        const auto first = start(host);
+        host.bring(first.attempt, 0, 100);
+        const absl::Time silentSince = host.now;
+        while (only<StartAttempt>(host.pass(absl::Milliseconds(10))).empty()) { }
+        return host.now - silentSince;
+    }
+
     // Two targets and a generation "g" that runs on one of them.
     static StartAttempt start(FakeHost &host)
     {
--- a/Tests/LibRouting/TestRouterUnderFailure.cpp
+++ b/Tests/LibRouting/TestRouterUnderFailure.cpp
@@ -29,6 +29,8 @@
         std::cerr << "orders " << count << ", faults " << m_sum.faults << ", events " << m_sum.events
                   << ", completed " << m_sum.completed << ", refused " << m_sum.refused << ", left "
                   << m_sum.left << ", attempts " << m_sum.attempts << '\n';
+        for (const auto &[name, n] : m_sum.refusals)
+            std::cerr << "  " << name << " " << n << '\n';
         // A world in which nearly all callers are refused would prove little.
         CPPUNIT_ASSERT(seed || m_sum.completed > 3 * m_sum.refused);
     }
@@ -48,6 +50,8 @@
         m_sum.attempts += world.counts().attempts;
         m_sum.faults += world.counts().faults;
         m_sum.events += world.counts().events;
+        for (const auto &[name, n] : world.counts().refusals)
+            m_sum.refusals[name] += n;
     }
 
     FakeWorld::Counts m_sum;
