--- a/Tests/LibRouting/FakeEngine.cpp
+++ b/Tests/LibRouting/FakeEngine.cpp
@@ -119,7 +119,7 @@
     return n;
 }
 
-void FakeEngine::send(FakeLink link, RoutingEvent event)
+void FakeEngine::send(FakeLink link, const RoutingEvent &event)
 {
     // A broken engine leaves out a token now and then.
     if (std::holds_alternative<TokenArrived>(event) && m_random.below(500) == 0)
@@ -159,7 +159,7 @@
 
 absl::Duration FakeEngine::between(int leastMs, int mostMs)
 {
-    const auto span = static_cast<std::uint64_t>(mostMs - leastMs + 1);
+    const auto span = static_cast<std::uint64_t>(mostMs - leastMs) + 1;
     return absl::Milliseconds(leastMs + static_cast<int>(m_random.below(span)));
 }
 
--- a/Tests/LibRouting/FakeEngine.h
+++ b/Tests/LibRouting/FakeEngine.h
@@ -65,7 +65,7 @@
         bool isCancelled{false};
     };
 
-    void send(FakeLink, RoutingEvent);
+    void send(FakeLink, const RoutingEvent &);
     void step(const std::string &stream, std::uint64_t incarnation);
     [[nodiscard]] absl::Duration between(int leastMs, int mostMs);
 
--- a/Tests/LibRouting/FakeWorld.cpp
+++ b/Tests/LibRouting/FakeWorld.cpp
@@ -172,6 +172,7 @@
         process.attempts.erase(it->attempt);
     if (const auto *it = std::get_if<TargetChanged>(&event))
         process.phases[it->target] = it->phase;
+    process.wasToldToDrain |= std::holds_alternative<DrainStarted>(event);
     if (const auto *it = std::get_if<FreshnessChanged>(&event))
         process.isFresh = it->fresh;
     if (const auto *it = std::get_if<ConfigurationChanged>(&event))
@@ -240,7 +241,9 @@
             "new work on a leaving or gone target");
     require(m_targets[index].service == caller.request.service, "target of another service");
     require(action.from.value() == opening.texts.size(), "attempt does not open with the delivered prefix");
-    require(process.isFresh || !std::holds_alternative<RequestOpened>(cause), "a stale router took new work");
+    const bool isNewHere = std::holds_alternative<RequestOpened>(cause);
+    require(process.isFresh || !isNewHere, "a stale router took new work");
+    require(!process.wasToldToDrain || !isNewHere, "a draining router took new work");
     const std::string &modelVersion = process.services.at(caller.request.service).modelVersion;
     if (opening.texts.empty())
         opening.modelVersion = modelVersion;
--- a/Tests/LibRouting/FakeWorld.h
+++ b/Tests/LibRouting/FakeWorld.h
@@ -86,6 +86,7 @@
         bool isDead{false};
         bool isDraining{false};
         bool isFresh{false};
+        bool wasToldToDrain{false};
         std::map<ServiceName, ServiceSpec> services;
         absl::Time pausedUntil{absl::InfinitePast()};
         std::map<TargetId, TargetPhase> phases;
