--- a/Tests/LibRouting/FakeWorld.h
+++ b/Tests/LibRouting/FakeWorld.h
@@ -34,6 +34,8 @@
         std::uint64_t attempts{0};
         std::uint64_t faults{0};
         std::uint64_t events{0};
+        // Refusals by their error's name, those that callers came back from included.
+        std::map<std::string, std::uint64_t> refusals;
     };
     [[nodiscard]] const Counts &counts() const { return m_counts; }
 
@@ -84,6 +86,7 @@
         bool isDead{false};
         bool isDraining{false};
         bool isFresh{false};
+        bool wasToldToDrain{false};
         std::map<ServiceName, ServiceSpec> services;
         absl::Time pausedUntil{absl::InfinitePast()};
         std::map<TargetId, TargetPhase> phases;
