Router: Carry the model's version in event ids and the caller's attempt number to the ledger

An answer that goes on at another router must not continue with a model that was changed meanwhile, and a first request that is refused may be called not run. Both need a word from the caller, since routers keep nothing.

--- a/Libraries/LibPeer/PeerClient.cpp
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -113,6 +113,7 @@
         request.set_service(call.service.value());
         request.set_key(call.key.value());
         request.set_body(call.body);
+        request.set_attempt(call.attempt);
         request.set_remaining_ms(absl::ToInt64Milliseconds(call.remaining));
         wisteria::ForwardCallReply reply;
         auto status = stub(address)->ForwardCall(&context, request, &reply);
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -42,6 +42,8 @@
     // The call's JSON body.
     std::string body;
     absl::Duration remaining;
+    // The caller's count of its requests under the key; zero when it does not say.
+    std::uint32_t attempt{0};
 };
 
 [[nodiscard]] wisteria::GossipProto toProto(const PeerGossip &);
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -69,7 +69,8 @@
                            ServiceName(in->service()),
                            IdempotencyKey(in->key()),
                            in->body(),
-                           absl::Milliseconds(static_cast<std::int64_t>(in->remaining_ms()))};
+                           absl::Milliseconds(static_cast<std::int64_t>(in->remaining_ms())),
+                           in->attempt()};
         auto answer = m_handler.onForwardedCall(call);
         if (!answer && answer.error().code != ErrorCode::LeaseLost)
             return toStatus(answer.error());
--- a/Services/Router/CallHandler.cpp
+++ b/Services/Router/CallHandler.cpp
@@ -88,6 +88,7 @@
     if (!detail::isValidKey(key))
         return makeError(ErrorCode::InvalidRequest, "Idempotency-Key must be 1 to 200 printable characters");
     call.key = IdempotencyKey(key);
+    call.attempt = TRY(readAttempt(request));
     return call;
 }
 
@@ -106,6 +107,7 @@
     request.key = call.key;
     request.body = std::move(call.body);
     request.deadline = deadline;
+    request.attempt = call.attempt;
     request.answer = [shared](CallAnswer answer) {
         shared->answer = std::move(answer);
         shared->done.Notify();
--- a/Services/Router/CallHandler.h
+++ b/Services/Router/CallHandler.h
@@ -24,6 +24,7 @@
         IdempotencyKey key;
         std::string body;
         absl::Time deadline;
+        std::uint32_t attempt{0};
     };
 
     [[nodiscard]] ErrorOr<Call> readCall(const httplib::Request &request);
--- a/Services/Router/CallHeaders.cpp
+++ b/Services/Router/CallHeaders.cpp
@@ -23,6 +23,15 @@
     return WorkspaceName(name);
 }
 
+ErrorOr<std::uint32_t> readAttempt(const httplib::Request &request)
+{
+    std::uint32_t n = 0;
+    if (request.has_header("Wisteria-Attempt")
+        && !absl::SimpleAtoi(request.get_header_value("Wisteria-Attempt"), &n))
+        return makeError(ErrorCode::InvalidRequest, "Wisteria-Attempt must be a whole number");
+    return n;
+}
+
 ErrorOr<absl::Time> readDeadline(const httplib::Request &request, absl::Duration fallback)
 {
     if (!request.has_header("Wisteria-Timeout-Ms"))
--- a/Services/Router/CallHeaders.h
+++ b/Services/Router/CallHeaders.h
@@ -16,4 +16,8 @@
 // Errors: InvalidRequest.
 [[nodiscard]] ErrorOr<absl::Time> readDeadline(const httplib::Request &request, absl::Duration fallback);
 
+// The caller's count of its requests under one key, from 1; zero where it does not say. Errors:
+// InvalidRequest.
+[[nodiscard]] ErrorOr<std::uint32_t> readAttempt(const httplib::Request &request);
+
 } // namespace Wisteria
--- a/Services/Router/CallHost.cpp
+++ b/Services/Router/CallHost.cpp
@@ -76,12 +76,15 @@
 void CallHost::submit(CallRequest request, absl::Time now)
 {
     CallId call(++m_lastCall);
-    CallReceived received{call,
-                          request.workspace,
-                          request.service,
-                          request.key,
-                          detail::digestOf(request.body),
-                          request.deadline};
+    CallReceived received;
+    received.call = call;
+    received.workspace = request.workspace;
+    received.service = request.service;
+    received.key = request.key;
+    received.digest = detail::digestOf(request.body);
+    received.deadline = request.deadline;
+    received.attempt = request.attempt;
+    received.source = request.source;
     m_requests.emplace(call, std::move(request));
     handle(received, now);
 }
--- a/Services/Router/CallHost.h
+++ b/Services/Router/CallHost.h
@@ -25,6 +25,9 @@
     IdempotencyKey key;
     std::string body;
     absl::Time deadline;
+    // The caller's count of its requests under the key; zero when it does not say.
+    std::uint32_t attempt{0};
+    CallSource source{CallSource::Caller};
     // Called once, on the decision thread.
     std::function<void(CallAnswer)> answer;
 };
--- a/Services/Router/CompletionHandler.cpp
+++ b/Services/Router/CompletionHandler.cpp
@@ -132,6 +132,7 @@
         auto id = TRY(EventId::parse(request.get_header_value("Last-Event-ID")));
         generation.received = TRY(readText(body, "received"));
         generation.opened.generation = id.generation;
+        generation.opened.openedUnder = id.openedUnder;
         generation.opened.resume = id.resumePoint();
         if (id.offset.value() >= generation.opened.maxTokens)
             return makeError(ErrorCode::InvalidRequest, "Last-Event-ID is beyond max_tokens");
--- a/Services/Router/EventId.h
+++ b/Services/Router/EventId.h
@@ -1,5 +1,6 @@
-// The id of a caller's event: GENERATION/TARGET/STREAM/STREAMSTART/OFFSET. It carries all that another router
-// needs to go on, since routers keep nothing.
+// The id of a caller's event: GENERATION@VERSION/TARGET/STREAM/STREAMSTART/OFFSET. It carries all that another
+// router needs to go on, since routers keep nothing. VERSION is that of the service's last change when the answer
+// began.
 
 #pragma once
 
@@ -14,6 +15,7 @@
 struct EventId
 {
     GenerationId generation;
+    ConfigVersion openedUnder;
     TargetId target;
     EngineStreamId stream;
     TokenOffset streamStart;
--- a/Services/Router/GenerationHost.cpp
+++ b/Services/Router/GenerationHost.cpp
@@ -33,6 +33,7 @@
         generation->model = it->second.model;
     if (request.opened.resume)
         generation->next = request.opened.resume->received;
+    generation->openedUnder = request.opened.openedUnder.value_or(lastChangeOf(request.opened.service));
     generation->openedAt = now;
     generation->lastTokenAt = now;
     auto opened = request.opened;
@@ -87,6 +88,12 @@
     }
 }
 
+ConfigVersion GenerationHost::lastChangeOf(const ServiceName &service) const
+{
+    auto it = m_configuration.services.find(service);
+    return it == m_configuration.services.end() ? ConfigVersion() : it->second.stamp.changedIn;
+}
+
 std::optional<Address> GenerationHost::addressOf(const TargetId &target) const
 {
     auto it = m_configuration.targets.find(target);
@@ -109,6 +116,9 @@
         m_streams.reportNotStarted(action.attempt, action.target);
         return;
     }
+    // An answer that has not begun goes to the model of today.
+    if (action.from.value() == 0)
+        it->second->openedUnder = lastChangeOf(it->second->request.opened.service);
     m_metrics.count("attempts_total");
     m_streams.open(EngineRequest{action.attempt, action.target, *address, engineBody(*it->second, action),
                                  EngineStreamId(), action.from, action.from});
@@ -154,7 +164,8 @@
     m_metrics.count("tokens_total");
     generation.isResuming = false;
     generation.lastTokenAt = now;
-    EventId id{action.generation, action.target, action.stream, action.streamStart, action.offset};
+    EventId id{action.generation, generation.openedUnder, action.target,
+               action.stream,     action.streamStart,     action.offset};
     // A caller that reads too slowly is cut off; it resumes from its last event id when it can take more.
     if (!generation.request.session->tryPush(TokenMessage{id.toString(), action.text}))
         generation.request.session->close();
--- a/Services/Router/GenerationHost.h
+++ b/Services/Router/GenerationHost.h
@@ -50,6 +50,8 @@
         std::string context;
         ModelName model;
         TokenOffset next;
+        // The version of the service's last change when the answer began.
+        ConfigVersion openedUnder;
         absl::Time openedAt;
         absl::Time lastTokenAt;
         // Set while the generation waits for the first token after a loss.
@@ -63,6 +65,7 @@
     void finish(const GenerationId &id, SessionMessage last, const std::string &outcome);
     void noteDecision(const RecordDecision &decision);
     [[nodiscard]] std::string engineBody(const Generation &generation, const StartAttempt &action) const;
+    [[nodiscard]] ConfigVersion lastChangeOf(const ServiceName &service) const;
     [[nodiscard]] std::optional<Address> addressOf(const TargetId &target) const;
 
     std::unique_ptr<Router> m_router;
--- a/Services/Router/RouterProcess.cpp
+++ b/Services/Router/RouterProcess.cpp
@@ -370,6 +370,8 @@
     request.service = call.service;
     request.key = call.key;
     request.body = call.body;
+    request.attempt = call.attempt;
+    request.source = CallSource::Router;
     request.deadline = monotonicNow() + call.remaining;
     request.answer = [shared](CallAnswer answer) {
         shared->answer = std::move(answer);
