--- a/Specs/AtMostOnceCalls.pml
+++ b/Specs/AtMostOnceCalls.pml
@@ -1,6 +1,6 @@
 /* mutants: MUTANT_CONFLICT_IS_OWN MUTANT_NONCE_UNCHECKED MUTANT_RESTART_KEEPS_CLAIM MUTANT_VOID_AFTER_BYTES MUTANT_STORE_DOWN_NOT_RUN MUTANT_OVERTAKEN_NUMBER MUTANT_UNNUMBERED_TAKES_OVER MUTANT_SKIP_VOID MUTANT_LATE_VOID MUTANT_TICKET_ANY_INCARNATION MUTANT_TICKET_NOT_USED_UP */
 /* pan: -DSAFETY -DCOLLAPSE -DVECTORSZ=1024 */
-/* run: -m200000 */
+/* run: -m200000 -w25 */
 
 /*
  * One call that must run at most once, over two routers and a caller that retries anywhere: the claims and
@@ -55,8 +55,9 @@
 };
 RouterState routers[ROUTERS];
 
-/* Each of these happens at most once in a run, at any router. */
+/* Each of these happens at most once in a run, at any router, and two of them at most. */
 bool hasForgotten, hasRestarted, hasDelayed;
+#define mayFail (hasForgotten + hasRestarted + hasDelayed < 2)
 
 chan inbox0 = [2] of { byte, mtype:source };
 chan inbox1 = [2] of { byte, mtype:source };
@@ -82,7 +83,7 @@
 #define isOvertaken (attemptOf(me.request) <= me.sealedAttempt)
 #endif
 #define isOwnVoid (claimOwner == r && claimIncarnation == me.incarnation && me.writtenNonce != 0 && claimNonceInStore == me.writtenNonce)
-#define mayForget (kind != Ticketed && !hasForgotten && isSettled(me.phase) && me.phase != Idle && (me.phase != Done || me.recorded))
+#define mayForget (kind != Ticketed && !hasForgotten && mayFail && isSettled(me.phase) && me.phase != Idle && (me.phase != Done || me.recorded))
 #define max(a, b) ((a) > (b) -> (a) : (b))
 
 /* The answer reaches the caller, or is lost. Answers to requests that it gave up are not heard. */
@@ -358,7 +359,7 @@
         /* Unsure: lost before the write, or to land late. */
         :: me.possession = Maybe;
            me.phase = Checking
-        :: !hasDelayed -> delayWrite(Claimed, me.claimNonce, 0);
+        :: !hasDelayed && mayFail -> delayWrite(Claimed, me.claimNonce, 0);
            me.possession = Maybe;
            me.phase = Checking
         fi
@@ -381,7 +382,7 @@
         :: storeVersion != me.expected -> me.phase = Checking
         :: giveUpWriting()
         :: me.phase = Checking
-        :: !hasDelayed -> delayWrite(Voided, me.writtenNonce, me.writtenAttempt);
+        :: !hasDelayed && mayFail -> delayWrite(Voided, me.writtenNonce, me.writtenAttempt);
            me.phase = Checking
         fi
     fi
@@ -541,7 +542,7 @@
         me.late = false;
         me.lateState = 0;
         me.lateNonce = 0; me.lateAttempt = 0; me.lateExpected = 0; me.lateIncarnation = 0 }
-    :: atomic { !hasRestarted ->
+    :: atomic { !hasRestarted && mayFail ->
         hasRestarted = true;
         me.incarnation++;
         me.request = 0;
