Router: Refuse deeply nested JSON instead of exhausting the stack

A call whose arguments were nested 100,000 levels deep ended the router with SIGSEGV, since writing JSON recurses a level at a time. Callers' bodies and targets' answers are now read with a depth limit of 100.

--- a/Libraries/LibCaller/CallDriver.cpp
+++ b/Libraries/LibCaller/CallDriver.cpp
@@ -4,6 +4,7 @@
 #include <LibCaller/CallDriver.h>
 
 #include <LibCaller/RouterAnswer.h>
+#include <LibCore/JsonText.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -39,11 +40,11 @@
 
 CallResult CallDriver::run()
 {
-    auto arguments = nlohmann::json::parse(m_request.arguments, nullptr, false);
-    if (!arguments.is_object())
+    auto arguments = parseUntrustedJson(m_request.arguments);
+    if (!arguments || !arguments->is_object())
         return CallNotRun{{ErrorCode::InvalidRequest, "the arguments are no JSON object"}};
     try {
-        m_body = nlohmann::json{{"operation", m_request.operation}, {"arguments", arguments}}.dump();
+        m_body = nlohmann::json{{"operation", m_request.operation}, {"arguments", *arguments}}.dump();
     } catch (const nlohmann::json::exception &) {
         return CallNotRun{{ErrorCode::InvalidRequest, "the operation is no valid UTF-8"}};
     }
@@ -85,7 +86,7 @@
 
 std::optional<CallResult> CallDriver::takeAnswer(const RouterEndpoint &entryPoint, const HttpAnswer &answer)
 {
-    auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    auto json = parseUntrustedJson(answer.body).value_or(nlohmann::json());
     auto outcome = json.is_object() && json.contains("outcome") && json["outcome"].is_string()
         ? json["outcome"].get<std::string>()
         : std::string();
--- a/Services/Router/CallHandler.cpp
+++ b/Services/Router/CallHandler.cpp
@@ -2,6 +2,7 @@
 
 #include <Router/CallHandler.h>
 
+#include <LibCore/JsonText.h>
 #include <Router/CallHeaders.h>
 #include <Router/HttpReply.h>
 
@@ -30,9 +31,8 @@
 void replyAnswer(httplib::Response &response, const CallAnswer &answer)
 {
     if (answer.outcome == CallOutcome::Ran) {
-        auto result = json::parse(answer.body, nullptr, false);
-        if (result.is_discarded())
-            result = answer.body;
+        // A body that is no JSON travels as a text.
+        auto result = parseUntrustedJson(answer.body).value_or(json(answer.body));
         replyJson(response, {{"outcome", "ran"}, {"status", answer.status}, {"result", result}});
         return;
     }
--- a/Services/Router/HttpReply.cpp
+++ b/Services/Router/HttpReply.cpp
@@ -2,6 +2,8 @@
 
 #include <Router/HttpReply.h>
 
+#include <LibCore/JsonText.h>
+
 #include <absl/strings/str_cat.h>
 
 namespace Wisteria {
@@ -37,13 +39,9 @@
     auto type = request.get_header_value("Content-Type");
     if (!type.starts_with("application/json"))
         return makeError(ErrorCode::UnsupportedMediaType, "Content-Type must be application/json");
-    try {
-        auto body = json::parse(request.body);
-        if (body.is_object())
-            return body;
-    } catch (const json::exception &error) {
-        return makeError(ErrorCode::InvalidRequest, error.what());
-    }
+    auto body = TRY(parseUntrustedJson(request.body));
+    if (body.is_object())
+        return body;
     return makeError(ErrorCode::InvalidRequest, "the body is not a JSON object");
 }
 
