--- a/Tests/Processes/test_operators.py
+++ b/Tests/Processes/test_operators.py
@@ -100,7 +100,10 @@
         """Whether a router drains or has ended."""
         if self.fleet.processes[name].popen.poll() is not None:
             return True
-        return request(self.fleet.entry(name), "GET", "/healthz")[2] == {"status": "draining"}
+        try:
+            return request(self.fleet.entry(name), "GET", "/healthz")[2] == {"status": "draining"}
+        except OSError:
+            return False
 
 
 if __name__ == "__main__":
--- a/Utilities/wisteriactl/Spec.cpp
+++ b/Utilities/wisteriactl/Spec.cpp
@@ -3,6 +3,7 @@
 #include <wisteriactl/Spec.h>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/time/time.h>
 
 #include <iterator>
@@ -112,7 +113,7 @@
             return key;
         auto lost = firstLostField(value, read[key]);
         if (!lost.empty())
-            return lost == "/" ? key : key + "/" + lost;
+            return lost == "/" ? key : absl::StrCat(key, "/", lost);
     }
     return {};
 }
--- a/Utilities/wisteriactl/StatusCommand.cpp
+++ b/Utilities/wisteriactl/StatusCommand.cpp
@@ -23,6 +23,7 @@
     Table table(std::move(header));
     for (const auto &row : rows) {
         std::vector<std::string> cells;
+        cells.reserve(fields.size());
         for (const auto *field : fields)
             cells.push_back(cell(row, field));
         table.addRow(std::move(cells));
