LibLedger: Dispatch nothing under a configuration that may be old

Cause: the keeper told the generations that a router is stale, but not the calls, so a router that woke from a pause could send a booking to a target that was retired meanwhile. Now new calls and tickets are refused (configuration_stale), and a claim that was written before the pause is voided instead of dispatched; the host checks freshness before it takes any event.

--- a/Libraries/LibLedger/Answers.h
+++ b/Libraries/LibLedger/Answers.h
@@ -19,6 +19,28 @@
 
 namespace detail {
 
+// What the router does with calls that have not been dispatched yet.
+enum class NewCalls {
+    Dispatched,
+    // The configuration may be old: neither new calls nor those that were claimed already are dispatched.
+    RefusedAsStale,
+    // The router is leaving: new calls are refused, claimed ones are dispatched.
+    RefusedAsDraining,
+};
+
+[[nodiscard]] inline ErrorCode refusalCode(NewCalls newCalls)
+{
+    switch (newCalls) {
+    case NewCalls::RefusedAsStale:
+        return ErrorCode::ConfigurationStale;
+    case NewCalls::RefusedAsDraining:
+        return ErrorCode::Draining;
+    case NewCalls::Dispatched:
+        break;
+    }
+    return ErrorCode::DeadlineExceeded;
+}
+
 // When a caller should come back: after the store, a target or a peer failed.
 inline constexpr absl::Duration failureRetryAfter = absl::Seconds(1);
 // After a refusal that another router would not give.
--- a/Libraries/LibLedger/CallLedger.cpp
+++ b/Libraries/LibLedger/CallLedger.cpp
@@ -76,10 +76,25 @@
             m_ticketed.handleOwnerAnswer(event, out);
     }
 
+    void take(const LedgerFreshnessChanged &event, absl::Time, LedgerActions &)
+    {
+        m_freshness = event.fresh ? NewCalls::Dispatched : NewCalls::RefusedAsStale;
+        setNewCalls();
+    }
+
     void take(const LedgerDrainStarted &, absl::Time, LedgerActions &)
     {
-        m_claimed.startDrain();
-        m_ticketed.startDrain();
+        m_isDraining = true;
+        setNewCalls();
+    }
+
+    // A stale configuration goes before a drain, since it also holds back calls that were claimed already.
+    void setNewCalls()
+    {
+        const bool isOpen = m_freshness == NewCalls::Dispatched;
+        const NewCalls newCalls = isOpen && m_isDraining ? NewCalls::RefusedAsDraining : m_freshness;
+        m_claimed.setNewCalls(newCalls);
+        m_ticketed.setNewCalls(newCalls);
     }
 
     void take(const LedgerTick &, absl::Time now, LedgerActions &out)
@@ -88,6 +103,8 @@
         m_ticketed.tick(now, out);
     }
 
+    NewCalls m_freshness{NewCalls::Dispatched};
+    bool m_isDraining{false};
     ClaimedCalls m_claimed;
     TicketedCalls m_ticketed;
 };
--- a/Libraries/LibLedger/ClaimedCalls.cpp
+++ b/Libraries/LibLedger/ClaimedCalls.cpp
@@ -12,6 +12,7 @@
 
 using detail::ClaimedCall;
 using detail::ClaimPhase;
+using detail::NewCalls;
 using detail::Purpose;
 using detail::Recording;
 using detail::Waiter;
@@ -68,7 +69,7 @@
 
 void ClaimedCalls::receive(const CallReceived &received, absl::Time now, LedgerActions &out)
 {
-    const bool mayRun = m_draining == Draining::No && received.deadline > now;
+    const bool mayRun = m_newCalls == NewCalls::Dispatched && received.deadline > now;
     const Waiter waiter{received.call, received.attempt, received.deadline,
                         mayRun ? Purpose::Run : Purpose::SealOnly};
     auto it = m_calls.find(claimName(received));
@@ -92,7 +93,7 @@
     // A later number is refused by a void, which also keeps the earlier ones from running.
     if (waiter.purpose == Purpose::Run || received.attempt > 1)
         return false;
-    const ErrorCode code = m_draining == Draining::Yes ? ErrorCode::Draining : ErrorCode::DeadlineExceeded;
+    const ErrorCode code = detail::refusalCode(m_newCalls);
     // A first request can have run nowhere else. One without a number can, and a void would end its key.
     const CallOutcome outcome = received.attempt == 1 ? CallOutcome::NotRun : CallOutcome::Unknown;
     detail::answerCall(
--- a/Libraries/LibLedger/ClaimedCalls.h
+++ b/Libraries/LibLedger/ClaimedCalls.h
@@ -109,11 +109,10 @@
     void handleTargetAnswer(const TargetAnswered &, LedgerActions &out);
     void handleDispatchFailure(const DispatchFailed &, absl::Time now, LedgerActions &out);
     void handleOwnerAnswer(const OwnerAnswered &, LedgerActions &out);
-    void startDrain() { m_draining = Draining::Yes; }
+    void setNewCalls(detail::NewCalls newCalls) { m_newCalls = newCalls; }
     void tick(absl::Time now, LedgerActions &out);
 
 private:
-    enum class Draining { No, Yes };
     using Calls = std::map<ClaimName, detail::ClaimedCall>;
 
     // Arrivals.
@@ -160,7 +159,7 @@
     RouterId m_self;
     Incarnation m_incarnation;
     RandomSource &m_random;
-    Draining m_draining{Draining::No};
+    detail::NewCalls m_newCalls{detail::NewCalls::Dispatched};
     Calls m_calls;
     // Invariant: holds exactly the `ids` of the calls in m_calls.
     std::map<CallId, ClaimName> m_names;
--- a/Libraries/LibLedger/ClaimedCallsStore.cpp
+++ b/Libraries/LibLedger/ClaimedCallsStore.cpp
@@ -10,6 +10,7 @@
 
 using detail::ClaimedCall;
 using detail::ClaimPhase;
+using detail::NewCalls;
 using detail::Possession;
 using detail::Purpose;
 using detail::Recording;
@@ -77,8 +78,8 @@
 
 void ClaimedCalls::proceedFromOwnClaim(ClaimedCall &call, absl::Time now, LedgerActions &out)
 {
-    // After a pause nobody may be waiting any more.
-    if (!detail::wantsRun(call, now))
+    // After a pause nobody may be waiting any more, or the configuration may be old.
+    if (!detail::wantsRun(call, now) || m_newCalls == NewCalls::RefusedAsStale)
         return writeVoid(call, call.version, now, out);
     // A void whose reply was lost could land after the dispatch, and let another router take the call over.
     // Moving the claim to a new version keeps it out.
@@ -102,10 +103,8 @@
 void ClaimedCalls::writeVoid(ClaimedCall &call, ObjectVersion expected, absl::Time now, LedgerActions &out)
 {
     if (call.reason.detail.empty())
-        call.reason = m_draining == Draining::Yes
-            ? Error{ErrorCode::Draining, "this router is leaving", detail::elsewhereRetryAfter}
-            : Error{ErrorCode::DeadlineExceeded, "the deadline passed before dispatch",
-                    detail::elsewhereRetryAfter};
+        call.reason = Error{detail::refusalCode(m_newCalls), "given up before its dispatch",
+                            detail::elsewhereRetryAfter};
     call.written = ClaimRecord{m_self, m_incarnation, newNonce(), call.digest, ClaimState::Voided};
     call.written.attempt = detail::greatestAttempt(call);
     call.voidMayLandOver = expected;
--- a/Libraries/LibLedger/Events.h
+++ b/Libraries/LibLedger/Events.h
@@ -140,6 +140,13 @@
     std::optional<CallAnswer> answer;
 };
 
+// Whether new calls may be dispatched. A router whose configuration may be old must not choose targets by it.
+// A ledger starts as one that may.
+struct LedgerFreshnessChanged
+{
+    bool fresh{true};
+};
+
 struct LedgerDrainStarted
 {
 };
@@ -149,7 +156,7 @@
 };
 
 using LedgerEvent = std::variant<CallReceived, ClaimWritten, ClaimRead, TargetAnswered, DispatchFailed,
-                                 OwnerAnswered, LedgerDrainStarted, LedgerTick>;
+                                 OwnerAnswered, LedgerFreshnessChanged, LedgerDrainStarted, LedgerTick>;
 
 // ---- Actions
 // ----------------------------------------------------------------------------------------------------
--- a/Libraries/LibLedger/TicketedCalls.cpp
+++ b/Libraries/LibLedger/TicketedCalls.cpp
@@ -115,8 +115,8 @@
     call.waiters.push_back(TicketWaiter{received.call, received.deadline});
     ++m_running;
     const bool expired = received.deadline <= now;
-    if (expired || m_draining == Draining::Yes) {
-        const ErrorCode code = expired ? ErrorCode::DeadlineExceeded : ErrorCode::Draining;
+    if (expired || m_newCalls != detail::NewCalls::Dispatched) {
+        const ErrorCode code = expired ? ErrorCode::DeadlineExceeded : detail::refusalCode(m_newCalls);
         return finish(call, TicketPhase::UsedUp,
                       detail::failedAnswer(CallOutcome::NotRun, code,
                                            "refused on arrival; take another ticket",
--- a/Libraries/LibLedger/TicketedCalls.h
+++ b/Libraries/LibLedger/TicketedCalls.h
@@ -63,11 +63,10 @@
     void handleTargetAnswer(const TargetAnswered &, absl::Time now, LedgerActions &out);
     void handleDispatchFailure(const DispatchFailed &, absl::Time now, LedgerActions &out);
     void handleOwnerAnswer(const OwnerAnswered &, LedgerActions &out);
-    void startDrain() { m_draining = Draining::Yes; }
+    void setNewCalls(detail::NewCalls newCalls) { m_newCalls = newCalls; }
     void tick(absl::Time now, LedgerActions &out);
 
 private:
-    enum class Draining { No, Yes };
     enum class Validity { Valid, Expired, NeverIssued };
 
     // The tickets from `first` on were issued at `time` or later.
@@ -93,7 +92,7 @@
     RouterId m_self;
     Incarnation m_incarnation;
     TicketSecret m_secret;
-    Draining m_draining{Draining::No};
+    detail::NewCalls m_newCalls{detail::NewCalls::Dispatched};
     TicketNumber m_lastIssued;
     // Invariant: rising in both members; covers every ticket that may still be used.
     std::deque<IssueMark> m_marks;
--- a/Services/Router/RouterProcess.cpp
+++ b/Services/Router/RouterProcess.cpp
@@ -78,6 +78,7 @@
     FleetListener &listener = *this;
     m_fleet = std::make_unique<FleetHost>(m_self, settings.seeds, m_random, *this, *m_store, *m_peers,
                                           listener, m_log, settings.timeouts.peerCall, monotonicNow());
+    m_calls->handle(LedgerFreshnessChanged{false}, monotonicNow());
     m_peerServer = TRY(PeerServer::create(settings.peerListen, m_self.id, *this));
     m_poller = std::make_unique<TargetPoller>(*this, std::move(vms));
     m_thread = std::thread([this] { run(); });
@@ -113,22 +114,13 @@
 ErrorOr<void> RouterProcess::open(GenerationRequest request)
 {
     auto shared = std::make_shared<GenerationRequest>(std::move(request));
-    return tryPost(Task([this, shared] {
-        auto now = monotonicNow();
-        // After a pause the copy of the configuration may be old; no new work before that is known.
-        m_fleet->checkFreshness(now);
-        m_generations->open(std::move(*shared), now);
-    }));
+    return tryPost(Task([this, shared] { m_generations->open(std::move(*shared), monotonicNow()); }));
 }
 
 ErrorOr<void> RouterProcess::submit(CallRequest request)
 {
     auto shared = std::make_shared<CallRequest>(std::move(request));
-    return tryPost(Task([this, shared] {
-        auto now = monotonicNow();
-        m_fleet->checkFreshness(now);
-        m_calls->submit(std::move(*shared), now);
-    }));
+    return tryPost(Task([this, shared] { m_calls->submit(std::move(*shared), monotonicNow()); }));
 }
 
 void RouterProcess::callerLeft(const GenerationId &generation, const std::shared_ptr<CallerSession> &session)
@@ -197,6 +189,8 @@
         auto wait = std::clamp(nextWakeUp() - monotonicNow(), absl::ZeroDuration(), detail::longestSleep);
         auto event = m_ring.pop(wait);
         auto now = monotonicNow();
+        // After a pause the configuration may be old, and that must be known before any event is taken.
+        m_fleet->checkFreshness(now);
         if (event)
             handle(*event, now);
         wakeUp(now);
@@ -225,7 +219,6 @@
 
 void RouterProcess::wakeUp(absl::Time now)
 {
-    m_fleet->checkFreshness(now);
     if (m_fleet->nextWakeUp() <= now) {
         m_fleet->handle(MembershipEvent(MembershipTick{}), now);
         m_fleet->handle(KeeperEvent(KeeperTick{}), now);
@@ -321,6 +314,7 @@
     if (!m_isDraining)
         m_state = fresh ? ServingState::Serving : ServingState::Stale;
     m_generations->handle(FreshnessChanged{fresh}, monotonicNow());
+    m_calls->handle(LedgerFreshnessChanged{fresh}, monotonicNow());
 }
 
 void RouterProcess::onDemandElsewhere(const DemandElsewhere &demand)
--- a/Tests/LibLedger/TestCallLedger.cpp
+++ b/Tests/LibLedger/TestCallLedger.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(refusesAnotherBody);
     CPPUNIT_TEST(retriesRecordingInBackground);
     CPPUNIT_TEST(finishesRunningCallsOnDrain);
+    CPPUNIT_TEST(dispatchesNothingWhileStale);
     CPPUNIT_TEST(saysThatLargeBodyWasNotKept);
     CPPUNIT_TEST(dispatchesTicketOnceWithoutStore);
     CPPUNIT_TEST(refusesGuessedTickets);
@@ -320,6 +321,25 @@
         CPPUNIT_ASSERT(only<AnswerCall>().answer.outcome == CallOutcome::Ran);
     }
 
+    void dispatchesNothingWhileStale()
+    {
+        const CallReceived claimed = request(1, "claimed");
+        receive(claimed);
+        const IdempotencyKey ticket = m_ledger->issueTicket(m_now);
+        handle(LedgerFreshnessChanged{false});
+        receive(request(1, "new"));
+        assertAnswer(CallOutcome::NotRun, ErrorCode::ConfigurationStale);
+        receive(request(1, ticket.value()));
+        assertAnswer(CallOutcome::NotRun, ErrorCode::ConfigurationStale);
+        // The router went stale, perhaps over a pause, between the claim and the dispatch.
+        handle(ClaimWritten{claimed.call, WriteResult::Applied, ObjectVersion(1)});
+        CPPUNIT_ASSERT(only<WriteClaim>().record.state == ClaimState::Voided);
+        handle(ClaimWritten{claimed.call, WriteResult::Applied, ObjectVersion(2)});
+        assertAnswer(CallOutcome::NotRun, ErrorCode::ConfigurationStale);
+        handle(LedgerFreshnessChanged{true});
+        claimAndDispatch(request(1, "later"));
+    }
+
     void saysThatLargeBodyWasNotKept()
     {
         const std::string body(1 << 20, 'x');
