Specs: Drop a mutation of the calls that harms nothing

MUTANT_SKIP_VOID answered not_run and forgot the claim without voiding it. The checker rightly found no fault: the claim stays with a router that never dispatches it, and others answer unknown.

--- a/Specs/AtMostOnceCalls.pml
+++ b/Specs/AtMostOnceCalls.pml
@@ -1,4 +1,4 @@
-/* mutants: MUTANT_CONFLICT_IS_OWN MUTANT_NONCE_UNCHECKED MUTANT_RESTART_KEEPS_CLAIM MUTANT_VOID_AFTER_BYTES MUTANT_STORE_DOWN_NOT_RUN MUTANT_OVERTAKEN_NUMBER MUTANT_UNNUMBERED_TAKES_OVER MUTANT_SKIP_VOID MUTANT_LATE_VOID MUTANT_TICKET_ANY_INCARNATION MUTANT_TICKET_NOT_USED_UP */
+/* mutants: MUTANT_CONFLICT_IS_OWN MUTANT_NONCE_UNCHECKED MUTANT_RESTART_KEEPS_CLAIM MUTANT_VOID_AFTER_BYTES MUTANT_STORE_DOWN_NOT_RUN MUTANT_OVERTAKEN_NUMBER MUTANT_UNNUMBERED_TAKES_OVER MUTANT_LATE_VOID MUTANT_TICKET_ANY_INCARNATION MUTANT_TICKET_NOT_USED_UP */
 /* pan: -DSAFETY -DCOLLAPSE -DVECTORSZ=1024 */
 /* run: -m200000 -w25 */
 
@@ -177,13 +177,8 @@
        me.expected = 0;
        me.tries = 0;
        toTarget!r, me.incarnation
-#ifdef MUTANT_SKIP_VOID
-    :: answerCall(NotRun);
-       forget()
-#else
     :: me.wantsRun = false;
        writeVoid(me.version)
-#endif
     fi
 }
 
@@ -594,9 +589,9 @@
 init {
     atomic {
         if
-        :: kind = Numbered
-        :: kind = Unnumbered
         :: kind = Ticketed
+        :: kind = Unnumbered
+        :: kind = Numbered
         fi;
         routers[0].phase = Idle;
         routers[1].phase = Idle;
