--- a/Libraries/LibLedger/Events.h
+++ b/Libraries/LibLedger/Events.h
@@ -83,7 +83,8 @@
     // When the caller stops waiting.
     absl::Time deadline{absl::InfiniteFuture()};
     // The caller's own count of its requests under this key, from 1; zero when it does not say. Without it a
-    // router cannot tell the first request from a retry of one that ran elsewhere.
+    // router cannot tell the first request from a retry of one that ran elsewhere, and after NotRun the key
+    // is used up. Not needed with tickets.
     std::uint32_t attempt{0};
     // Router for a call that another router forwarded; its caller may have given it up long ago.
     CallSource source{CallSource::Caller};
