--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -68,7 +68,8 @@
     std::vector<TargetRecord> targets;
     // The sender's own demand, by workspace.
     std::vector<WorkspaceDemand> demand;
-    // Digest of all records the sender holds; a differing digest asks for a full exchange.
+    // Digest of all records the sender holds; a differing digest asks for a full exchange. Zero: the message
+    // carries no records and asks for none, only for what the receiver knows of the configuration.
     std::uint64_t digest{0};
     bool full{false};
 };
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -36,7 +36,7 @@
 constexpr std::size_t maxTargetRumors = 32;
 constexpr std::size_t maxDemand = 32;
 
-enum class Extent { Rumors, Full };
+enum class Extent { Bare, Rumors, Full };
 
 } // namespace
 
@@ -65,9 +65,8 @@
     {
         m_now = now;
         const bool wantsFull = message.full;
-        auto answer = makeMessage(wantsFull ? Extent::Full : Extent::Rumors);
-        if (message.demand.empty())
-            answer.demand.clear();
+        const bool wantsBare = message.digest == 0;
+        auto answer = makeMessage(wantsFull ? Extent::Full : (wantsBare ? Extent::Bare : Extent::Rumors));
         // What is held of the sender and differs, so that it can refute a suspicion at once.
         const auto *held = m_routers.find(message.sender.id);
         if (!wantsFull && held && held->phase != message.sender.phase)
@@ -127,7 +126,7 @@
             || !message.targets.empty())
             m_lastNews = now;
         const bool mayAskFull = now - m_lastNews >= quietBeforeFull && now - m_lastFull >= fullInterval;
-        if (message.digest == digest() || message.full || !mayAskFull)
+        if (message.digest == 0 || message.digest == digest() || message.full || !mayAskFull)
             return;
         m_lastFull = now;
         m_fullWith = message.sender.id;
@@ -232,8 +231,9 @@
             return;
         auto it = m_readers.begin();
         std::advance(it, m_random.below(m_readers.size()));
-        if (it != m_readers.end() && asked != *it)
-            send(*it, actions);
+        const auto *record = it == m_readers.end() || asked == *it ? nullptr : m_routers.find(*it);
+        if (record)
+            actions.emplace_back(SendGossip{*it, record->peerAddress, makeMessage(Extent::Bare)});
     }
 
     void rejoin(MembershipActions &actions)
@@ -273,6 +273,9 @@
     {
         GossipMessage message;
         message.sender = m_routers.self();
+        // NOTE: Readers are asked by everybody, so these messages are kept small.
+        if (extent == Extent::Bare)
+            return message;
         message.digest = digest();
         message.demand = m_demand.takeOwn(maxDemand);
         message.full = extent == Extent::Full;
--- a/Libraries/LibMembership/RouterBook.cpp
+++ b/Libraries/LibMembership/RouterBook.cpp
@@ -20,7 +20,7 @@
 constexpr absl::Duration deadRetention = absl::Hours(2);
 // A change of load is announced to all only when it is this large and not more often than this.
 constexpr std::uint32_t announcedLoadStep = 200;
-constexpr absl::Duration loadAnnounceInterval = absl::Seconds(10);
+constexpr absl::Duration loadAnnounceInterval = absl::Seconds(60);
 
 auto rank(const RouterRecord &record)
 {
