--- a/Tests/LibConfig/TestConfigurationKeeper.cpp
+++ b/Tests/LibConfig/TestConfigurationKeeper.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(TestConfigurationKeeper);
     CPPUNIT_TEST(countsOldAnswersOnlyAfterEmbargo);
+    CPPUNIT_TEST(dropsPollWhenListChanges);
     CPPUNIT_TEST(pollsByListOfItsVersion);
     CPPUNIT_TEST(acknowledgesBothLists);
     CPPUNIT_TEST(acknowledgesBaseOfListChange);
@@ -89,6 +90,19 @@
         CPPUNIT_ASSERT(m_keeper->isFresh(m_now));
     }
 
+    void dropsPollWhenListChanges()
+    {
+        read(listed(1, {0, 1, 2}, {0, 1, 2}));
+        m_now += freshnessBound;
+        feed(KeeperTick{});
+        answerPoll(0, 1);
+        // A pushed version arrives in the middle of the poll; its short list makes no majority of old
+        // answers.
+        feed(ConfigurationReceived{listed(2, {0}, {0, 1})});
+        answerPoll(0, 1);
+        CPPUNIT_ASSERT(!m_keeper->isFresh(m_now));
+    }
+
     void pollsByListOfItsVersion()
     {
         read(listed(1, {0, 1, 2}, {0, 1, 2}));
