--- a/Utilities/wisteria-measure/Fleet.cpp
+++ b/Utilities/wisteria-measure/Fleet.cpp
@@ -205,7 +205,8 @@
 
 void Fleet::noteResumed(Caller &caller)
 {
-    if (!caller.lostAt)
+    // A token that was on its way when the stream was lost resumes nothing.
+    if (!caller.lostAt || m_queue.now() <= *caller.lostAt + m_scenario.domainLatency)
         return;
     const absl::Time at = m_queue.now() + m_scenario.clientLatency;
     absl::Duration usual;
