--- a/Libraries/LibLedger/ClaimedCallsStore.cpp
+++ b/Libraries/LibLedger/ClaimedCallsStore.cpp
@@ -10,6 +10,7 @@
 
 using detail::ClaimedCall;
 using detail::ClaimPhase;
+using detail::NewCalls;
 using detail::Possession;
 using detail::Purpose;
 using detail::Recording;
@@ -48,13 +49,6 @@
                        [&](const Waiter &it) { return wantsRun(it, now); });
 }
 
-// A void may pass on to a request that is known to be newer: by its number, since the numbers that the void
-// covers are answered before, or because this incarnation knew the void before the request arrived.
-bool mayTakeOver(const ClaimedCall &call, const Waiter &waiter)
-{
-    return waiter.attempt > 0 || waiter.voidSeen == call.version;
-}
-
 std::uint32_t greatestAttempt(const ClaimedCall &call)
 {
     std::uint32_t greatest = call.sealedAttempt;
@@ -77,18 +71,15 @@
 {
     call.claimNonce = 0;
     call.possession = Possession::None;
-    const bool takesOver = std::any_of(call.waiters.begin(), call.waiters.end(), [&](const Waiter &it) {
-        return detail::wantsRun(it, now) && detail::mayTakeOver(call, it);
-    });
-    if (takesOver)
+    if (detail::wantsRun(call, now))
         return writeClaim(call, call.version, now, out);
     writeVoid(call, call.version, now, out);
 }
 
 void ClaimedCalls::proceedFromOwnClaim(ClaimedCall &call, absl::Time now, LedgerActions &out)
 {
-    // After a pause nobody may be waiting any more.
-    if (!detail::wantsRun(call, now))
+    // After a pause nobody may be waiting any more, or the configuration may be old.
+    if (!detail::wantsRun(call, now) || m_newCalls == NewCalls::RefusedAsStale)
         return writeVoid(call, call.version, now, out);
     // A void whose reply was lost could land after the dispatch, and let another router take the call over.
     // Moving the claim to a new version keeps it out.
@@ -112,13 +103,10 @@
 void ClaimedCalls::writeVoid(ClaimedCall &call, ObjectVersion expected, absl::Time now, LedgerActions &out)
 {
     if (call.reason.detail.empty())
-        call.reason = m_draining == Draining::Yes
-            ? Error{ErrorCode::Draining, "this router is leaving", detail::elsewhereRetryAfter}
-            : Error{ErrorCode::DeadlineExceeded, "the deadline passed before dispatch",
-                    detail::elsewhereRetryAfter};
+        call.reason = Error{detail::refusalCode(m_newCalls), "given up before its dispatch",
+                            detail::elsewhereRetryAfter};
     call.written = ClaimRecord{m_self, m_incarnation, newNonce(), call.digest, ClaimState::Voided};
     call.written.attempt = detail::greatestAttempt(call);
-    call.coveredWaiters = call.waiters.size();
     call.voidMayLandOver = expected;
     if (++call.tries > detail::maxTries)
         return giveUpWriting(call, detail::storeOutcomeUnknown(), now, out);
@@ -199,8 +187,7 @@
         call->sealedAttempt = std::max(call->sealedAttempt, record.attempt);
         if (record == call->written)
             return handleSealed(*call, now, out);
-        call->reason = Error{ErrorCode::NoTargetAvailable, "given up before; ask again with the same key",
-                             detail::elsewhereRetryAfter};
+        call->reason = Error{ErrorCode::NoTargetAvailable, "given up before; use a new key", std::nullopt};
         answerSealed(*call, out);
         if (call->waiters.empty())
             return settle(*call, ClaimPhase::Sealed, now);
@@ -232,14 +219,11 @@
     call.sealedAttempt = std::max(call.sealedAttempt, call.written.attempt);
     call.claimNonce = 0;
     call.possession = Possession::None;
+    answerSealed(call, out);
     std::vector<Waiter> later;
     later.swap(call.waiters);
-    const auto firstLater = later.begin() + static_cast<std::ptrdiff_t>(call.coveredWaiters);
-    for (auto it = later.begin(); it != firstLater; ++it)
-        detail::answerCall(out, it->call, CallAnswer{CallOutcome::NotRun, 0, {}, call.reason});
-    later.erase(later.begin(), firstLater);
     settle(call, ClaimPhase::Sealed, now);
-    // Requests that came while the void was being written are newer than those it covers.
+    // Greater numbers came while the void was being written.
     for (const auto &it : later)
         join(call, it, now, out);
 }
@@ -247,7 +231,7 @@
 // Answers the requests that the void covers.
 void ClaimedCalls::answerSealed(ClaimedCall &call, LedgerActions &out)
 {
-    auto isCovered = [&](const Waiter &it) { return it.attempt > 0 && it.attempt <= call.sealedAttempt; };
+    auto isCovered = [&](const Waiter &it) { return it.attempt <= call.sealedAttempt; };
     for (const auto &it : call.waiters) {
         if (isCovered(it))
             detail::answerCall(out, it.call, CallAnswer{CallOutcome::NotRun, 0, {}, call.reason});
--- a/Services/Router/CallHandler.cpp
+++ b/Services/Router/CallHandler.cpp
@@ -2,6 +2,7 @@
 
 #include <Router/CallHandler.h>
 
+#include <LibCore/JsonText.h>
 #include <Router/CallHeaders.h>
 #include <Router/HttpReply.h>
 
@@ -30,9 +31,8 @@
 void replyAnswer(httplib::Response &response, const CallAnswer &answer)
 {
     if (answer.outcome == CallOutcome::Ran) {
-        auto result = json::parse(answer.body, nullptr, false);
-        if (result.is_discarded())
-            result = answer.body;
+        // A body that is no JSON travels as a text.
+        auto result = parseUntrustedJson(answer.body).value_or(json(answer.body));
         replyJson(response, {{"outcome", "ran"}, {"status", answer.status}, {"result", result}});
         return;
     }
@@ -88,6 +88,7 @@
     if (!detail::isValidKey(key))
         return makeError(ErrorCode::InvalidRequest, "Idempotency-Key must be 1 to 200 printable characters");
     call.key = IdempotencyKey(key);
+    call.attempt = TRY(readAttempt(request));
     return call;
 }
 
@@ -106,6 +107,7 @@
     request.key = call.key;
     request.body = std::move(call.body);
     request.deadline = deadline;
+    request.attempt = call.attempt;
     request.answer = [shared](CallAnswer answer) {
         shared->answer = std::move(answer);
         shared->done.Notify();
