LibRouting: Spread the resumes of a lost engine over the others

Cause, from traces: the streams of a dead engine share prompt heads, so the affinity selector sent them all to the engine that holds the head, and each router did so before a load report could tell the others. They waited 6 to 10 seconds for a slot there, and a lost domain's streams raced onto further engines of the same domain. Now each generation draws its own target, weighted by free slots, outside the lost target's failure domain first.

--- a/Libraries/LibRouting/AdaptivePolicy.cpp
+++ b/Libraries/LibRouting/AdaptivePolicy.cpp
@@ -57,7 +57,7 @@
 ResumeTarget AdaptivePolicy::resumeTarget(double thrift) const
 {
     constexpr double cacheMattersFrom = 0.5;
-    return thrift >= cacheMattersFrom ? ResumeTarget::MostCached : ResumeTarget::BySelector;
+    return thrift >= cacheMattersFrom ? ResumeTarget::MostCached : ResumeTarget::Spread;
 }
 
 } // namespace Wisteria
--- a/Libraries/LibRouting/AttemptLauncher.cpp
+++ b/Libraries/LibRouting/AttemptLauncher.cpp
@@ -2,6 +2,8 @@
 
 #include <LibRouting/AttemptLauncher.h>
 
+#include <LibRouting/SpreadChoice.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -57,10 +59,24 @@
         return detail::leastLoadedCached(candidates);
     case ResumeTarget::RoundRobin:
         return m_state.roundRobin.select(candidates, head);
+    case ResumeTarget::Spread:
+        return spreadChoice(candidates, generation.id(), lostDomain(generation));
     }
     return 0;
 }
 
+std::optional<FailureDomain> AttemptLauncher::lostDomain(const Generation &generation) const
+{
+    // A silent attempt is taken for lost too.
+    const TargetId *lost = nullptr;
+    if (!generation.attempts.empty())
+        lost = &generation.attempts.back().target;
+    else if (!generation.failedTargets.empty())
+        lost = &generation.failedTargets.back();
+    const TargetState *target = lost ? m_state.targets.find(*lost) : nullptr;
+    return target ? std::optional(target->facts().domain) : std::nullopt;
+}
+
 TargetChoice AttemptLauncher::choose(const Generation &generation, ResumeTarget how) const
 {
     const Candidates candidates = m_state.targets.candidates(queryFor(generation), m_state.now);
--- a/Libraries/LibRouting/AttemptLauncher.h
+++ b/Libraries/LibRouting/AttemptLauncher.h
@@ -38,6 +38,8 @@
     [[nodiscard]] CandidateQuery queryFor(const Generation &) const;
     [[nodiscard]] std::size_t select(const Generation &, ResumeTarget,
                                      std::span<const TargetCandidate>) const;
+    // The failure domain in which the generation's latest attempt was lost.
+    [[nodiscard]] std::optional<FailureDomain> lostDomain(const Generation &) const;
 
     RoutingState &m_state;
 };
--- a/Libraries/LibRouting/ResumePolicy.h
+++ b/Libraries/LibRouting/ResumePolicy.h
@@ -31,7 +31,7 @@
 };
 
 // How the target of a further attempt is chosen.
-enum class ResumeTarget { BySelector, MostCached, RoundRobin };
+enum class ResumeTarget { BySelector, MostCached, RoundRobin, Spread };
 
 enum class ReattachUse { Reattach, StartAnew };
 
