--- /dev/null
+++ b/Tests/LibRouting/TestSpreadChoice.cpp
@@ -0,0 +1,84 @@
+// The choice of targets for resumes: spread over generations, away from full targets and from the lost
+// domain.
+
+#include <LibRouting/SpreadChoice.h>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace Wisteria {
+
+namespace detail {
+
+constexpr int spreadGenerations = 200;
+
+std::vector<TargetCandidate> sixTargets()
+{
+    std::vector<TargetCandidate> out;
+    for (int n = 0; n < 6; ++n)
+        out.push_back(TargetCandidate{.id = TargetId(absl::StrCat("e", n)),
+                                      .domain = FailureDomain(absl::StrCat("d", n % 3)),
+                                      .load = 2,
+                                      .slots = 8});
+    return out;
+}
+
+std::map<std::size_t, int> countChoices(const std::vector<TargetCandidate> &targets,
+                                        const std::optional<FailureDomain> &lost)
+{
+    std::map<std::size_t, int> out;
+    for (int n = 0; n < spreadGenerations; ++n)
+        ++out[spreadChoice(targets, GenerationId(absl::StrCat("g", n)), lost)];
+    return out;
+}
+
+} // namespace detail
+
+class TestSpreadChoice : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestSpreadChoice);
+    CPPUNIT_TEST(holderOfTheHeadDoesNotTakeAll);
+    CPPUNIT_TEST(lostDomainIsAvoided);
+    CPPUNIT_TEST(lostDomainIsTakenWhenNoOtherIsLeft);
+    CPPUNIT_TEST(fullTargetIsLastChoice);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void holderOfTheHeadDoesNotTakeAll()
+    {
+        auto targets = detail::sixTargets();
+        targets[1].holdsHead = true;
+        const auto counts = detail::countChoices(targets, std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, counts.size());
+        CPPUNIT_ASSERT(counts.at(1) < detail::spreadGenerations / 2);
+    }
+
+    void lostDomainIsAvoided()
+    {
+        const auto counts = detail::countChoices(detail::sixTargets(), FailureDomain("d0"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, counts.size());
+        CPPUNIT_ASSERT(!counts.contains(0) && !counts.contains(3));
+    }
+
+    void lostDomainIsTakenWhenNoOtherIsLeft()
+    {
+        std::vector<TargetCandidate> targets{detail::sixTargets()[0]};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, spreadChoice(targets, GenerationId("g"), FailureDomain("d0")));
+    }
+
+    void fullTargetIsLastChoice()
+    {
+        auto targets = detail::sixTargets();
+        for (auto &it : targets)
+            it.load = it.slots;
+        targets[2].load = 0;
+        const auto counts = detail::countChoices(targets, std::nullopt);
+        CPPUNIT_ASSERT(counts.at(2) > detail::spreadGenerations / 2);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestSpreadChoice);
+
+} // namespace Wisteria
--- a/Utilities/wisteria-measure/Engine.cpp
+++ b/Utilities/wisteria-measure/Engine.cpp
@@ -211,7 +211,7 @@
     auto isUrgent = [&](const EngineStreamId &id) {
         return m_streams.at(id).request.urgency == Urgency::Urgent;
     };
-    std::ranges::stable_partition(m_waiting, isUrgent);
+    std::stable_partition(m_waiting.begin(), m_waiting.end(), isUrgent);
     std::uint32_t busy = running();
     while (busy < m_slots && !m_waiting.empty()) {
         Stream &stream = m_streams.at(m_waiting.front());
--- a/Utilities/wisteria-measure/Fleet.cpp
+++ b/Utilities/wisteria-measure/Fleet.cpp
@@ -77,7 +77,7 @@
                   [this, incarnation = host.incarnation, event] { give(incarnation, event); });
 }
 
-void Fleet::connectElsewhere(GenerationId id)
+void Fleet::connectElsewhere(const GenerationId &id)
 {
     m_queue.after(detail::reconnectDelay, [this, id] { open(*m_callers.at(id), m_random.next()); });
 }
--- a/Utilities/wisteria-measure/Fleet.h
+++ b/Utilities/wisteria-measure/Fleet.h
@@ -90,7 +90,7 @@
 
     // Events and actions.
     void open(Caller &, std::uint64_t draw);
-    void connectElsewhere(GenerationId);
+    void connectElsewhere(const GenerationId &);
     void give(std::uint64_t incarnation, const RoutingEvent &);
     void give(RouterHost &, const RoutingEvent &);
     void giveAll(const RoutingEvent &);
