--- a/Tests/LibRouting/TestSpreadChoice.cpp
+++ b/Tests/LibRouting/TestSpreadChoice.cpp
@@ -16,8 +16,10 @@
 
 std::vector<TargetCandidate> sixTargets()
 {
+    constexpr int targetCount = 6;
     std::vector<TargetCandidate> out;
-    for (int n = 0; n < 6; ++n)
+    out.reserve(targetCount);
+    for (int n = 0; n < targetCount; ++n)
         out.push_back(TargetCandidate{.id = TargetId(absl::StrCat("e", n)),
                                       .domain = FailureDomain(absl::StrCat("d", n % 3)),
                                       .load = 2,
--- a/Utilities/wisteria-measure/Scenario.cpp
+++ b/Utilities/wisteria-measure/Scenario.cpp
@@ -95,6 +95,7 @@
 std::vector<std::string> faultNames()
 {
     std::vector<std::string> out;
+    out.reserve(detail::plans.size());
     for (const auto &it : detail::plans)
         out.push_back(it.name);
     return out;
--- a/Utilities/wisteria-measure/Slopes.cpp
+++ b/Utilities/wisteria-measure/Slopes.cpp
@@ -159,6 +159,7 @@
     std::latch stop(1);
     const double before = residentBytes();
     std::vector<std::jthread> threads;
+    threads.reserve(threadCount);
     for (int n = 0; n < threadCount; ++n) {
         threads.emplace_back([&] {
             allStarted.count_down();
