--- a/Tests/LibRouting/TestEstimates.cpp
+++ b/Tests/LibRouting/TestEstimates.cpp
@@ -53,7 +53,7 @@
         GapEstimator gaps;
         for (int it = 0; it < 50; ++it)
             gaps.addFirstTokenGap(absl::Milliseconds(200), 1024);
-        CPPUNIT_ASSERT(gaps.firstTokenTail(8 * 1024) > absl::Milliseconds(800));
+        CPPUNIT_ASSERT(gaps.firstTokenTail(8192) > absl::Milliseconds(800));
         CPPUNIT_ASSERT(gaps.firstTokenTail(0) < absl::Milliseconds(800));
     }
 
@@ -129,9 +129,9 @@
     void affinityKeepsHeadsTogether()
     {
         AffinitySelector selector;
-        std::vector<TargetCandidate> candidates;
-        for (int it = 0; it < 20; ++it)
-            candidates.push_back({.id = TargetId("t" + std::to_string(it)), .slots = 16});
+        std::vector<TargetCandidate> candidates(20);
+        for (std::size_t it = 0; it < candidates.size(); ++it)
+            candidates[it] = {.id = TargetId("t" + std::to_string(it)), .slots = 16};
         int moved = 0;
         for (std::uint64_t it = 0; it < 1000; ++it) {
             const PromptHead head(it * 0x9e3779b97f4a7c15ULL);
