--- a/Libraries/LibLedger/Answers.h
+++ b/Libraries/LibLedger/Answers.h
@@ -11,9 +11,9 @@
 // How long an outcome is remembered by the incarnation that dispatched the call.
 inline constexpr absl::Duration outcomeRetention = absl::Minutes(10);
 // A longer body is given to the callers that wait for it, but not kept for later ones.
-inline constexpr std::size_t maxKeptBodyBytes = 64 * 1024;
+inline constexpr std::size_t maxKeptBodyBytes = std::size_t(64) * 1024;
 // All kept bodies of claims, and all of tickets, each.
-inline constexpr std::size_t maxKeptBytes = 16 * 1024 * 1024;
+inline constexpr std::size_t maxKeptBytes = std::size_t(16) * 1024 * 1024;
 // Calls remembered under claims, and under tickets, each. At some 300 bytes a call.
 inline constexpr std::size_t maxRememberedCalls = 30000;
 
--- a/Libraries/LibLedger/CallLedger.cpp
+++ b/Libraries/LibLedger/CallLedger.cpp
@@ -94,7 +94,8 @@
 
 } // namespace detail
 
-std::unique_ptr<CallLedger> CallLedger::create(RouterId self, Incarnation incarnation, RandomSource &random)
+std::unique_ptr<CallLedger> CallLedger::create(const RouterId &self, Incarnation incarnation,
+                                               RandomSource &random)
 {
     return std::make_unique<detail::LedgerImplementation>(self, incarnation, random);
 }
--- a/Libraries/LibLedger/CallLedger.h
+++ b/Libraries/LibLedger/CallLedger.h
@@ -15,7 +15,7 @@
 public:
     // The random source must outlive the ledger; it also makes the secret that tells issued tickets from
     // guessed ones.
-    [[nodiscard]] static std::unique_ptr<CallLedger> create(RouterId self, Incarnation incarnation,
+    [[nodiscard]] static std::unique_ptr<CallLedger> create(const RouterId &self, Incarnation incarnation,
                                                             RandomSource &random);
     virtual ~CallLedger() = default;
 
--- a/Libraries/LibLedger/ClaimedCalls.cpp
+++ b/Libraries/LibLedger/ClaimedCalls.cpp
@@ -120,7 +120,6 @@
 {
     switch (call.phase) {
     case ClaimPhase::Done:
-        return detail::answerCall(out, waiter.call, call.answer);
     case ClaimPhase::Uncertain:
         return detail::answerCall(out, waiter.call, call.answer);
     case ClaimPhase::Sealed:
--- a/Tests/LibLedger/TestCallLedger.cpp
+++ b/Tests/LibLedger/TestCallLedger.cpp
@@ -95,7 +95,7 @@
     ClaimRecord claimAndDispatch(const CallReceived &received)
     {
         receive(received);
-        const ClaimRecord record = only<WriteClaim>().record;
+        ClaimRecord record = only<WriteClaim>().record;
         handle(ClaimWritten{received.call, WriteResult::Applied, ObjectVersion(1)});
         CPPUNIT_ASSERT(only<Dispatch>().call == received.call);
         return record;
