--- a/Libraries/LibConfig/ConfigurationKeeper.cpp
+++ b/Libraries/LibConfig/ConfigurationKeeper.cpp
@@ -32,8 +32,8 @@
 class Keeper final : public ConfigurationKeeper
 {
 public:
-    Keeper(const RouterId &self, bool readsStore, absl::Time startedAt)
-        : m_self(self), m_readsStore(readsStore), m_startedAt(startedAt), m_changes(self)
+    Keeper(RouterId self, bool readsStore, absl::Time startedAt)
+        : m_self(std::move(self)), m_readsStore(readsStore), m_startedAt(startedAt), m_changes(m_self)
     {
     }
 
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -43,10 +43,11 @@
 class Table final : public MemberTable
 {
 public:
-    Table(const RouterRecord &self, std::vector<std::string> seeds, RandomSource &random)
-        : m_random(random), m_seeds(std::move(seeds)), m_routers(self), m_targets(self.id)
+    Table(RouterRecord self, std::vector<std::string> seeds, RandomSource &random)
+        : m_random(random), m_seeds(std::move(seeds)), m_routers(std::move(self)),
+          m_targets(m_routers.self().id)
     {
-        std::erase(m_seeds, self.peerAddress);
+        std::erase(m_seeds, m_routers.self().peerAddress);
         refreshReaders();
     }
 
