--- a/Libraries/LibCaller/CallDriver.cpp
+++ b/Libraries/LibCaller/CallDriver.cpp
@@ -64,6 +64,8 @@
         return std::nullopt;
     }
     auto answer = m_transport.send(entryPoint.address, makeRequest(m_body), nullptr);
+    if (answer || answer.error().delivery == Delivery::MaybeSent)
+        ++m_requestsUnderKey;
     if (answer)
         return takeAnswer(entryPoint, *answer);
     if (answer.error().delivery == Delivery::MaybeSent)
@@ -81,6 +83,7 @@
         return {};
     m_key = TRY(m_entryPoints.ticketFrom(entryPoint));
     m_ticketIssuer = entryPoint.address;
+    m_requestsUnderKey = 0;
     return {};
 }
 
@@ -129,6 +132,9 @@
                                     {"Wisteria-Timeout-Ms", absl::StrCat(timeoutMs)}};
     if (m_key)
         headers.push_back({"Idempotency-Key", m_key->value()});
+    // The caller may have used its own key before, so only requests under a ticket are all known.
+    if (!m_ticketIssuer.empty())
+        headers.push_back({"Wisteria-Attempt", absl::StrCat(m_requestsUnderKey + 1)});
     auto path = absl::StrCat("/v1/services/", detail::escapeUrl(m_request.service.value()), "/calls");
     return {"POST", std::move(path), std::move(headers), std::move(body), std::min(remaining, m_stallLimit)};
 }
--- a/Libraries/LibCaller/CallDriver.h
+++ b/Libraries/LibCaller/CallDriver.h
@@ -36,6 +36,8 @@
     std::optional<IdempotencyKey> m_key;
     // Address that issued the ticket in m_key; empty when the key is the caller's own.
     std::string m_ticketIssuer;
+    // Requests under m_key of which a byte may have reached a router.
+    int m_requestsUnderKey{0};
     // Invariant: true from the first byte sent under m_key until a router says that the call did not run.
     // While it is true, m_key never changes.
     bool m_maybeSent{false};
--- a/Services/Router/EventId.h
+++ b/Services/Router/EventId.h
@@ -1,6 +1,6 @@
-// The id of a caller's event: GENERATION@VERSION/TARGET/STREAM/STREAMSTART/OFFSET. It carries all that another
-// router needs to go on, since routers keep nothing. VERSION is that of the service's last change when the answer
-// began.
+// The id of a caller's event: GENERATION@VERSION/TARGET/STREAM/STREAMSTART/OFFSET. It carries all that
+// another router needs to go on, since routers keep nothing. VERSION is that of the service's last change
+// when the answer began.
 
 #pragma once
 
--- a/Tests/LibCaller/TestCalls.cpp
+++ b/Tests/LibCaller/TestCalls.cpp
@@ -76,8 +76,11 @@
         m_transport.script("b", {answerJson(504, m_unknown), answerJson(200, m_ran)});
         assertRan(call());
         CPPUNIT_ASSERT(m_transport.work().size() >= 3);
-        for (std::size_t n = 0; n < m_transport.work().size(); ++n)
+        for (std::size_t n = 0; n < m_transport.work().size(); ++n) {
             CPPUNIT_ASSERT_EQUAL(std::string("ticket-a-1"), keyOf(n));
+            CPPUNIT_ASSERT_EQUAL(std::to_string(n + 1),
+                                 headerOf(m_transport.work().at(n).request, "Wisteria-Attempt"));
+        }
     }
 
     void takesNewTicketAfterNotRun()
