LibRouting: Reserve whole targets for urgent work

Cause: at 120 % patient load an urgent request found every slot taken. Each router left one slot of each engine free, but load reports lag by up to 1.5 s and seven routers filled the same engines between two reports. Change: the reserve is made of whole targets, the first ones of the service by a hash, alike at every router without a message; patient work never goes there, and urgent work takes a free slot there first. Where the share is below one target it stays a share of each target's slots, and when nothing else takes work the reserve serves everyone. Ruled out: rounding of the reserve (already rounded up).

TestAdmission's new case fails without the change.

--- a/Libraries/LibRouting/AttemptLauncher.cpp
+++ b/Libraries/LibRouting/AttemptLauncher.cpp
@@ -17,10 +17,10 @@
 
 SlotClass slotClassFor(const Generation &generation)
 {
+    if (generation.request.urgency == Urgency::Urgent)
+        return SlotClass::Urgent;
     // A generation that lost its stream was admitted already; it must not wait behind new work.
-    if (generation.request.urgency == Urgency::Urgent || generation.hasDelivered())
-        return SlotClass::Priority;
-    return SlotClass::Patient;
+    return generation.hasDelivered() ? SlotClass::Resumed : SlotClass::Patient;
 }
 
 std::size_t leastLoadedCached(std::span<const TargetCandidate> candidates)
--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <xxhash.h>
 
 namespace Wisteria {
 
@@ -24,6 +25,23 @@
     return target.facts().phase == TargetPhase::Live ? TargetTier::Healthy : TargetTier::Suspect;
 }
 
+std::pair<std::uint64_t, TargetId> rankOf(const TargetId &id)
+{
+    return {XXH64(id.value().data(), id.value().size(), 0), id};
+}
+
+// Urgent work takes a reserved target that has a free slot, or any that has one, or else waits its turn at an
+// engine.
+void preferFreeSlots(std::vector<TargetCandidate> &candidates, const std::set<TargetId> &reserved)
+{
+    auto isFull = [](const TargetCandidate &it) { return it.load >= it.slots; };
+    auto isFullOrShared = [&](const TargetCandidate &it) { return isFull(it) || !reserved.contains(it.id); };
+    if (!std::ranges::all_of(candidates, isFullOrShared))
+        std::erase_if(candidates, isFullOrShared);
+    else if (!std::ranges::all_of(candidates, isFull))
+        std::erase_if(candidates, isFull);
+}
+
 } // namespace detail
 
 void TargetTable::apply(const TargetChanged &change)
@@ -31,9 +49,11 @@
     auto [it, isNew] = m_targets.try_emplace(change.target, change);
     if (!isNew) {
         m_byService[it->second.facts().service].erase(change.target);
+        m_byRank[it->second.facts().service].erase(detail::rankOf(change.target));
         it->second.apply(change);
     }
     m_byService[change.service].insert(change.target);
+    m_byRank[change.service].insert(detail::rankOf(change.target));
 }
 
 void TargetTable::forgetIfGone(const TargetId &id)
@@ -42,6 +62,7 @@
     if (it == m_targets.end() || it->second.facts().phase != TargetPhase::Gone)
         return;
     m_byService[it->second.facts().service].erase(id);
+    m_byRank[it->second.facts().service].erase(detail::rankOf(id));
     m_targets.erase(it);
 }
 
@@ -60,27 +81,62 @@
 Candidates TargetTable::candidates(const CandidateQuery &query, absl::Time now) const
 {
     Candidates out;
-    auto it = m_byService.find(query.service);
-    if (it == m_byService.end())
-        return out;
+    const auto reserved = reservedTargets(query);
+    const auto ids = openTo(query, reserved);
     auto bestTier = detail::TargetTier::None;
-    for (const auto &id : it->second)
+    for (const auto &id : ids)
         bestTier = std::min(bestTier, detail::targetTier(m_targets.at(id), query, now));
     if (bestTier == detail::TargetTier::None)
         return out;
     out.anyExists = true;
-    for (const auto &id : it->second) {
+    for (const auto &id : ids) {
         const TargetState &target = m_targets.at(id);
         if (detail::targetTier(target, query, now) != bestTier)
             continue;
         const std::uint32_t load = target.load(now);
-        if (load < room(target, query))
+        if (load < room(target, query, !reserved.empty()))
             out.withRoom.push_back(TargetCandidate{id, target.facts().domain, load, target.facts().slots,
                                                    target.cache().holds(query.head)});
     }
+    if (query.slotClass == SlotClass::Urgent)
+        detail::preferFreeSlots(out.withRoom, reserved);
     return out;
 }
 
+std::vector<TargetId> TargetTable::openTo(const CandidateQuery &query,
+                                          const std::set<TargetId> &reserved) const
+{
+    std::vector<TargetId> ids;
+    auto it = m_byService.find(query.service);
+    if (it == m_byService.end())
+        return ids;
+    const bool isPatient = query.slotClass == SlotClass::Patient;
+    std::ranges::copy_if(it->second, std::back_inserter(ids),
+                         [&](const TargetId &id) { return !isPatient || !reserved.contains(id); });
+    // When nothing else is left, the reserve serves everyone.
+    const bool anyTakesWork =
+        std::ranges::any_of(ids, [&](const TargetId &id) { return m_targets.at(id).takesNewWork(); });
+    if (!anyTakesWork)
+        ids.assign(it->second.begin(), it->second.end());
+    return ids;
+}
+
+std::set<TargetId> TargetTable::reservedTargets(const CandidateQuery &query) const
+{
+    std::set<TargetId> reserved;
+    auto it = m_byRank.find(query.service);
+    if (it == m_byRank.end())
+        return reserved;
+    const auto wanted = static_cast<std::size_t>(std::floor(it->second.size() * query.urgentReserve));
+    for (const auto &[hash, id] : it->second) {
+        if (reserved.size() >= wanted)
+            break;
+        if (m_targets.at(id).takesNewWork())
+            reserved.insert(id);
+    }
+    return reserved;
+}
+
 bool TargetTable::anyTakesNewWork(const ServiceName &service) const
 {
     auto it = m_byService.find(service);
@@ -90,19 +146,16 @@
                                [&](const TargetId &id) { return m_targets.at(id).takesNewWork(); });
 }
 
-std::uint32_t TargetTable::room(const TargetState &target, const CandidateQuery &query)
+std::uint32_t TargetTable::room(const TargetState &target, const CandidateQuery &query,
+                                bool hasReservedTargets)
 {
     const std::uint32_t slots = target.facts().slots;
     const auto reserve = static_cast<std::uint32_t>(std::ceil(slots * query.urgentReserve));
-    switch (query.slotClass) {
-    case SlotClass::Patient:
-        return std::max(slots - std::min(reserve, slots), std::uint32_t{1});
-    case SlotClass::Shared:
-        return slots;
-    case SlotClass::Priority:
+    if (query.slotClass != SlotClass::Patient)
         return slots + std::max(reserve, std::uint32_t{1});
-    }
-    return slots;
+    if (hasReservedTargets)
+        return slots;
+    return std::max(slots - std::min(reserve, slots), std::uint32_t{1});
 }
 
 } // namespace Wisteria
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -10,14 +10,15 @@
 
 namespace Wisteria {
 
-// How far an attempt may fill a target.
+// How far an attempt may fill a target, and which targets are kept from it.
 enum class SlotClass {
     // Leaves the urgent reserve free.
     Patient,
-    // May use the reserve too.
-    Shared,
-    // May go past the slots by the reserve once more: the engine serves it by priority.
-    Priority,
+    // A patient answer that lost its stream: it may go past the slots, so that it does not wait behind new
+    // work.
+    Resumed,
+    // Takes reserved targets first; may go past the slots, since the engine serves it by priority.
+    Urgent,
 };
 
 struct CandidateQuery
@@ -56,11 +57,22 @@
     [[nodiscard]] bool anyTakesNewWork(const ServiceName &) const;
 
 private:
-    [[nodiscard]] static std::uint32_t room(const TargetState &, const CandidateQuery &);
+    // Whole targets that make up the reserve: the first ones of the service by a hash, alike at every router.
+    // Load reports lag, so slots that each router leaves free are taken by the others before a report says
+    // so; a target that nobody gives patient work to stays free. Empty where the share is less than one
+    // target, and the reserve is then a share of each target's slots.
+    [[nodiscard]] std::set<TargetId> reservedTargets(const CandidateQuery &) const;
+    // The targets of the service that the attempt may be given to, in the order of their ids.
+    [[nodiscard]] std::vector<TargetId> openTo(const CandidateQuery &,
+                                               const std::set<TargetId> &reserved) const;
+    [[nodiscard]] static std::uint32_t room(const TargetState &, const CandidateQuery &,
+                                            bool hasReservedTargets);
 
     std::map<TargetId, TargetState> m_targets;
     // Invariant: names each target under its present service.
     std::map<ServiceName, std::set<TargetId>> m_byService;
+    // Invariant: the same targets as in m_byService, in the order of a hash of their ids.
+    std::map<ServiceName, std::set<std::pair<std::uint64_t, TargetId>>> m_byRank;
 };
 
 } // namespace Wisteria
--- a/Tests/LibRouting/TestAdmission.cpp
+++ b/Tests/LibRouting/TestAdmission.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace Wisteria {
 
 class TestAdmission : public CppUnit::TestFixture
@@ -13,6 +15,8 @@
     CPPUNIT_TEST(refusesUnknownNames);
     CPPUNIT_TEST(refusesWhileStaleButReattaches);
     CPPUNIT_TEST(keepsReserveForUrgent);
+    CPPUNIT_TEST(reservesWholeTargetsForUrgent);
+    CPPUNIT_TEST(opensReserveWhenNothingElseIsLeft);
     CPPUNIT_TEST(letsUrgentPastPatient);
     CPPUNIT_TEST(boundsQueueAndRefusesAtOnce);
     CPPUNIT_TEST(sharesSlotsByWeight);
@@ -59,6 +63,34 @@
         CPPUNIT_ASSERT(starts(host.open("u2", Urgency::Urgent)));
     }
 
+    void reservesWholeTargetsForUrgent()
+    {
+        FakeHost host({.urgentReserve = 0.5});
+        for (const char *id : {"t1", "t2", "t3", "t4"})
+            host.addTarget(id, 2);
+        std::set<TargetId> patient;
+        for (const char *id : {"p1", "p2", "p3", "p4"})
+            patient.insert(only<StartAttempt>(host.open(id)).at(0).target);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), patient.size());
+        CPPUNIT_ASSERT(!starts(host.open("p5")));
+        // Another router's load report makes no difference: no patient work is ever there.
+        for (const char *id : {"u1", "u2", "u3", "u4"})
+            CPPUNIT_ASSERT(
+                !patient.contains(only<StartAttempt>(host.open(id, Urgency::Urgent)).at(0).target));
+    }
+
+    void opensReserveWhenNothingElseIsLeft()
+    {
+        FakeHost host({.urgentReserve = 0.5});
+        host.addTarget("t1", 2);
+        host.addTarget("t2", 2);
+        const auto open = only<StartAttempt>(host.open("p1")).at(0).target;
+        host.addTarget(open.value(), 2, TargetPhase::Leaving);
+        const auto next = only<StartAttempt>(host.open("p2"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), next.size());
+        CPPUNIT_ASSERT(next[0].target != open);
+    }
+
     void letsUrgentPastPatient()
     {
         FakeHost host({.urgentReserve = 0});
