--- a/Examples/EmbedDecisions.cpp
+++ b/Examples/EmbedDecisions.cpp
@@ -28,20 +28,20 @@
     {
         FleetConfiguration configuration;
         configuration.version = ConfigVersion(1);
-        configuration.services[digest] = ServiceSpec{.name = digest, .model = ModelName("summariser")};
-        configuration.workspaces[kochi] = WorkspaceSpec{.name = kochi};
+        configuration.services[m_digest] = ServiceSpec{.name = m_digest, .model = ModelName("summariser")};
+        configuration.workspaces[m_kochi] = WorkspaceSpec{.name = m_kochi};
         take(ConfigurationChanged{configuration});
         take(FreshnessChanged{true});
         for (const char *name : {"e1", "e2"})
-            take(TargetChanged{TargetId(name), digest, FailureDomain("kochi"), 8, TargetPhase::Live});
+            take(TargetChanged{TargetId(name), m_digest, FailureDomain("kochi"), 8, TargetPhase::Live});
     }
 
     void run()
     {
         RequestOpened request;
         request.generation = GenerationId("g1");
-        request.workspace = kochi;
-        request.service = digest;
+        request.workspace = m_kochi;
+        request.service = m_digest;
         request.maxTokens = answerTokens;
         take(request);
         while (!m_isComplete) {
@@ -93,8 +93,8 @@
         }
     }
 
-    const ServiceName digest{"digest"};
-    const WorkspaceName kochi{"kochi"};
+    const ServiceName m_digest{"digest"};
+    const WorkspaceName m_kochi{"kochi"};
     SeededRandom m_random;
     std::unique_ptr<Router> m_router;
     absl::Time m_now{absl::UnixEpoch()};
--- a/Libraries/LibLedger/Answers.h
+++ b/Libraries/LibLedger/Answers.h
@@ -65,19 +65,6 @@
     out.emplace_back(RecordCallDecision{call, std::string(decision), std::string(reason)});
 }
 
-[[nodiscard]] inline std::string_view outcomeName(CallOutcome outcome)
-{
-    switch (outcome) {
-    case CallOutcome::Ran:
-        return "ran";
-    case CallOutcome::NotRun:
-        return "not_run";
-    case CallOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 // Answers the call and logs why.
 inline void answerCall(LedgerActions &out, CallId call, const CallAnswer &answer)
 {
--- a/Libraries/LibLedger/Events.h
+++ b/Libraries/LibLedger/Events.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -32,6 +33,19 @@
     Unknown,
 };
 
+[[nodiscard]] inline std::string_view outcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Ran:
+        return "ran";
+    case CallOutcome::NotRun:
+        return "not_run";
+    case CallOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 struct CallAnswer
 {
     CallOutcome outcome{CallOutcome::Unknown};
--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -11,12 +11,14 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 namespace Wisteria {
 
 enum class MemberPhase { Live, Suspect, Leaving, Dead };
+[[nodiscard]] std::string_view memberPhaseName(MemberPhase);
 
 // What one router says about another (or itself). A greater incarnation wins, then a greater sequence, then
 // the later phase in the order of MemberPhase. Only the router itself raises its sequence, which is how it
@@ -38,6 +40,7 @@
 };
 
 enum class TargetHealth { Up, Suspect, Leaving, Gone };
+[[nodiscard]] std::string_view targetHealthName(TargetHealth);
 
 // What one router observed of a target. `round` counts changes; a greater round wins, then the worse health.
 struct TargetRecord
--- a/Libraries/LibPlatform/HttpObjectStore.cpp
+++ b/Libraries/LibPlatform/HttpObjectStore.cpp
@@ -58,7 +58,8 @@
 ErrorOr<std::unique_ptr<HttpObjectStore>> HttpObjectStore::create(const std::string &address,
                                                                   absl::Duration timeout)
 {
-    return std::unique_ptr<HttpObjectStore>(new HttpObjectStore(TRY(Address::parse(address)), timeout));
+    auto parsed = TRY(Address::parse(address));
+    return std::unique_ptr<HttpObjectStore>(new HttpObjectStore(std::move(parsed), timeout));
 }
 
 ErrorOr<std::optional<StoredObject>> HttpObjectStore::get(const std::string &kind, const std::string &name)
--- a/Libraries/LibRouting/Events.cpp
+++ b/Libraries/LibRouting/Events.cpp
@@ -1,9 +1,24 @@
-// Names of the routing decisions, as they stand in the log.
+// Names of phases and decisions, as they stand in logs and answers.
 
 #include <LibRouting/Events.h>
 
 namespace Wisteria {
 
+std::string_view targetPhaseName(TargetPhase phase)
+{
+    switch (phase) {
+    case TargetPhase::Live:
+        return "live";
+    case TargetPhase::Suspect:
+        return "suspect";
+    case TargetPhase::Leaving:
+        return "leaving";
+    case TargetPhase::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
 std::string_view decisionName(DecisionKind kind)
 {
     switch (kind) {
--- a/Libraries/LibRouting/Events.h
+++ b/Libraries/LibRouting/Events.h
@@ -24,6 +24,7 @@
 
 // Live targets take work. Suspect ones take it only when no other is left. Leaving ones finish what runs.
 enum class TargetPhase { Live, Suspect, Leaving, Gone };
+[[nodiscard]] std::string_view targetPhaseName(TargetPhase);
 
 enum class FinishReason { Stop, Length };
 
--- a/Services/Router/AdminHandler.cpp
+++ b/Services/Router/AdminHandler.cpp
@@ -11,36 +11,6 @@
 
 namespace detail {
 
-const char *memberPhaseName(MemberPhase phase)
-{
-    switch (phase) {
-    case MemberPhase::Live:
-        return "live";
-    case MemberPhase::Suspect:
-        return "suspect";
-    case MemberPhase::Leaving:
-        return "leaving";
-    case MemberPhase::Dead:
-        return "dead";
-    }
-    return "dead";
-}
-
-const char *targetPhaseName(TargetPhase phase)
-{
-    switch (phase) {
-    case TargetPhase::Live:
-        return "live";
-    case TargetPhase::Suspect:
-        return "suspect";
-    case TargetPhase::Leaving:
-        return "leaving";
-    case TargetPhase::Gone:
-        return "gone";
-    }
-    return "gone";
-}
-
 json describeRouter(const RouterRecord &record)
 {
     return {{"id", record.id},
@@ -101,7 +71,7 @@
                                {"address", spec.address},
                                {"domain", spec.domain},
                                {"slots", spec.slots},
-                               {"phase", detail::targetPhaseName(fleet.phaseOf(id))}});
+                               {"phase", targetPhaseName(fleet.phaseOf(id))}});
         }
         return json{{"router", m_process.id()},
                     {"config_version", fleet.keeper().configuration().version},
--- a/Services/Router/CallHost.cpp
+++ b/Services/Router/CallHost.cpp
@@ -49,31 +49,18 @@
     return BodyDigest(XXH64(body.data(), body.size(), 0));
 }
 
-const char *outcomeName(CallOutcome outcome)
-{
-    switch (outcome) {
-    case CallOutcome::Ran:
-        return "ran";
-    case CallOutcome::NotRun:
-        return "not_run";
-    case CallOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 } // namespace detail
 
-CallHost::CallHost(RouterId self, Incarnation incarnation, RandomSource &random, EventSink &sink,
+CallHost::CallHost(const RouterId &self, Incarnation incarnation, RandomSource &random, EventSink &sink,
                    ObjectStore &store, PeerClient &peers, TargetCalls &calls, DecisionLog &log,
                    Metrics &metrics, PeerAddressLookup peerAddress)
-    : m_ledger(CallLedger::create(std::move(self), incarnation, random)), m_sink(sink), m_store(store),
-      m_peers(peers), m_calls(calls), m_log(log), m_metrics(metrics), m_peerAddress(std::move(peerAddress)),
+    : m_ledger(CallLedger::create(self, incarnation, random)), m_sink(sink), m_store(store), m_peers(peers),
+      m_calls(calls), m_log(log), m_metrics(metrics), m_peerAddress(std::move(peerAddress)),
       m_pool("claim-store", detail::maxStoreThreads)
 {
 }
 
-void CallHost::submit(CallRequest request, absl::Time now)
+void CallHost::submit(CallRequest &&request, absl::Time now)
 {
     CallId call(++m_lastCall);
     CallReceived received;
@@ -176,7 +163,7 @@
     auto request = std::move(it->second);
     m_requests.erase(it);
     m_metrics.count(
-        absl::StrCat("calls_total{outcome=\"", detail::outcomeName(action.answer.outcome), "\"}"));
+        absl::StrCat("calls_total{outcome=\"", std::string(outcomeName(action.answer.outcome)), "\"}"));
     request.answer(action.answer);
 }
 
--- a/Services/Router/CallHost.h
+++ b/Services/Router/CallHost.h
@@ -38,11 +38,11 @@
     using PeerAddressLookup = std::function<std::optional<std::string>(const RouterId &)>;
 
     // All references must outlive the host.
-    CallHost(RouterId self, Incarnation incarnation, RandomSource &random, EventSink &sink,
+    CallHost(const RouterId &self, Incarnation incarnation, RandomSource &random, EventSink &sink,
              ObjectStore &store, PeerClient &peers, TargetCalls &calls, DecisionLog &log, Metrics &metrics,
              PeerAddressLookup peerAddress);
 
-    void submit(CallRequest request, absl::Time now);
+    void submit(CallRequest &&request, absl::Time now);
     void handle(const LedgerEvent &event, absl::Time now);
 
     [[nodiscard]] CallLedger &ledger() { return *m_ledger; }
--- a/Services/Router/CallerServer.cpp
+++ b/Services/Router/CallerServer.cpp
@@ -78,7 +78,7 @@
             m_process.requestEnded();
     });
     m_server.set_exception_handler(
-        [](const httplib::Request &, httplib::Response &response, std::exception_ptr) {
+        [](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
             replyError(response, Error{ErrorCode::Internal, {}});
         });
     setRoutes();
--- a/Services/Router/FleetHost.cpp
+++ b/Services/Router/FleetHost.cpp
@@ -23,41 +23,11 @@
     return health == TargetHealth::Suspect ? TargetPhase::Suspect : TargetPhase::Live;
 }
 
-const char *healthName(TargetHealth health)
-{
-    switch (health) {
-    case TargetHealth::Up:
-        return "up";
-    case TargetHealth::Suspect:
-        return "suspect";
-    case TargetHealth::Leaving:
-        return "leaving";
-    case TargetHealth::Gone:
-        return "gone";
-    }
-    return "unknown";
-}
-
-const char *phaseName(MemberPhase phase)
-{
-    switch (phase) {
-    case MemberPhase::Live:
-        return "live";
-    case MemberPhase::Suspect:
-        return "suspect";
-    case MemberPhase::Leaving:
-        return "leaving";
-    case MemberPhase::Dead:
-        return "dead";
-    }
-    return "unknown";
-}
-
 } // namespace detail
 
-FleetHost::FleetHost(RouterRecord self, std::vector<std::string> seeds, RandomSource &random, EventSink &sink,
-                     ObjectStore &store, PeerClient &peers, FleetListener &listener, DecisionLog &log,
-                     absl::Duration peerTimeout, absl::Time now)
+FleetHost::FleetHost(const RouterRecord &self, std::vector<std::string> seeds, RandomSource &random,
+                     EventSink &sink, ObjectStore &store, PeerClient &peers, FleetListener &listener,
+                     DecisionLog &log, absl::Duration peerTimeout, absl::Time now)
     : m_self(self.id), m_sink(sink), m_store(store), m_peers(peers), m_listener(listener), m_log(log),
       m_peerTimeout(peerTimeout), m_members(MemberTable::create(self, std::move(seeds), random)),
       m_keeper(ConfigurationKeeper::create(self.id, true, now)), m_pool("fleet", detail::maxFleetThreads)
@@ -141,15 +111,16 @@
         sendGossip(*it, now);
     } else if (const auto *it = std::get_if<TargetHealthChanged>(&action)) {
         m_health[it->target] = it->health;
-        m_log.recordLine(absl::StrCat("decision=target chosen=", it->target.value(), " health=",
-                                      detail::healthName(it->health), " reason=\"", it->reason, "\""));
+        m_log.recordLine(absl::StrCat("decision=target chosen=", it->target.value(),
+                                      " health=", std::string(targetHealthName(it->health)), " reason=\"",
+                                      it->reason, "\""));
         auto spec = m_configuration.targets.find(it->target);
         if (spec != m_configuration.targets.end())
             m_listener.onTarget(spec->second, phaseOf(it->target));
     } else if (const auto *it = std::get_if<RouterPhaseChanged>(&action)) {
         m_log.recordLine(absl::StrCat("decision=router chosen=", it->record.id.value(),
                                       " incarnation=", it->record.incarnation.value(),
-                                      " phase=", detail::phaseName(it->record.phase)));
+                                      " phase=", std::string(memberPhaseName(it->record.phase))));
     } else if (const auto *it = std::get_if<DemandElsewhere>(&action)) {
         m_listener.onDemandElsewhere(*it);
     }
--- a/Services/Router/FleetHost.h
+++ b/Services/Router/FleetHost.h
@@ -36,7 +36,7 @@
     using ChangeCallback = std::function<void(ErrorOr<ConfigVersion>)>;
 
     // All references must outlive the host. `self` carries the advertised addresses.
-    FleetHost(RouterRecord self, std::vector<std::string> seeds, RandomSource &random, EventSink &sink,
+    FleetHost(const RouterRecord &self, std::vector<std::string> seeds, RandomSource &random, EventSink &sink,
               ObjectStore &store, PeerClient &peers, FleetListener &listener, DecisionLog &log,
               absl::Duration peerTimeout, absl::Time now);
 
