--- a/Services/Router/CallerServer.cpp
+++ b/Services/Router/CallerServer.cpp
@@ -136,7 +136,11 @@
     FailureDomain domain(request.get_param_value("domain"));
     auto answer = m_process.ask<json>([this, domain, tickets](absl::Time now) {
         json points = json::array();
-        for (const auto &it : m_process.fleet().members().entryPoints(domain)) {
+        auto entryPoints = m_process.fleet().members().entryPoints(domain);
+        // A stale router takes no new work, so it names itself only when it knows no other.
+        if (!m_process.fleet().keeper().isFresh(now) && entryPoints.size() > 1)
+            std::erase_if(entryPoints, [this](const EntryPoint &it) { return it.router == m_process.id(); });
+        for (const auto &it : entryPoints) {
             points.push_back({{"router", it.router.value()},
                               {"address", it.callerAddress},
                               {"domain", it.domain.value()}});
