--- a/Libraries/LibForwarding/RepeatBudget.cpp
+++ b/Libraries/LibForwarding/RepeatBudget.cpp
@@ -18,6 +18,12 @@
     return bucket;
 }
 
+void RepeatBudget::setLimits(const RepeatLimits &limits)
+{
+    m_limits.ratio = limits.ratio;
+    m_limits.slack = limits.slack;
+}
+
 void RepeatBudget::noteRequest(absl::Time now)
 {
     ++bucketAt(now).requests;
--- a/Libraries/LibForwarding/RepeatBudget.h
+++ b/Libraries/LibForwarding/RepeatBudget.h
@@ -32,6 +32,8 @@
 
     explicit RepeatBudget(const RepeatLimits &limits) : m_limits(limits) { }
 
+    // The window's length stays as it is.
+    void setLimits(const RepeatLimits &);
     void noteRequest(absl::Time now);
     // The number of routers that share the slack, this one included.
     void setRouters(std::size_t n) { m_routers = n == 0 ? 1 : n; }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -407,6 +407,32 @@
     });
 }
 
+void Gateway::reload(const GatewaySettings &settings)
+{
+    const bool needsRestart = settings.id != m_settings.id || settings.callerListen != m_settings.callerListen
+        || settings.entryPointListen != m_settings.entryPointListen
+        || settings.readinessListen != m_settings.readinessListen
+        || settings.metricsListen != m_settings.metricsListen || settings.peerListen != m_settings.peerListen
+        || settings.store != m_settings.store;
+    m_log.write("reloaded",
+                {{"needs_restart", needsRestart},
+                 {"entry_point_lifetime_s", absl::ToDoubleSeconds(settings.entryPointLifetime)},
+                 {"stop_grace_s", absl::ToDoubleSeconds(settings.stopGrace)},
+                 {"repeat_ratio", settings.repeats.ratio},
+                 {"repeat_slack", settings.repeats.slack}},
+                monotonicNow());
+    m_settings.entryPointLifetime = settings.entryPointLifetime;
+    m_settings.stopGrace = settings.stopGrace;
+    m_settings.repeats = settings.repeats;
+    for (auto &[service, budget] : m_budgets)
+        budget.setLimits(settings.repeats);
+}
+
+void Gateway::reloadFailed(const Error &error)
+{
+    m_log.write("reload_failed", {{"error", errorName(error.code)}, {"detail", error.detail}}, monotonicNow());
+}
+
 void Gateway::startStop()
 {
     if (m_stopStarted)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -13,7 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <memory>
@@ -41,6 +41,10 @@
     [[nodiscard]] static ErrorOr<std::unique_ptr<Gateway>> create(boost::asio::io_context &,
                                                                   const GatewaySettings &, const SiteAdapter &);
 
+    // Takes the settings that may change while the process runs; what needs a restart is logged and left as it is.
+    void reload(const GatewaySettings &);
+    // Logs that the settings file could not be taken; the settings stay as they are.
+    void reloadFailed(const Error &);
     // Leaves the entry points, finishes what runs, then ends the event loop.
     void startStop();
 
@@ -89,7 +93,8 @@
     DirectoryView m_targetsView;
     DirectoryView m_routersView;
     std::shared_ptr<const RouteTable> m_routes;
-    absl::flat_hash_map<ServiceName, RepeatBudget> m_budgets;
+    // Sessions hold references to the budgets, hence nodes that stay where they are.
+    absl::node_hash_map<ServiceName, RepeatBudget> m_budgets;
     absl::flat_hash_set<std::shared_ptr<ForwardSession>> m_sessions;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::unique_ptr<PeerLink> m_peerLink;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -84,7 +84,8 @@
 void HttpServerConnection::parse()
 {
     const auto &limits = m_server->m_limits;
-    while (!m_hasOpenRequest && !m_isClosed && !m_unparsed.empty()) {
+    // Nothing is taken after the answer that closes the connection.
+    while (!m_hasOpenRequest && !m_isClosed && !m_closeAfterWrite && !m_unparsed.empty()) {
         if (!m_parser) {
             m_parser.emplace();
             m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
--- a/Libraries/LibPlatform/ProgramOptions.h
+++ b/Libraries/LibPlatform/ProgramOptions.h
@@ -47,7 +47,7 @@
 // The whole of a daemon's main(): options, settings, log, then `serve`.
 template <typename Settings>
 int runDaemon(const ProgramName &name, ErrorOr<Settings> (*parse)(std::string_view, const std::string &),
-              int (*serve)(const Settings &), int argc, char **argv)
+              int (*serve)(const Settings &, const std::string &file), int argc, char **argv)
 {
     int exitCode = exitOk;
     auto request = readCommandLine(name, argc, argv, exitCode);
@@ -65,7 +65,7 @@
         return exitOk;
     }
     startLogging(settings->log, argv[0]);
-    return serve(*settings);
+    return serve(*settings, request->settingsFile);
 }
 
 } // namespace Wisteria
--- a/Services/Gateway/main.cpp
+++ b/Services/Gateway/main.cpp
@@ -8,12 +8,71 @@
 #include <StoreClient.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <glog/logging.h>
 
 namespace Wisteria::detail {
 
-int serve(const GatewaySettings &settings)
+// The settings file may change without a signal. Source: well below the time in which a change must be in force.
+constexpr std::chrono::milliseconds settingsCheckInterval{1000};
+
+// Takes the settings anew on SIGHUP and whenever the file's text changes.
+class SettingsReloader
+{
+public:
+    SettingsReloader(boost::asio::io_context &context, Gateway &gateway, std::string file)
+        : m_signals(context, SIGHUP), m_timer(context), m_gateway(gateway), m_file(std::move(file)),
+          m_text(readTextFile(m_file).value_or(""))
+    {
+        waitForSignal();
+        waitForChange();
+    }
+
+private:
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const auto &ec, int) {
+            if (ec)
+                return;
+            reload();
+            waitForSignal();
+        });
+    }
+
+    void waitForChange()
+    {
+        m_timer.expires_after(settingsCheckInterval);
+        m_timer.async_wait([this](const auto &ec) {
+            if (ec)
+                return;
+            if (const auto text = readTextFile(m_file); text && *text != m_text)
+                reload();
+            waitForChange();
+        });
+    }
+
+    void reload()
+    {
+        const auto text = readTextFile(m_file);
+        const auto settings = text ? gatewaySettingsFromToml(*text, m_file)
+                                   : ErrorOr<GatewaySettings>(tl::unexpected(text.error()));
+        m_text = text.value_or(m_text);
+        if (settings)
+            m_gateway.reload(*settings);
+        else
+            m_gateway.reloadFailed(settings.error());
+    }
+
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    Gateway &m_gateway;
+    std::string m_file;
+    // The text that was taken last.
+    std::string m_text;
+};
+
+int serve(const GatewaySettings &settings, const std::string &file)
 {
     boost::asio::io_context context(1);
     auto store = Platform::StoreClient::create(context, settings.store, settings.storeCallTimeout);
@@ -29,6 +88,7 @@
         LOG(ERROR) << errorName(gateway.error().code) << ": " << gateway.error().detail;
         return exitCannotServe;
     }
+    const SettingsReloader reloader(context, **gateway, file);
     boost::asio::signal_set stopSignals(context, SIGTERM, SIGINT);
     stopSignals.async_wait([&](const auto &ec, int) {
         if (!ec)
--- a/Services/Placer/main.cpp
+++ b/Services/Placer/main.cpp
@@ -9,7 +9,7 @@
 
 namespace Wisteria::detail {
 
-int serve(const PlacerSettings &settings)
+int serve(const PlacerSettings &settings, const std::string &)
 {
     auto signals = blockStopSignals();
     auto process = PlacerProcess::create(settings);
--- a/Services/Router/main.cpp
+++ b/Services/Router/main.cpp
@@ -19,7 +19,7 @@
         absl::SleepFor(drainCheckInterval);
 }
 
-int serve(const RouterSettings &settings)
+int serve(const RouterSettings &settings, const std::string &)
 {
     auto signals = blockStopSignals();
     auto process = RouterProcess::create(settings);
