LibForwarding: Exclude replaced targets, share the watching of the store, believe removals that others saw

Change: 421 draws on the budget and takes the target out until its entry changes; routers tell each other. Removals are held back only when no other router had the store. One router a domain watches the store, the others follow it.

--- a/Libraries/LibForwarding/DirectoryFollower.cpp
+++ b/Libraries/LibForwarding/DirectoryFollower.cpp
@@ -26,7 +26,8 @@
     if (event.revision >= m_revision) {
         for (const auto &it : event.objects)
             apply(it, now);
-        removeMissing(event.objects, event.revision, now);
+        for (const auto &it : missingIn(event.objects, event.revision))
+            remove(it, event.revision, now);
         m_revision = event.revision;
         m_changeRevision = m_revision;
         m_hasView = true;
@@ -73,7 +74,9 @@
     for (const auto &it : event.objects)
         apply(it, now);
     if (event.isComplete) {
-        removeMissing(event.objects, event.revision, now);
+        // The other router believed the removals already.
+        for (const auto &it : missingIn(event.objects, event.revision))
+            forget(it);
         m_hasView = true;
     }
     m_revision = event.revision;
@@ -112,8 +115,8 @@
     m_out.emplace_back(FollowerActions::Apply{stamp.name, stamp.revision});
 }
 
-void DirectoryFollower::removeMissing(const std::vector<ObjectStamp> &present, ObjectVersion upTo,
-                                      absl::Time now)
+std::vector<std::string> DirectoryFollower::missingIn(const std::vector<ObjectStamp> &present,
+                                                      ObjectVersion upTo) const
 {
     absl::flat_hash_set<std::string> names;
     for (const auto &it : present)
@@ -123,8 +126,7 @@
         if (!names.contains(name) && revision <= upTo)
             missing.push_back(name);
     }
-    for (const auto &it : missing)
-        remove(it, upTo, now);
+    return missing;
 }
 
 void DirectoryFollower::remove(const std::string &name, ObjectVersion revision, absl::Time now)
@@ -132,12 +134,17 @@
     const auto it = m_objects.find(name);
     if (it == m_objects.end() || it->second > revision)
         return;
-    if (now < m_believeRemovalsFrom || m_lostSince) {
-        m_doubtful.try_emplace(name, m_lostSince ? now + lapseGrace : m_believeRemovalsFrom);
+    if (now < m_believeRemovalsFrom) {
+        m_doubtful.try_emplace(name, m_believeRemovalsFrom);
         setTimer();
         return;
     }
-    m_objects.erase(it);
+    forget(name);
+}
+
+void DirectoryFollower::forget(const std::string &name)
+{
+    m_objects.erase(name);
     m_doubtful.erase(name);
     m_out.emplace_back(FollowerActions::Remove{name});
 }
@@ -149,7 +156,7 @@
         return;
     m_out.emplace_back(FollowerActions::StoreRegained{now - *m_lostSince});
     m_lostSince.reset();
-    if (m_hasView)
+    if (m_hasView && !m_othersTrusted)
         m_believeRemovalsFrom = now + lapseGrace;
 }
 
--- a/Libraries/LibForwarding/DirectoryFollower.h
+++ b/Libraries/LibForwarding/DirectoryFollower.h
@@ -122,6 +122,11 @@
     // one that holds an older view has a smaller one.
     [[nodiscard]] ObjectVersion changeRevision() const { return m_changeRevision; }
     [[nodiscard]] bool isStoreLost() const { return m_lostSince.has_value(); }
+    // What is missing in the store is gone: the store has not been away, or long enough ago.
+    [[nodiscard]] bool isTrusted(absl::Time now) const { return m_hasView && !m_lostSince && now >= m_believeRemovalsFrom; }
+    // Another router has had the store all the while, so that only this router was cut off from it, and no entry
+    // lapsed for that.
+    void setOthersTrusted(bool othersTrusted) { m_othersTrusted = othersTrusted; }
 
 private:
     void on(const FollowerEvents::Listed &, absl::Time now);
@@ -132,8 +137,9 @@
     void on(const FollowerEvents::Tick &, absl::Time now);
 
     void apply(const ObjectStamp &, absl::Time now);
-    void removeMissing(const std::vector<ObjectStamp> &, ObjectVersion upTo, absl::Time now);
+    [[nodiscard]] std::vector<std::string> missingIn(const std::vector<ObjectStamp> &, ObjectVersion upTo) const;
     void remove(const std::string &name, ObjectVersion, absl::Time now);
+    void forget(const std::string &name);
     void storeAnswered(absl::Time now);
     void callAgain();
     void setTimer();
@@ -147,6 +153,7 @@
     // Objects whose removal is held back until the time.
     absl::btree_map<std::string, absl::Time> m_doubtful;
     std::optional<absl::Time> m_lostSince;
+    bool m_othersTrusted{false};
     absl::Time m_believeRemovalsFrom{absl::InfinitePast()};
     absl::Duration m_pause{firstPause};
     std::optional<absl::Time> m_callAt;
--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -143,7 +143,7 @@
         repeatOrGiveUp(RefusalReason::AnswerLost, now, false);
         return;
     }
-    if (!event.isFull) {
+    if (!event.wasRefused) {
         // No target saw the request, so the budget of repeats is not touched.
         startAttempt(now, false);
         return;
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -44,8 +44,8 @@
 struct AttemptNotRun
 {
     TargetFault fault{TargetFault::Unreachable};
-    // The target refused for lack of room; it is sound otherwise.
-    bool isFull{false};
+    // The request reached a target that refused it, so that it counts as an arrival there.
+    bool wasRefused{false};
     // The copy that the attempt was to continue from is gone.
     bool isCopyMissing{false};
 };
--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -22,6 +22,8 @@
     TargetsRevision,
     Loads,
     Faults,
+    Replaced,
+    IsStoreTrusted,
     Count
 };
 
@@ -39,13 +41,27 @@
     return out;
 }
 
+nlohmann::json encodeIds(const std::vector<TargetId> &ids)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &it : ids)
+        out.push_back(it.value());
+    return out;
+}
+
+// Throws nlohmann::json::exception for anything but strings.
+std::vector<TargetId> decodeIds(const nlohmann::json &json)
+{
+    std::vector<TargetId> out;
+    for (const auto &it : json)
+        out.emplace_back(it.get<std::string>());
+    return out;
+}
+
 } // namespace detail
 
 std::string encodePeerReport(const PeerReport &report)
 {
-    nlohmann::json faults = nlohmann::json::array();
-    for (const auto &it : report.faults)
-        faults.push_back(it.value());
     const nlohmann::json json = {report.router.id.value(),
                                  report.router.domain.value(),
                                  report.router.callerAddress,
@@ -56,7 +72,9 @@
                                  report.configurationRevision.value(),
                                  report.targetsRevision.value(),
                                  detail::encodeLoads(report.loads),
-                                 faults};
+                                 detail::encodeIds(report.faults),
+                                 detail::encodeIds(report.replaced),
+                                 report.router.isStoreTrusted};
     std::string out;
     nlohmann::json::to_cbor(json, out);
     return out;
@@ -86,8 +104,9 @@
                                                                    it.at(2).get<std::int64_t>(),
                                                                    it.at(3).get<std::int64_t>()};
         }
-        for (const auto &it : json.at(detail::Faults))
-            report.faults.emplace_back(it.get<std::string>());
+        report.faults = detail::decodeIds(json.at(detail::Faults));
+        report.replaced = detail::decodeIds(json.at(detail::Replaced));
+        report.router.isStoreTrusted = json.at(detail::IsStoreTrusted).get<bool>();
         return report;
     } catch (const nlohmann::json::exception &error) {
         return makeError(ErrorCode::InvalidRequest, error.what());
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -26,6 +26,8 @@
     ObjectVersion targetsRevision;
     TargetLoads loads;
     std::vector<TargetId> faults;
+    // Targets whose address belongs to another one now.
+    std::vector<TargetId> replaced;
 };
 
 // As CBOR, by nlohmann-json.
--- a/Libraries/LibForwarding/RouterRoster.cpp
+++ b/Libraries/LibForwarding/RouterRoster.cpp
@@ -50,6 +50,26 @@
     return n;
 }
 
+bool RouterRoster::isStoreTrustedByOthers(absl::Time now) const
+{
+    for (const auto &[id, member] : m_members) {
+        if (member.isStoreTrusted && isAlive(id, now))
+            return true;
+    }
+    return false;
+}
+
+bool RouterRoster::shouldWatch(const Member &self, std::size_t perDomain, absl::Time now) const
+{
+    std::size_t before = 0;
+    for (const auto &[id, member] : m_members) {
+        const bool isCandidate = member.isStoreTrusted && member.phase == RouterPhase::Serving && isAlive(id, now);
+        if (isCandidate && member.domain == self.domain && id < self.id)
+            ++before;
+    }
+    return before < perDomain;
+}
+
 std::vector<std::string> RouterRoster::entryPoints(const FailureDomain &domain, absl::Time now) const
 {
     std::vector<std::string> near;
--- a/Libraries/LibForwarding/RouterRoster.h
+++ b/Libraries/LibForwarding/RouterRoster.h
@@ -31,6 +31,8 @@
         std::string peerAddress;
         Incarnation incarnation;
         RouterPhase phase{RouterPhase::Starting};
+        // The router reads the store without trouble.
+        bool isStoreTrusted{false};
         absl::Time heardAt{absl::InfinitePast()};
     };
 
@@ -43,6 +45,11 @@
     [[nodiscard]] bool isAlive(const RouterId &, absl::Time now) const;
     [[nodiscard]] std::vector<Member> members() const;
     [[nodiscard]] std::size_t aliveCount(absl::Time now) const;
+    // Some other live router has had the store without a break.
+    [[nodiscard]] bool isStoreTrustedByOthers(absl::Time now) const;
+    // The router is one of the first `perDomain` of its domain, by id, among those that live and have the store.
+    // The others leave the watching of the store to them. A router that hears of nobody watches.
+    [[nodiscard]] bool shouldWatch(const Member &self, std::size_t perDomain, absl::Time now) const;
     // Caller addresses of the serving routers, those of the domain first; the own one is not among them.
     [[nodiscard]] std::vector<std::string> entryPoints(const FailureDomain &, absl::Time now) const;
 
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -51,7 +51,7 @@
 void TargetPool::upsert(const TargetRecord &record, absl::Time)
 {
     auto &target = m_targets[record.id];
-    if (target.record.startedAtMs != record.startedAtMs) {
+    if (target.record.startedAtMs != record.startedAtMs || target.record.address != record.address) {
         const auto own = target.own;
         target = Target{};
         // Requests that were sent to the process before are subtracted when they end.
@@ -113,8 +113,7 @@
     if (fault == TargetFault::BadAnswer)
         return;
     if (fault == TargetFault::Replaced) {
-        // NOTE: The directory lags; the record is removed or renewed when it catches up.
-        target.suspectUntil = now + longestSuspicion;
+        target.isReplaced = true;
         return;
     }
     const auto length = firstSuspicion * (1 << std::min(target.faultsInARow, 3));
@@ -139,6 +138,12 @@
         it->second.suspectUntil = std::max(it->second.suspectUntil, now + reportedSuspicion);
 }
 
+void TargetPool::noteReplaced(const TargetId &id)
+{
+    if (auto it = m_targets.find(id); it != m_targets.end())
+        it->second.isReplaced = true;
+}
+
 bool TargetPool::isSuspect(const TargetId &id, absl::Time now) const
 {
     const auto it = m_targets.find(id);
@@ -209,7 +214,8 @@
     double bestCost = 0;
     std::uint64_t ties = 1;
     for (const auto &[id, target] : m_targets) {
-        if (target.record.service != need.service || target.record.phase != TargetPhase::Ready)
+        if (target.record.service != need.service || target.record.phase != TargetPhase::Ready
+            || target.isReplaced)
             continue;
         if (std::find(need.exclude.begin(), need.exclude.end(), id) != need.exclude.end())
             continue;
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -131,6 +131,8 @@
     void noteFault(const TargetId &, TargetFault, absl::Time now);
     void noteSuccess(const TargetId &);
     void noteReportedFault(const TargetId &, absl::Time now);
+    // Another router found that the target's address belongs to another one.
+    void noteReplaced(const TargetId &);
     [[nodiscard]] bool isSuspect(const TargetId &, absl::Time now) const;
 
     // Others' work, replacing what the same router reported before.
@@ -152,6 +154,8 @@
         TargetLoad own;
         int faultsInARow{0};
         absl::Time suspectUntil{absl::InfinitePast()};
+        // Another target has the address; the entry is kept only until the directory catches up.
+        bool isReplaced{false};
         // Share of recent requests that failed, in [0, 1].
         double failureShare{0};
     };
--- a/Libraries/LibGateway/Directory.h
+++ b/Libraries/LibGateway/Directory.h
@@ -41,6 +41,8 @@
     [[nodiscard]] ObjectVersion changeRevision() const { return m_follower.changeRevision(); }
     [[nodiscard]] bool hasView() const { return m_follower.hasView(); }
     [[nodiscard]] bool isStoreLost() const { return m_follower.isStoreLost(); }
+    [[nodiscard]] bool isTrusted(absl::Time now) const { return m_follower.isTrusted(now); }
+    void setOthersTrusted(bool othersTrusted) { m_follower.setOthersTrusted(othersTrusted); }
 
     // The whole view, for another router.
     [[nodiscard]] nlohmann::json snapshot() const;
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -240,8 +240,9 @@
     m_parts.targetFailed(target, fault);
 }
 
-void ForwardSession::attemptNotRun(TargetFault fault, bool isFull)
+void ForwardSession::attemptNotRun(TargetFault fault, bool wasRefused)
 {
+    const bool isFull = wasRefused && fault != TargetFault::Replaced;
     const bool isCopyMissing = m_isFromCopy && isFull;
     if (!isFull)
         noteFault(fault);
@@ -251,7 +252,7 @@
         // The target is sound; it may read the prompt anew.
         std::erase(m_tried, *m_target);
     }
-    handle(Events::AttemptNotRun{.fault = fault, .isFull = isFull, .isCopyMissing = isCopyMissing});
+    handle(Events::AttemptNotRun{.fault = fault, .wasRefused = wasRefused, .isCopyMissing = isCopyMissing});
 }
 
 void ForwardSession::streamOpened(const HttpResponseHead &head)
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -41,7 +41,7 @@
     void targetFailed(const TargetId &);
     [[nodiscard]] bool isFinished() const { return m_decisions.isFinished(); }
 
-    void attemptNotRun(TargetFault, bool isFull) override;
+    void attemptNotRun(TargetFault, bool wasRefused) override;
     void streamOpened(const HttpResponseHead &) override;
     void eventsArrived(const std::vector<RawEvent> &) override;
     void streamEnded() override;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -310,6 +310,8 @@
     report.targetsRevision = m_targetsView.changeRevision();
     report.loads = m_targets.ownLoads();
     report.faults = std::exchange(m_faults, {});
+    report.replaced = std::exchange(m_replaced, {});
+    report.router.isStoreTrusted = m_targetsView.isTrusted(monotonicNow());
     return report;
 }
 
@@ -332,6 +334,8 @@
         for (const auto &session : m_sessions)
             session->targetFailed(it);
     }
+    for (const auto &it : report.replaced)
+        m_targets.noteReplaced(it);
     if (report.configurationRevision > m_configurationView.changeRevision()
         || report.targetsRevision > m_targetsView.changeRevision())
         pullFrom(report.router);
@@ -376,8 +380,13 @@
 
 void Gateway::targetFailed(const TargetId &id, TargetFault fault)
 {
-    if (fault == TargetFault::BadAnswer || fault == TargetFault::Replaced)
+    if (fault == TargetFault::BadAnswer)
         return;
+    if (fault == TargetFault::Replaced) {
+        m_replaced.push_back(id);
+        m_peerLink->reportSoon();
+        return;
+    }
     m_faults.push_back(id);
     m_peerLink->reportSoon();
     boost::asio::post(m_context, [this, id] {
@@ -391,6 +400,12 @@
     const auto now = monotonicNow();
     m_connections.dropOld(now);
     const auto routers = m_roster.aliveCount(now) + 1;
+    const bool othersTrusted = m_roster.isStoreTrustedByOthers(now);
+    const bool shouldWatch = m_roster.shouldWatch(m_self, m_settings.watchersPerDomain, now);
+    for (auto *it : {&m_configurationView, &m_targetsView}) {
+        it->setOthersTrusted(othersTrusted);
+        it->setWatching(shouldWatch);
+    }
     for (auto &[service, budget] : m_budgets)
         budget.setRouters(routers);
     m_metrics.setGauge("routers_alive", static_cast<double>(routers));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -105,6 +105,8 @@
     std::uint64_t m_reports{0};
     // Targets that this router found at fault since its last report.
     std::vector<TargetId> m_faults;
+    // Targets that it found replaced since then.
+    std::vector<TargetId> m_replaced;
     bool m_isPulling{false};
 };
 
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -88,7 +88,7 @@
     if (m_isStream)
         listener->streamEnded();
     else if (m_origin == AnswerOrigin::NotRunReplaced)
-        listener->attemptNotRun(TargetFault::Replaced, false);
+        listener->attemptNotRun(TargetFault::Replaced, true);
     else if (m_origin == AnswerOrigin::NotRunFull)
         listener->attemptNotRun(TargetFault::BadAnswer, true);
     else
@@ -102,7 +102,7 @@
         return;
     // A refusal in its head is the target's word, whatever happens to its body.
     if (m_origin == AnswerOrigin::NotRunReplaced)
-        listener->attemptNotRun(TargetFault::Replaced, false);
+        listener->attemptNotRun(TargetFault::Replaced, true);
     else if (m_origin == AnswerOrigin::NotRunFull)
         listener->attemptNotRun(TargetFault::BadAnswer, true);
     else if (failure == HttpFailure::NotConnected)
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -18,7 +18,8 @@
 {
 public:
     virtual ~AttemptListener() = default;
-    virtual void attemptNotRun(TargetFault, bool isFull) = 0;
+    // `wasRefused` tells that a target saw the request and said that it did not run it.
+    virtual void attemptNotRun(TargetFault, bool wasRefused) = 0;
     virtual void streamOpened(const HttpResponseHead &) = 0;
     virtual void eventsArrived(const std::vector<RawEvent> &) = 0;
     virtual void streamEnded() = 0;
