LibGateway: Relay changes of the views, not whole views

Change: a log of changes a view; calls are put off by 60 to 120 ms so that one takes a group of changes; a whole comparison each 10 s where the store is not watched.

--- a/Libraries/LibForwarding/DirectoryFollower.cpp
+++ b/Libraries/LibForwarding/DirectoryFollower.cpp
@@ -69,18 +69,22 @@
 
 void DirectoryFollower::on(const FollowerEvents::Relayed &event, absl::Time now)
 {
-    if (event.revision <= m_revision)
+    if (event.revision < m_changeRevision)
         return;
-    for (const auto &it : event.objects)
-        apply(it, now);
+    for (const auto &it : event.objects) {
+        if (it.isRemoved && m_objects.contains(it.name))
+            forget(it.name);
+        else if (!it.isRemoved)
+            apply(it, now);
+    }
     if (event.isComplete) {
         // The other router believed the removals already.
         for (const auto &it : missingIn(event.objects, event.revision))
             forget(it);
         m_hasView = true;
     }
-    m_revision = event.revision;
-    m_changeRevision = m_revision;
+    m_revision = std::max(m_revision, event.revision);
+    m_changeRevision = event.revision;
 }
 
 void DirectoryFollower::on(const FollowerEvents::Tick &, absl::Time now)
--- a/Libraries/LibGateway/Directory.cpp
+++ b/Libraries/LibGateway/Directory.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <set>
+
 namespace Wisteria {
 
 namespace detail {
@@ -133,6 +135,7 @@
     auto staged = m_staged.find(name);
     if (staged == m_staged.end())
         return;
+    remember(name);
     auto &object = m_objects[name];
     object = std::move(staged->second);
     const auto report = [&](const Error &error) {
@@ -166,37 +169,70 @@
 void DirectoryView::removed(const std::string &name)
 {
     m_objects.erase(name);
+    remember(name);
     if (m_kind == DirectoryKind::Targets)
         m_listener.targetRemoved(TargetId(name));
 }
 
-nlohmann::json DirectoryView::snapshot() const
+void DirectoryView::remember(const std::string &name)
+{
+    m_changes.push_back({m_follower.changeRevision(), name});
+    if (m_changes.size() > rememberedChanges) {
+        m_changesFrom = m_changes.front().revision;
+        m_changes.pop_front();
+    }
+}
+
+nlohmann::json DirectoryView::changesAfter(ObjectVersion after) const
 {
+    const bool isComplete = after.value() == 0 || after < m_changesFrom;
+    std::set<std::string> names;
+    if (isComplete) {
+        for (const auto &[name, object] : m_objects)
+            names.insert(name);
+    } else {
+        for (const auto &it : m_changes) {
+            if (it.revision > after)
+                names.insert(it.name);
+        }
+    }
     nlohmann::json objects = nlohmann::json::array();
-    for (const auto &[name, object] : m_objects) {
-        objects.push_back(
-            {{"name", name}, {"revision", object.revision.value()}, {"content", object.content}});
+    for (const auto &name : names) {
+        const auto it = m_objects.find(name);
+        if (it == m_objects.end())
+            objects.push_back({{"name", name}, {"removed", true}});
+        else
+            objects.push_back(
+                {{"name", name}, {"revision", it->second.revision.value()}, {"content", it->second.content}});
     }
-    return {{"revision", m_follower.revision().value()}, {"objects", std::move(objects)}};
+    return {{"revision", m_follower.changeRevision().value()},
+            {"complete", isComplete},
+            {"objects", std::move(objects)}};
 }
 
 ErrorOr<void> DirectoryView::takeRelayed(const nlohmann::json &json)
 {
     const auto bad = [] { return makeError(ErrorCode::InvalidRequest, "unreadable relayed view"); };
     if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_unsigned()
-        || !json.contains("objects") || !json["objects"].is_array())
+        || !json.contains("objects") || !json["objects"].is_array() || !json.contains("complete")
+        || !json["complete"].is_boolean())
         return bad();
+    const ObjectVersion revision(json["revision"].get<std::uint64_t>());
     std::vector<DirectoryObject> objects;
     for (const auto &it : json["objects"]) {
-        if (!it.is_object() || !it.contains("name") || !it["name"].is_string() || !it.contains("revision")
-            || !it["revision"].is_number_unsigned() || !it.contains("content"))
+        if (!it.is_object() || !it.contains("name") || !it["name"].is_string())
+            return bad();
+        if (it.value("removed", nlohmann::json()) == true) {
+            objects.push_back({it["name"].get<std::string>(), revision, {}, true});
+            continue;
+        }
+        if (!it.contains("revision") || !it["revision"].is_number_unsigned() || !it.contains("content"))
             return bad();
         objects.push_back({it["name"].get<std::string>(), ObjectVersion(it["revision"].get<std::uint64_t>()),
                            it["content"], false});
     }
     stage(objects);
-    handle(FollowerEvents::Relayed{detail::stampsOf(objects),
-                                   ObjectVersion(json["revision"].get<std::uint64_t>()), true});
+    handle(FollowerEvents::Relayed{detail::stampsOf(objects), revision, json["complete"].get<bool>()});
     return {};
 }
 
--- a/Libraries/LibGateway/Directory.h
+++ b/Libraries/LibGateway/Directory.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,6 +33,10 @@
 class DirectoryView
 {
 public:
+    // Changes that are remembered for other routers. Source: twice the engines of the largest site of today, so that
+    // the loss and return of a whole domain fits.
+    static constexpr std::size_t rememberedChanges = 400;
+
     DirectoryView(DirectoryKind, boost::asio::io_context &, DirectoryStore &, const DirectoryDecoder &,
                   DirectoryListener &, StructuredLog &, RandomSource &);
 
@@ -44,8 +49,9 @@
     [[nodiscard]] bool isTrusted(absl::Time now) const { return m_follower.isTrusted(now); }
     void setOthersTrusted(bool othersTrusted) { m_follower.setOthersTrusted(othersTrusted); }
 
-    // The whole view, for another router.
-    [[nodiscard]] nlohmann::json snapshot() const;
+    // What changed after the revision, for another router; the whole view where the log of changes does not reach
+    // back so far.
+    [[nodiscard]] nlohmann::json changesAfter(ObjectVersion) const;
     // Takes another router's view where it is newer. Errors: InvalidRequest.
     [[nodiscard]] ErrorOr<void> takeRelayed(const nlohmann::json &);
 
@@ -55,6 +61,7 @@
     void stage(const std::vector<DirectoryObject> &);
     void apply(const std::string &name);
     void removed(const std::string &name);
+    void remember(const std::string &name);
     [[nodiscard]] std::string kindLabel() const;
 
     DirectoryKind m_kind;
@@ -67,6 +74,15 @@
     // Content of applied objects, and of those that wait to be applied.
     std::map<std::string, DirectoryObject> m_objects;
     std::map<std::string, DirectoryObject> m_staged;
+    // The latest changes, by the revision of the view that they led to. Invariant: ordered by revision.
+    struct Change
+    {
+        ObjectVersion revision;
+        std::string name;
+    };
+    std::deque<Change> m_changes;
+    // Changes up to this revision are not in the log.
+    ObjectVersion m_changesFrom;
     ConfigVersion m_configVersion;
     bool m_isWatching{true};
     bool m_callWaits{false};
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -8,7 +8,10 @@
 
 #include <boost/asio/post.hpp>
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 
 #include <algorithm>
@@ -24,19 +27,42 @@
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-constexpr std::string_view peerViewsPath = "/v1/peer/views";
+constexpr std::string_view peerViewsPath = "/v1/peer/views/";
 constexpr std::string_view metricsPath = "/metrics";
 // A call to another router for its view.
 constexpr absl::Duration peerCallTimeout = absl::Milliseconds(600);
+// Changes come in groups when a failure domain is lost; one call takes them all. Source: a fraction of the two
+// seconds within which a leaving target gets no more work.
+constexpr absl::Duration pullDelay = absl::Milliseconds(60);
+// Routers that do not watch the store compare their whole view with another router's this often, in seconds.
+constexpr std::uint64_t reconcileSeconds = 10;
 constexpr std::size_t maxViewBytes = std::size_t{8} << 20U;
 // Callers that this router turns away come back after this long; by then they know of another one.
 constexpr absl::Duration turnedAwayRetryAfter = absl::Milliseconds(100);
-constexpr absl::Duration flushInterval = absl::Milliseconds(100);
 constexpr absl::Duration stopCheckInterval = absl::Milliseconds(100);
 // Time for the last answers to leave the process.
 constexpr absl::Duration lastWrites = absl::Milliseconds(200);
 constexpr absl::Duration publishRetry = absl::Milliseconds(500);
 
+std::string viewQuery(const ViewRevisions &query)
+{
+    return absl::StrCat(abslView(peerViewsPath), query.configuration.value(), "/", query.targets.value());
+}
+
+// Empty when the target is no such query.
+std::optional<ViewRevisions> readViewQuery(std::string_view target)
+{
+    if (!absl::StartsWith(abslView(target), abslView(peerViewsPath)))
+        return std::nullopt;
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(abslView(target.substr(peerViewsPath.size())), absl::MaxSplits('/', 1));
+    std::uint64_t configuration = 0;
+    std::uint64_t targets = 0;
+    if (!absl::SimpleAtoi(parts.first, &configuration) || !absl::SimpleAtoi(parts.second, &targets))
+        return std::nullopt;
+    return ViewRevisions{ObjectVersion(configuration), ObjectVersion(targets)};
+}
+
 std::string requestPath(const HttpRequest &request)
 {
     const auto target = request.target();
@@ -80,7 +106,8 @@
       m_configurationView(DirectoryKind::Configuration, context, site.store, site.decoder, *this, m_log, m_random),
       m_targetsView(DirectoryKind::Targets, context, site.store, site.decoder, *this, m_log, m_random),
       m_routersView(DirectoryKind::Routers, context, site.store, site.decoder, *this, m_log, m_random),
-      m_second(context), m_flush(context), m_stopTimer(context)
+      m_second(context), m_pullTimer(context),
+      m_stopTimer(context)
 {
     m_self.id = settings.id;
     m_self.domain = settings.domain;
@@ -164,9 +191,12 @@
         caller->respond(entryPoints(*query));
         return true;
     }
-    if (view == detail::peerViewsPath) {
-        const nlohmann::json views = {{"configuration", m_configurationView.snapshot()},
-                                      {"targets", m_targetsView.snapshot()}};
+    if (const auto after = detail::readViewQuery(view)) {
+        nlohmann::json views;
+        if (after->configuration < m_configurationView.changeRevision())
+            views["configuration"] = m_configurationView.changesAfter(after->configuration);
+        if (after->targets.value() == 0 || after->targets < m_targetsView.changeRevision())
+            views["targets"] = m_targetsView.changesAfter(after->targets);
         caller->respond(makeResponse(detail::statusOk, "application/json", views.dump()));
         return true;
     }
@@ -338,10 +368,26 @@
         m_targets.noteReplaced(it);
     if (report.configurationRevision > m_configurationView.changeRevision()
         || report.targetsRevision > m_targetsView.changeRevision())
-        pullFrom(report.router);
+        pullSoon(report.router);
 }
 
-void Gateway::pullFrom(const RouterRoster::Member &peer)
+void Gateway::pullSoon(const RouterRoster::Member &peer)
+{
+    m_pullPeer = peer;
+    if (m_isPulling)
+        return;
+    m_isPulling = true;
+    const auto delay = detail::pullDelay * (1 + static_cast<double>(m_random.below(1000)) / 1000);
+    m_pullTimer.expires_after(absl::ToChronoNanoseconds(delay));
+    m_pullTimer.async_wait([this](const auto &ec) {
+        if (ec)
+            return;
+        m_isPulling = false;
+        pullFrom(m_pullPeer, {m_configurationView.changeRevision(), m_targetsView.changeRevision()});
+    });
+}
+
+void Gateway::pullFrom(const RouterRoster::Member &peer, const ViewRevisions &have)
 {
     const auto endpoint = parseEndpoint(peer.peerAddress);
     if (!endpoint || std::exchange(m_isPulling, true))
@@ -349,8 +395,9 @@
     HttpFields fields;
     fields.set("Host", peer.peerAddress);
     fields.set("Connection", "close");
+    const auto query = detail::viewQuery(have);
     auto connection = std::make_shared<HttpClientConnection>(m_context, *endpoint, SocketLimits{});
-    callHttp(m_context, connection, serializeRequest("GET", detail::peerViewsPath, fields, ""),
+    callHttp(m_context, connection, serializeRequest("GET", query, fields, ""),
              detail::peerCallTimeout, detail::maxViewBytes, [this, id = peer.id](HttpCallResult result) {
                  m_isPulling = false;
                  if (!result || result->head.status != detail::statusOk)
@@ -395,6 +442,18 @@
     });
 }
 
+void Gateway::reconcile(absl::Time now)
+{
+    std::vector<RouterRoster::Member> candidates;
+    for (const auto &it : m_roster.members()) {
+        if (it.isStoreTrusted && m_roster.isAlive(it.id, now))
+            candidates.push_back(it);
+    }
+    if (candidates.empty())
+        return;
+    pullFrom(candidates[m_random.below(candidates.size())], {m_configurationView.changeRevision(), ObjectVersion()});
+}
+
 void Gateway::everySecond()
 {
     const auto now = monotonicNow();
@@ -408,6 +467,8 @@
     }
     for (auto &[service, budget] : m_budgets)
         budget.setRouters(routers);
+    if (++m_seconds % detail::reconcileSeconds == 0 && !shouldWatch)
+        reconcile(now);
     m_metrics.setGauge("routers_alive", static_cast<double>(routers));
     m_metrics.setGauge("targets", static_cast<double>(m_targets.size()));
     m_metrics.setGauge("requests_open", static_cast<double>(m_sessions.size()));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -28,6 +28,13 @@
     DirectoryStore &store;
 };
 
+// Revisions of a router's views, as it tells another one.
+struct ViewRevisions
+{
+    ObjectVersion configuration;
+    ObjectVersion targets;
+};
+
 class Gateway final : private HttpRequestHandler, private DirectoryListener, private PeerLinkHost
 {
 public:
@@ -74,7 +81,11 @@
     void targetFailed(const TargetId &, TargetFault);
 
     void publishSelf();
-    void pullFrom(const RouterRoster::Member &);
+    // Takes the changes that another router has and this one has not.
+    void pullSoon(const RouterRoster::Member &);
+    void pullFrom(const RouterRoster::Member &, const ViewRevisions &have);
+    // Compares the whole view of targets with another router's.
+    void reconcile(absl::Time now);
     void everySecond();
     void checkStopped();
 
@@ -99,7 +110,9 @@
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::unique_ptr<PeerLink> m_peerLink;
     boost::asio::steady_timer m_second;
-    boost::asio::steady_timer m_flush;
+    boost::asio::steady_timer m_pullTimer;
+    RouterRoster::Member m_pullPeer;
+    std::uint64_t m_seconds{0};
     boost::asio::steady_timer m_stopTimer;
     std::optional<absl::Time> m_stopStarted;
     std::uint64_t m_reports{0};
@@ -107,6 +120,7 @@
     std::vector<TargetId> m_faults;
     // Targets that it found replaced since then.
     std::vector<TargetId> m_replaced;
+    // A call to another router is under way or about to begin.
     bool m_isPulling{false};
 };
 
