--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -82,8 +82,9 @@
 
 ErrorOr<PeerReport> decodePeerReport(std::string_view bytes)
 {
-    const auto json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
     try {
+        // NOTE: The library throws for oversized arrays even when told not to.
+        const auto json = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
         if (!json.is_array() || json.size() != detail::Count)
             return makeError(ErrorCode::InvalidRequest, "not a report");
         PeerReport report;
--- /dev/null
+++ b/Tests/LibForwarding/TestDirectoryFollower.cpp
@@ -0,0 +1,171 @@
+// Following the store through outages, lost history, lapsed entries and relays.
+
+#include <LibForwarding/DirectoryFollower.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestDirectoryFollower : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDirectoryFollower);
+    CPPUNIT_TEST(listsThenWatches);
+    CPPUNIT_TEST(lostHistoryIsListedAnew);
+    CPPUNIT_TEST(failedCallsAreSpacedOut);
+    CPPUNIT_TEST(lapsedEntryThatComesBackIsKept);
+    CPPUNIT_TEST(lapsedEntryThatStaysAwayIsRemovedAfterTheGrace);
+    CPPUNIT_TEST(removalIsBelievedWhenOthersHadTheStore);
+    CPPUNIT_TEST(relayedRemovalIsBelievedDuringAnOutage);
+    CPPUNIT_TEST(olderRelayIsIgnored);
+    CPPUNIT_TEST(olderRevisionOfAnObjectIsIgnored);
+    CPPUNIT_TEST(relayedChangesMoveTheRevision);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void listsThenWatches()
+    {
+        CPPUNIT_ASSERT(has<FollowerActions::CallList>(m_follower.begin()));
+        const auto actions = m_follower.handle(listed({"a", "b"}, 10), m_now);
+        CPPUNIT_ASSERT_EQUAL(2, count<FollowerActions::Apply>(actions));
+        CPPUNIT_ASSERT(has<FollowerActions::CallWatch>(actions));
+        CPPUNIT_ASSERT(m_follower.hasView());
+    }
+
+    void lostHistoryIsListedAnew()
+    {
+        start();
+        CPPUNIT_ASSERT(has<FollowerActions::CallList>(m_follower.handle(FollowerEvents::HistoryLost{}, m_now)));
+        const auto actions = m_follower.handle(listed({"a"}, 20), m_now);
+        CPPUNIT_ASSERT_EQUAL(1, count<FollowerActions::Remove>(actions));
+    }
+
+    void failedCallsAreSpacedOut()
+    {
+        start();
+        int calls = 0;
+        auto now = m_now;
+        const auto end = m_now + absl::Seconds(20);
+        auto actions = m_follower.handle(FollowerEvents::CallFailed{}, now);
+        CPPUNIT_ASSERT(has<FollowerActions::StoreLost>(actions));
+        while (now < end) {
+            now += absl::Milliseconds(10);
+            actions = m_follower.handle(FollowerEvents::Tick{}, now);
+            if (has<FollowerActions::CallWatch>(actions)) {
+                ++calls;
+                (void)m_follower.handle(FollowerEvents::CallFailed{}, now);
+            }
+        }
+        // At most two a second once the pause has grown.
+        CPPUNIT_ASSERT(calls >= 15 && calls <= 45);
+    }
+
+    void lapsedEntryThatComesBackIsKept()
+    {
+        start();
+        (void)m_follower.handle(FollowerEvents::CallFailed{}, m_now);
+        const auto back = m_now + absl::Seconds(5);
+        auto actions = m_follower.handle(FollowerEvents::Watched{{{"a", ObjectVersion(11), true}}, ObjectVersion(11)}, back);
+        CPPUNIT_ASSERT(!has<FollowerActions::Remove>(actions));
+        actions = m_follower.handle(FollowerEvents::Watched{{{"a", ObjectVersion(12), false}}, ObjectVersion(12)},
+                                    back + absl::Seconds(1));
+        actions = m_follower.handle(FollowerEvents::Tick{}, back + absl::Seconds(10));
+        CPPUNIT_ASSERT(!has<FollowerActions::Remove>(actions));
+    }
+
+    void lapsedEntryThatStaysAwayIsRemovedAfterTheGrace()
+    {
+        start();
+        (void)m_follower.handle(FollowerEvents::CallFailed{}, m_now);
+        const auto back = m_now + absl::Seconds(5);
+        (void)m_follower.handle(FollowerEvents::Watched{{{"a", ObjectVersion(11), true}}, ObjectVersion(11)}, back);
+        const auto before = back + DirectoryFollower::lapseGrace - absl::Milliseconds(1);
+        CPPUNIT_ASSERT(!has<FollowerActions::Remove>(m_follower.handle(FollowerEvents::Tick{}, before)));
+        const auto after = back + DirectoryFollower::lapseGrace;
+        CPPUNIT_ASSERT(has<FollowerActions::Remove>(m_follower.handle(FollowerEvents::Tick{}, after)));
+    }
+
+    // Found by hunt vmc-fleet mix --seed 374452928566: the store had turned away this router only, and the removal
+    // of a leaving target was held back past the bound.
+    void removalIsBelievedWhenOthersHadTheStore()
+    {
+        start();
+        (void)m_follower.handle(FollowerEvents::CallFailed{}, m_now);
+        m_follower.setOthersTrusted(true);
+        const auto actions = m_follower.handle(
+            FollowerEvents::Watched{{{"a", ObjectVersion(11), true}}, ObjectVersion(11)}, m_now + absl::Seconds(5));
+        CPPUNIT_ASSERT(has<FollowerActions::Remove>(actions));
+    }
+
+    void relayedRemovalIsBelievedDuringAnOutage()
+    {
+        start();
+        (void)m_follower.handle(FollowerEvents::CallFailed{}, m_now);
+        const auto actions = m_follower.handle(
+            FollowerEvents::Relayed{{{"a", ObjectVersion(11), true}}, ObjectVersion(11), false}, m_now);
+        CPPUNIT_ASSERT(has<FollowerActions::Remove>(actions));
+    }
+
+    void olderRelayIsIgnored()
+    {
+        start();
+        const auto actions = m_follower.handle(
+            FollowerEvents::Relayed{{{"a", ObjectVersion(3), true}}, ObjectVersion(9), true}, m_now);
+        CPPUNIT_ASSERT(actions.empty());
+    }
+
+    void olderRevisionOfAnObjectIsIgnored()
+    {
+        start();
+        (void)m_follower.handle(FollowerEvents::Watched{{{"a", ObjectVersion(15), false}}, ObjectVersion(15)}, m_now);
+        const auto actions = m_follower.handle(
+            FollowerEvents::Watched{{{"a", ObjectVersion(14), false}, {"a", ObjectVersion(14), true}}, ObjectVersion(16)},
+            m_now);
+        CPPUNIT_ASSERT(!has<FollowerActions::Apply>(actions));
+        CPPUNIT_ASSERT(!has<FollowerActions::Remove>(actions));
+    }
+
+    void relayedChangesMoveTheRevision()
+    {
+        start();
+        (void)m_follower.handle(FollowerEvents::Relayed{{{"c", ObjectVersion(30), false}}, ObjectVersion(30), false},
+                                m_now);
+        CPPUNIT_ASSERT(m_follower.changeRevision() == ObjectVersion(30));
+        CPPUNIT_ASSERT(m_follower.revision() == ObjectVersion(30));
+    }
+
+private:
+    static FollowerEvents::Listed listed(const std::vector<std::string> &names, std::uint64_t revision)
+    {
+        FollowerEvents::Listed out;
+        for (const auto &it : names)
+            out.objects.push_back({it, ObjectVersion(1), false});
+        out.revision = ObjectVersion(revision);
+        return out;
+    }
+    void start()
+    {
+        (void)m_follower.begin();
+        (void)m_follower.handle(listed({"a", "b"}, 10), m_now);
+    }
+    template <typename Action>
+    static int count(const FollowerActionList &actions)
+    {
+        int n = 0;
+        for (const auto &it : actions)
+            n += std::holds_alternative<Action>(it) ? 1 : 0;
+        return n;
+    }
+    template <typename Action>
+    static bool has(const FollowerActionList &actions)
+    {
+        return count<Action>(actions) > 0;
+    }
+
+    absl::Time m_now{absl::FromUnixSeconds(1000)};
+    SeededRandom m_random{3};
+    DirectoryFollower m_follower{m_random};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDirectoryFollower);
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -0,0 +1,292 @@
+// One forwarded request: what is repeated, what is promised, when a stream goes on elsewhere, and how it ends.
+
+#include <LibForwarding/ForwardedRequest.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+// A budget of a fixed number of repeats.
+class CountedGate final : public RepeatGate
+{
+public:
+    explicit CountedGate(int left) : m_left(left) { }
+    bool tryTakeRepeat(absl::Time) override { return m_left-- > 0; }
+
+private:
+    int m_left;
+};
+
+template <typename Action>
+const Action *findAction(const ForwardingActions &actions)
+{
+    for (const auto &it : actions) {
+        if (const auto *found = std::get_if<Action>(&it))
+            return found;
+    }
+    return nullptr;
+}
+
+ForwardingTerms streamTerms()
+{
+    ForwardingTerms terms;
+    terms.kind = RouteKind::ResumableStream;
+    terms.maxAttempts = 5;
+    terms.routeTimeout = absl::Seconds(25);
+    terms.patience = absl::Seconds(25);
+    terms.latencyObjective = absl::Milliseconds(4500);
+    terms.longestGap = absl::Milliseconds(700);
+    terms.usesCopies = true;
+    return terms;
+}
+
+ForwardingTerms onceTerms()
+{
+    ForwardingTerms terms;
+    terms.kind = RouteKind::Once;
+    terms.maxAttempts = 1;
+    terms.routeTimeout = absl::Milliseconds(800);
+    terms.patience = absl::Milliseconds(1500);
+    terms.latencyObjective = absl::Milliseconds(100);
+    return terms;
+}
+
+ForwardingTerms idempotentTerms()
+{
+    auto terms = onceTerms();
+    terms.kind = RouteKind::Idempotent;
+    terms.maxAttempts = 2;
+    return terms;
+}
+
+constexpr int plentyOfRepeats = 100;
+
+} // namespace detail
+
+class TestForwardedRequest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestForwardedRequest);
+    CPPUNIT_TEST(onceIsNotRepeatedAfterItMayHaveRun);
+    CPPUNIT_TEST(onceGoesElsewhereWhenNoByteWasTaken);
+    CPPUNIT_TEST(refusalByTargetDrawsOnTheBudget);
+    CPPUNIT_TEST(noTargetIsRefusedAtOnceAsNotRun);
+    CPPUNIT_TEST(routeTimeoutAnswersAtOnce);
+    CPPUNIT_TEST(idempotentFailureIsRepeatedThenDelivered);
+    CPPUNIT_TEST(silentIdempotentAttemptIsReplaced);
+    CPPUNIT_TEST(silentIdempotentAttemptStaysWithoutBudget);
+    CPPUNIT_TEST(stalledStreamGoesOnFromItsCopy);
+    CPPUNIT_TEST(missingCopyIsReadAnewAfterTheLastEvent);
+    CPPUNIT_TEST(streamUsesAtMostItsAttempts);
+    CPPUNIT_TEST(brokenStreamIsNeverCompleted);
+    CPPUNIT_TEST(callerThatLeftEndsTheAttempt);
+    CPPUNIT_TEST(stopBreaksARunningStreamOff);
+    CPPUNIT_TEST(stopRefusesNothingThatMayHaveRunAsNotRun);
+    CPPUNIT_TEST(longPrefillIsProbedNotReplaced);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void onceIsNotRepeatedAfterItMayHaveRun()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::onceTerms(), gate, m_start);
+        CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(request.begin(m_start)));
+        const auto actions = request.handle(Events::AttemptLost{}, m_start + absl::Milliseconds(10));
+        CPPUNIT_ASSERT(!detail::findAction<Actions::StartAttempt>(actions));
+        const auto *refusal = detail::findAction<Actions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal);
+        CPPUNIT_ASSERT(!refusal->isNotRun);
+        CPPUNIT_ASSERT_EQUAL(502, refusal->status);
+        CPPUNIT_ASSERT(!refusal->retryAfter);
+    }
+
+    void onceGoesElsewhereWhenNoByteWasTaken()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::onceTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(Events::AttemptNotRun{}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(actions));
+    }
+
+    void refusalByTargetDrawsOnTheBudget()
+    {
+        detail::CountedGate gate(1);
+        ForwardedRequest request(detail::onceTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const Events::AttemptNotRun refused{.fault = TargetFault::Replaced, .wasRefused = true};
+        CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(request.handle(refused, m_start)));
+        const auto actions = request.handle(refused, m_start);
+        const auto *refusal = detail::findAction<Actions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->isNotRun && refusal->retryAfter);
+        CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+    }
+
+    void noTargetIsRefusedAtOnceAsNotRun()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(Events::NoTarget{}, m_start);
+        const auto *refusal = detail::findAction<Actions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->isNotRun && refusal->retryAfter);
+        CPPUNIT_ASSERT(request.isFinished());
+    }
+
+    void routeTimeoutAnswersAtOnce()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::onceTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        CPPUNIT_ASSERT_EQUAL(std::string("800ms"), absl::FormatDuration(request.answerBy() - m_start));
+        const auto actions = request.handle(Events::Tick{}, request.answerBy());
+        CPPUNIT_ASSERT(detail::findAction<Actions::CancelAttempt>(actions));
+        const auto *refusal = detail::findAction<Actions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && !refusal->isNotRun);
+        CPPUNIT_ASSERT_EQUAL(504, refusal->status);
+    }
+
+    void idempotentFailureIsRepeatedThenDelivered()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::idempotentTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        auto actions = request.handle(Events::AnswerArrived{500}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(actions));
+        actions = request.handle(Events::AnswerArrived{500}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<Actions::DeliverAnswer>(actions));
+        CPPUNIT_ASSERT(!detail::findAction<Actions::Refuse>(actions));
+    }
+
+    void silentIdempotentAttemptIsReplaced()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::idempotentTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(Events::Tick{}, m_start + absl::Milliseconds(301));
+        const auto *cancel = detail::findAction<Actions::CancelAttempt>(actions);
+        CPPUNIT_ASSERT(cancel && cancel->fault == TargetFault::Silent);
+        CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(actions));
+    }
+
+    void silentIdempotentAttemptStaysWithoutBudget()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::idempotentTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        auto actions = request.handle(Events::Tick{}, m_start + absl::Milliseconds(301));
+        CPPUNIT_ASSERT(!detail::findAction<Actions::CancelAttempt>(actions));
+        actions = request.handle(Events::AnswerArrived{200}, m_start + absl::Milliseconds(400));
+        CPPUNIT_ASSERT(detail::findAction<Actions::DeliverAnswer>(actions));
+    }
+
+    void stalledStreamGoesOnFromItsCopy()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const auto eventAt = m_start + absl::Seconds(1);
+        CPPUNIT_ASSERT(detail::findAction<Actions::OpenAnswer>(
+            request.handle(Events::EventsArrived{EventNumber(7)}, eventAt)));
+        const auto actions = request.handle(Events::Tick{}, eventAt + absl::Milliseconds(351));
+        const auto *start = detail::findAction<Actions::StartAttempt>(actions);
+        CPPUNIT_ASSERT(start && start->fromCopy);
+        CPPUNIT_ASSERT(start->lastEvent == EventNumber(7));
+        // The old run is ended before the new one is asked for.
+        CPPUNIT_ASSERT(std::holds_alternative<Actions::CancelAttempt>(actions.front()));
+    }
+
+    void missingCopyIsReadAnewAfterTheLastEvent()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(Events::EventsArrived{EventNumber(3)}, m_start + absl::Seconds(1));
+        auto actions = request.handle(Events::AttemptLost{}, m_start + absl::Seconds(1));
+        CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(actions)->fromCopy);
+        actions = request.handle(Events::AttemptNotRun{.wasRefused = true, .isCopyMissing = true},
+                                 m_start + absl::Seconds(1));
+        const auto *start = detail::findAction<Actions::StartAttempt>(actions);
+        CPPUNIT_ASSERT(start && !start->fromCopy);
+        CPPUNIT_ASSERT(start->lastEvent == EventNumber(3));
+    }
+
+    void streamUsesAtMostItsAttempts()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        int attempts = 0;
+        auto actions = request.begin(m_start);
+        while (detail::findAction<Actions::StartAttempt>(actions)) {
+            ++attempts;
+            actions = request.handle(Events::AttemptLost{}, m_start + absl::Milliseconds(attempts));
+        }
+        CPPUNIT_ASSERT_EQUAL(5, attempts);
+        CPPUNIT_ASSERT(request.isFinished());
+    }
+
+    void brokenStreamIsNeverCompleted()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(Events::EventsArrived{EventNumber(1)}, m_start);
+        const auto actions = request.handle(Events::AttemptLost{}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<Actions::BreakOff>(actions));
+        CPPUNIT_ASSERT(!detail::findAction<Actions::CompleteStream>(actions));
+        CPPUNIT_ASSERT(!detail::findAction<Actions::Refuse>(actions));
+    }
+
+    void callerThatLeftEndsTheAttempt()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(Events::CallerLeft{}, m_start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+        CPPUNIT_ASSERT(detail::findAction<Actions::CancelAttempt>(actions));
+        CPPUNIT_ASSERT(request.handle(Events::Tick{}, m_start + absl::Seconds(1)).empty());
+    }
+
+    void stopBreaksARunningStreamOff()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(Events::EventsArrived{EventNumber(1)}, m_start);
+        const auto actions = request.handle(Events::StopNow{}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<Actions::CancelAttempt>(actions));
+        CPPUNIT_ASSERT(detail::findAction<Actions::BreakOff>(actions));
+    }
+
+    void stopRefusesNothingThatMayHaveRunAsNotRun()
+    {
+        detail::CountedGate gate(0);
+        ForwardedRequest request(detail::onceTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(Events::StopNow{}, m_start);
+        CPPUNIT_ASSERT(!detail::findAction<Actions::Refuse>(actions)->isNotRun);
+    }
+
+    void longPrefillIsProbedNotReplaced()
+    {
+        detail::CountedGate gate(detail::plentyOfRepeats);
+        ForwardedRequest request(detail::streamTerms(), gate, m_start);
+        (void)request.begin(m_start);
+        int probes = 0;
+        for (int ms = 0; ms < 4000; ms += 50) {
+            const auto actions = request.handle(Events::Tick{}, m_start + absl::Milliseconds(ms));
+            CPPUNIT_ASSERT(!detail::findAction<Actions::StartAttempt>(actions));
+            probes += detail::findAction<Actions::ProbeTarget>(actions) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(probes >= 5);
+    }
+
+private:
+    absl::Time m_start{absl::FromUnixSeconds(1000)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestForwardedRequest);
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -0,0 +1,252 @@
+// Routes, keys, budgets, events, reports and the roster of routers.
+
+#include <LibCore/Random.h>
+#include <LibForwarding/EventSplitter.h>
+#include <LibForwarding/PeerReport.h>
+#include <LibForwarding/RepeatBudget.h>
+#include <LibForwarding/RouteTable.h>
+#include <LibForwarding/RouterRoster.h>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestForwardingTables : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestForwardingTables);
+    CPPUNIT_TEST(longestPrefixOfTheHostWins);
+    CPPUNIT_TEST(hostIsComparedWithoutCaseAndPort);
+    CPPUNIT_TEST(keysLeadToWorkspaces);
+    CPPUNIT_TEST(weightsShareTheDraw);
+    CPPUNIT_TEST(budgetHoldsInEveryWindow);
+    CPPUNIT_TEST(budgetIsSharedByTheRouters);
+    CPPUNIT_TEST(eventsAreCutAtAnyByte);
+    CPPUNIT_TEST(partialEventIsNotReturned);
+    CPPUNIT_TEST(oversizedEventFails);
+    CPPUNIT_TEST(reportSurvivesItsEncoding);
+    CPPUNIT_TEST(damagedReportsAreErrors);
+    CPPUNIT_TEST(silentRouterLeavesTheEntryPoints);
+    CPPUNIT_TEST(leavingRouterLeavesTheEntryPointsAtOnce);
+    CPPUNIT_TEST(earlierIncarnationIsIgnored);
+    CPPUNIT_TEST(routersWithoutTheStoreDoNotWatchIt);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void longestPrefixOfTheHostWins()
+    {
+        const auto table = RouteTable::create(configuration());
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), table->findRoute("a.example", "/x/y/z")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), table->findRoute("a.example", "/x/q")->name);
+        CPPUNIT_ASSERT(!table->findRoute("a.example", "/other/"));
+        CPPUNIT_ASSERT(!table->findRoute("a.example", "/x"));
+        CPPUNIT_ASSERT(!table->findRoute("b.example", "/x/y/"));
+        CPPUNIT_ASSERT(!table->findRoute("a.example", ""));
+    }
+
+    void hostIsComparedWithoutCaseAndPort()
+    {
+        const auto table = RouteTable::create(configuration());
+        CPPUNIT_ASSERT(table->findRoute("A.Example:8080", "/x/"));
+    }
+
+    void keysLeadToWorkspaces()
+    {
+        const auto table = RouteTable::create(configuration());
+        CPPUNIT_ASSERT(table->findWorkspace("k2")->name == WorkspaceName("w"));
+        CPPUNIT_ASSERT(!table->findWorkspace("k3"));
+        CPPUNIT_ASSERT(!table->findWorkspace(""));
+    }
+
+    void weightsShareTheDraw()
+    {
+        RouteSpec route;
+        route.shares = {{ServiceName("one"), 90}, {ServiceName("two"), 10}};
+        CPPUNIT_ASSERT(RouteTable::chooseService(route, 0.0) == ServiceName("one"));
+        CPPUNIT_ASSERT(RouteTable::chooseService(route, 0.89) == ServiceName("one"));
+        CPPUNIT_ASSERT(RouteTable::chooseService(route, 0.91) == ServiceName("two"));
+        CPPUNIT_ASSERT(RouteTable::chooseService(route, 0.9999999) == ServiceName("two"));
+    }
+
+    // Load pattern: half of the engines are lost, and every request would be repeated at once.
+    void budgetHoldsInEveryWindow()
+    {
+        constexpr int steps = 600;
+        constexpr int windowSteps = 100;
+        const RepeatLimits limits{.ratio = 0.8, .slack = 150, .window = absl::Seconds(10)};
+        RepeatBudget budget(limits);
+        std::vector<int> repeats(steps, 0);
+        for (int step = 0; step < steps; ++step) {
+            const auto now = absl::FromUnixSeconds(1000) + step * absl::Milliseconds(100);
+            const bool isStorm = step % 150 > 75;
+            if (!isStorm || step % 10 == 0)
+                budget.noteRequest(now);
+            for (int n = 0; isStorm && n < 20; ++n)
+                repeats[static_cast<std::size_t>(step)] += budget.tryTakeRepeat(now) ? 1 : 0;
+        }
+        for (int from = 0; from + windowSteps <= steps; ++from) {
+            int sum = 0;
+            for (int step = from; step < from + windowSteps; ++step)
+                sum += repeats[static_cast<std::size_t>(step)];
+            // The most requests that any window holds are one a step.
+            CPPUNIT_ASSERT(sum <= limits.ratio * windowSteps + limits.slack);
+        }
+    }
+
+    void budgetIsSharedByTheRouters()
+    {
+        RepeatBudget budget({.ratio = 0, .slack = 150, .window = absl::Seconds(10)});
+        budget.setRouters(10);
+        int taken = 0;
+        for (int n = 0; n < 100; ++n)
+            taken += budget.tryTakeRepeat(absl::FromUnixSeconds(1000)) ? 1 : 0;
+        CPPUNIT_ASSERT(taken > 5 && taken <= 15);
+    }
+
+    void eventsAreCutAtAnyByte()
+    {
+        const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+        for (std::size_t step = 1; step < text.size(); ++step) {
+            EventSplitter splitter;
+            std::string joined;
+            std::vector<std::uint64_t> numbers;
+            for (std::size_t at = 0; at < text.size(); at += step) {
+                const auto events = splitter.feed(std::string_view(text).substr(at, step));
+                CPPUNIT_ASSERT(events);
+                for (const auto &it : *events) {
+                    joined += it.bytes;
+                    numbers.push_back(it.number->value());
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(text, joined);
+            CPPUNIT_ASSERT((numbers == std::vector<std::uint64_t>{1, 2, 3}));
+            CPPUNIT_ASSERT(!splitter.hasPartialEvent());
+        }
+    }
+
+    void partialEventIsNotReturned()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT(splitter.feed("id: 1\ndata: a\n")->empty());
+        CPPUNIT_ASSERT(splitter.hasPartialEvent());
+    }
+
+    void oversizedEventFails()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT(!splitter.feed(std::string(EventSplitter::maxEventBytes + 1, 'x')));
+    }
+
+    void reportSurvivesItsEncoding()
+    {
+        const auto report = sampleReport();
+        const auto decoded = decodePeerReport(encodePeerReport(report));
+        CPPUNIT_ASSERT(decoded);
+        CPPUNIT_ASSERT(decoded->router.id == report.router.id);
+        CPPUNIT_ASSERT(decoded->router.incarnation == report.router.incarnation);
+        CPPUNIT_ASSERT(decoded->router.phase == report.router.phase);
+        CPPUNIT_ASSERT(decoded->router.isStoreTrusted);
+        CPPUNIT_ASSERT(decoded->loads == report.loads);
+        CPPUNIT_ASSERT(decoded->faults == report.faults);
+        CPPUNIT_ASSERT(decoded->replaced == report.replaced);
+        CPPUNIT_ASSERT(decoded->targetsRevision == report.targetsRevision);
+    }
+
+    void damagedReportsAreErrors()
+    {
+        const auto bytes = encodePeerReport(sampleReport());
+        SeededRandom random(11);
+        for (int n = 0; n < 5000; ++n) {
+            auto damaged = bytes;
+            damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+            damaged.resize(random.below(damaged.size() + 1));
+            // Must not crash; what still decodes is a report.
+            if (const auto decoded = decodePeerReport(damaged); !decoded)
+                CPPUNIT_ASSERT(decoded.error().code == ErrorCode::InvalidRequest);
+        }
+    }
+
+    void silentRouterLeavesTheEntryPoints()
+    {
+        RouterRoster roster;
+        roster.noteReport(member("r1", 1, RouterPhase::Serving), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, roster.entryPoints(FailureDomain("d"), m_now).size());
+        const auto later = m_now + RouterRoster::silenceLimit + absl::Milliseconds(1);
+        CPPUNIT_ASSERT(roster.entryPoints(FailureDomain("d"), later).empty());
+    }
+
+    void leavingRouterLeavesTheEntryPointsAtOnce()
+    {
+        RouterRoster roster;
+        roster.noteReport(member("r1", 1, RouterPhase::Serving), m_now);
+        roster.noteReport(member("r1", 1, RouterPhase::Leaving), m_now);
+        CPPUNIT_ASSERT(roster.entryPoints(FailureDomain("d"), m_now).empty());
+    }
+
+    void earlierIncarnationIsIgnored()
+    {
+        RouterRoster roster;
+        roster.noteReport(member("r1", 2, RouterPhase::Serving), m_now);
+        roster.noteReport(member("r1", 1, RouterPhase::Leaving), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, roster.entryPoints(FailureDomain("d"), m_now).size());
+        // Unless the later one has gone silent: the clock that numbers them may have been set back.
+        const auto later = m_now + absl::Seconds(10);
+        CPPUNIT_ASSERT(roster.noteReport(member("r1", 1, RouterPhase::Serving), later));
+    }
+
+    void routersWithoutTheStoreDoNotWatchIt()
+    {
+        RouterRoster roster;
+        const auto self = member("r3", 1, RouterPhase::Serving);
+        CPPUNIT_ASSERT(roster.shouldWatch(self, 1, m_now));
+        auto other = member("r1", 1, RouterPhase::Serving);
+        roster.noteReport(other, m_now);
+        CPPUNIT_ASSERT(!roster.shouldWatch(self, 1, m_now));
+        other.isStoreTrusted = false;
+        roster.noteReport(other, m_now);
+        CPPUNIT_ASSERT(roster.shouldWatch(self, 1, m_now));
+    }
+
+private:
+    static TrafficConfiguration configuration()
+    {
+        TrafficConfiguration out;
+        RouteSpec route;
+        route.host = "a.example";
+        route.pathPrefix = "/x/";
+        route.name = "short";
+        route.shares = {{ServiceName("s"), 1}};
+        out.routes.push_back(route);
+        route.pathPrefix = "/x/y/";
+        route.name = "long";
+        out.routes.push_back(route);
+        out.workspaces.push_back({.name = WorkspaceName("w"), .apiKeys = {"k1", "k2"}});
+        return out;
+    }
+    static RouterRoster::Member member(const std::string &id, std::uint64_t incarnation, RouterPhase phase)
+    {
+        return {.id = RouterId(id),
+                .domain = FailureDomain("d"),
+                .callerAddress = "127.0.0.1:1",
+                .peerAddress = "127.0.0.1:2",
+                .incarnation = Incarnation(incarnation),
+                .phase = phase,
+                .isStoreTrusted = true};
+    }
+    static PeerReport sampleReport()
+    {
+        PeerReport report;
+        report.router = member("r1", 17, RouterPhase::Leaving);
+        report.targetsRevision = ObjectVersion(99);
+        report.loads[TargetId("t1")] = {.requests = 2, .unreadTokens = 8000, .memoryTokens = 18000};
+        report.faults = {TargetId("t2")};
+        report.replaced = {TargetId("t3")};
+        return report;
+    }
+
+    absl::Time m_now{absl::FromUnixSeconds(1000)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestForwardingTables);
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -0,0 +1,207 @@
+// The choice of targets under the load patterns that it answers.
+
+#include <LibForwarding/TargetPool.h>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace Wisteria {
+
+class TestTargetPool : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestTargetPool);
+    CPPUNIT_TEST(burstOfLongPromptsIsSpreadOverTargets);
+    CPPUNIT_TEST(reportsOfOtherRoutersCount);
+    CPPUNIT_TEST(oldReportsDoNotCount);
+    CPPUNIT_TEST(suspectIsTheLastChoice);
+    CPPUNIT_TEST(suspectComesBackByItself);
+    CPPUNIT_TEST(lostDomainIsLeftBeforeAllItsTargetsFailed);
+    CPPUNIT_TEST(replacedTargetIsNeverChosen);
+    CPPUNIT_TEST(renewedTargetIsChosenAgain);
+    CPPUNIT_TEST(leavingTargetGetsNothingNew);
+    CPPUNIT_TEST(failingTargetGetsLess);
+    CPPUNIT_TEST(copyGoesToAnotherDomain);
+    CPPUNIT_TEST(fullMemoryIsAvoided);
+    CPPUNIT_TEST(restartKeepsOwnLoadCountedOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_random = SeededRandom(7);
+        for (int n = 0; n < targets; ++n)
+            m_pool.upsert(record(n), m_now);
+    }
+
+    void burstOfLongPromptsIsSpreadOverTargets()
+    {
+        std::map<TargetId, int> counts;
+        for (int n = 0; n < 2 * targets; ++n) {
+            const auto chosen = m_pool.choose(need(), m_now);
+            CPPUNIT_ASSERT(chosen);
+            m_pool.addLoad(*chosen, load());
+            ++counts[*chosen];
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{targets}, counts.size());
+        for (const auto &[id, n] : counts)
+            CPPUNIT_ASSERT_EQUAL(2, n);
+    }
+
+    void reportsOfOtherRoutersCount()
+    {
+        TargetLoads loads;
+        for (int n = 0; n < targets - 1; ++n)
+            loads[id(n)] = load();
+        m_pool.setReportedLoads(RouterId("other"), loads, m_now);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(targets - 1));
+    }
+
+    void oldReportsDoNotCount()
+    {
+        m_pool.setReportedLoads(RouterId("other"), {{id(0), load()}}, m_now);
+        const auto later = m_now + TargetPool::reportLifetime + absl::Milliseconds(1);
+        CPPUNIT_ASSERT(m_pool.loadOf(id(0), later) == TargetLoad{});
+    }
+
+    void suspectIsTheLastChoice()
+    {
+        m_pool.noteFault(id(0), TargetFault::Unreachable, m_now);
+        for (int n = 0; n < targets - 1; ++n) {
+            const auto chosen = m_pool.choose(need(), m_now);
+            CPPUNIT_ASSERT(chosen != id(0));
+            m_pool.addLoad(*chosen, load());
+        }
+        TargetNeed last = need();
+        for (int n = 1; n < targets; ++n)
+            last.exclude.push_back(id(n));
+        CPPUNIT_ASSERT(m_pool.choose(last, m_now) == id(0));
+    }
+
+    void suspectComesBackByItself()
+    {
+        m_pool.noteFault(id(0), TargetFault::Silent, m_now);
+        CPPUNIT_ASSERT(m_pool.isSuspect(id(0), m_now));
+        CPPUNIT_ASSERT(!m_pool.isSuspect(id(0), m_now + TargetPool::firstSuspicion));
+    }
+
+    void lostDomainIsLeftBeforeAllItsTargetsFailed()
+    {
+        // Targets 0, 3 and 6 share a domain.
+        m_pool.noteFault(id(0), TargetFault::Silent, m_now);
+        m_pool.noteFault(id(3), TargetFault::Silent, m_now);
+        for (int n = 0; n < 2 * targets; ++n) {
+            const auto chosen = m_pool.choose(need(), m_now);
+            CPPUNIT_ASSERT(m_pool.find(*chosen)->domain != domain(0));
+            m_pool.addLoad(*chosen, load());
+        }
+    }
+
+    void replacedTargetIsNeverChosen()
+    {
+        m_pool.noteFault(id(0), TargetFault::Replaced, m_now);
+        TargetNeed last = need();
+        for (int n = 1; n < targets; ++n)
+            last.exclude.push_back(id(n));
+        CPPUNIT_ASSERT(!m_pool.choose(last, m_now + absl::Minutes(1)));
+        m_pool.noteReplaced(id(1));
+        last.exclude = {id(0)};
+        for (int n = 2; n < targets; ++n)
+            last.exclude.push_back(id(n));
+        CPPUNIT_ASSERT(!m_pool.choose(last, m_now));
+    }
+
+    void renewedTargetIsChosenAgain()
+    {
+        m_pool.noteFault(id(0), TargetFault::Replaced, m_now);
+        auto renewed = record(0);
+        renewed.startedAtMs += 1;
+        m_pool.upsert(renewed, m_now);
+        TargetNeed last = need();
+        for (int n = 1; n < targets; ++n)
+            last.exclude.push_back(id(n));
+        CPPUNIT_ASSERT(m_pool.choose(last, m_now) == id(0));
+    }
+
+    void leavingTargetGetsNothingNew()
+    {
+        for (int n = 1; n < targets; ++n)
+            m_pool.remove(id(n));
+        auto leaving = record(0);
+        leaving.phase = TargetPhase::Leaving;
+        m_pool.upsert(leaving, m_now);
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+    }
+
+    void failingTargetGetsLess()
+    {
+        for (int n = 0; n < 10; ++n)
+            m_pool.noteFault(id(0), TargetFault::BadAnswer, m_now);
+        for (int n = 0; n < 2 * targets; ++n) {
+            const auto chosen = m_pool.choose(need(), m_now);
+            CPPUNIT_ASSERT(chosen != id(0));
+            m_pool.addLoad(*chosen, load());
+        }
+    }
+
+    void copyGoesToAnotherDomain()
+    {
+        for (int n = 0; n < targets; ++n) {
+            const auto holder = m_pool.chooseCopyHolder(need(), id(n), m_now);
+            CPPUNIT_ASSERT(holder);
+            CPPUNIT_ASSERT(m_pool.find(*holder)->domain != m_pool.find(id(n))->domain);
+        }
+    }
+
+    void fullMemoryIsAvoided()
+    {
+        for (int n = 0; n < targets - 1; ++n)
+            m_pool.addLoad(id(n), {.requests = 0, .unreadTokens = 0, .memoryTokens = 85000});
+        m_pool.addLoad(id(targets - 1), {.requests = 5, .unreadTokens = 8000, .memoryTokens = 40000});
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(targets - 1));
+    }
+
+    void restartKeepsOwnLoadCountedOnce()
+    {
+        m_pool.addLoad(id(0), load());
+        auto renewed = record(0);
+        renewed.startedAtMs += 1;
+        m_pool.upsert(renewed, m_now);
+        m_pool.subtractLoad(id(0), load());
+        CPPUNIT_ASSERT(m_pool.loadOf(id(0), m_now) == TargetLoad{});
+    }
+
+private:
+    static constexpr int targets = 9;
+
+    static TargetId id(int n) { return TargetId(absl::StrCat("t", n)); }
+    static FailureDomain domain(int n) { return FailureDomain(absl::StrCat("d", n % 3)); }
+    static TargetRecord record(int n)
+    {
+        return {.id = id(n),
+                .service = ServiceName("s"),
+                .address = absl::StrCat("127.0.0.1:", 1000 + n),
+                .domain = domain(n),
+                .slots = 64,
+                .startedAtMs = 1};
+    }
+    static TargetNeed need()
+    {
+        TargetNeed need;
+        need.service = ServiceName("s");
+        need.isModelService = true;
+        need.engine = {.memoryTokens = 88000, .slots = 64, .hasBackups = true};
+        need.size = {.promptTokens = 8000, .maxOutputTokens = 1000};
+        return need;
+    }
+    static TargetLoad load() { return {.requests = 1, .unreadTokens = 8000, .memoryTokens = 9000}; }
+
+    absl::Time m_now{absl::FromUnixSeconds(1000)};
+    SeededRandom m_random{7};
+    TargetPool m_pool{FailureDomain("d0"), m_random};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestTargetPool);
+
+} // namespace Wisteria
