Forwarding: Ask for no copy before the first event; scale Retry-After with patience and outage

Patient callers were sent back after 0.1 s into an outage of 2 s and used up their one retry. Change: copies only after an event; Retry-After at least a twelfth of the caller's patience, or the outage so far; spread.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -14,8 +14,6 @@
 constexpr int firstServerError = 500;
 // Too little time for a target to do anything. Source: one round trip to another failure domain and a connect.
 constexpr absl::Duration leastUsefulTime = absl::Milliseconds(10);
-// An attempt that was lost sooner has no copy worth asking for. Source: copies are sent several times a second.
-constexpr absl::Duration leastCopyAge = absl::Milliseconds(250);
 
 } // namespace detail
 
@@ -40,6 +38,13 @@
     return "unknown";
 }
 
+absl::Duration retryAfter(absl::Duration patience, absl::Duration outage)
+{
+    // An outage of unknown length is expected to last as long again.
+    const auto wished = std::max(outage, patience / retryPatienceShare);
+    return std::clamp(wished, shortestRetryAfter, std::max(shortestRetryAfter, patience / longestRetryPatienceShare));
+}
+
 ForwardedRequest::ForwardedRequest(const ForwardingTerms &terms, RepeatGate &gate, absl::Time now)
     : m_terms(terms), m_gate(gate), m_arrivedAt(now), m_lastEvent(terms.lastEvent), m_attemptStartedAt(now),
       m_lastEventAt(now), m_nextProbeAt(now)
@@ -113,7 +118,7 @@
         Actions::Refuse refusal{.isNotRun = !m_mayHaveRun, .reason = reason};
         if (refusal.isNotRun) {
             refusal.status = detail::statusUnavailable;
-            refusal.retryAfter = shortRetryAfter;
+            refusal.retryAfter = retryAfter(m_terms.patience, absl::ZeroDuration());
         } else {
             refusal.status = reason == RefusalReason::TimedOut ? detail::statusGatewayTimeout
                                                                : detail::statusBadGateway;
@@ -205,8 +210,8 @@
 void ForwardedRequest::on(const Events::AttemptLost &, absl::Time now)
 {
     m_mayHaveRun = true;
-    const bool fromCopy = m_hasCopy && (m_hasEvents || now - m_attemptStartedAt >= detail::leastCopyAge);
-    repeatOrGiveUp(RefusalReason::AnswerLost, now, fromCopy);
+    // Engines hand out no copy of a run that has not sent an event.
+    repeatOrGiveUp(RefusalReason::AnswerLost, now, m_hasCopy && m_hasEvents);
 }
 
 void ForwardedRequest::on(const Events::CallerLeft &, absl::Time)
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -174,6 +174,19 @@
     [[nodiscard]] virtual bool tryTakeRepeat(absl::Time now) = 0;
 };
 
+// Load pattern: all that was open is turned away at once, and each caller comes back just once or twice. A patient
+// caller that comes back too early uses up its retries before there is anything to serve it.
+//
+// The fraction of a caller's patience after which it comes back at the least.
+inline constexpr int retryPatienceShare = 12;
+// Callers follow a Retry-After up to this fraction of the time that they have left (the users' pages); a little less,
+// since time has passed.
+inline constexpr double longestRetryPatienceShare = 3.3;
+inline constexpr absl::Duration shortestRetryAfter = absl::Milliseconds(50);
+
+// When a refused caller should come back. `outage` is how long the cause has lasted already.
+[[nodiscard]] absl::Duration retryAfter(absl::Duration patience, absl::Duration outage);
+
 class ForwardedRequest
 {
 public:
@@ -186,8 +199,6 @@
     static constexpr absl::Duration probeInterval = absl::Milliseconds(400);
     // An idempotent plain request is sent again after this multiple of its objective.
     static constexpr double plainStallOfObjective = 3;
-    // Refused callers come back after this long. Source: a suspect target is tried again after 0.4 s.
-    static constexpr absl::Duration shortRetryAfter = absl::Milliseconds(250);
 
     ForwardedRequest(const ForwardingTerms &, RepeatGate &, absl::Time now);
 
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -53,6 +53,13 @@
 
 } // namespace detail
 
+void setRetryAfter(HttpResponse &response, absl::Duration after, RandomSource &random)
+{
+    constexpr std::uint64_t steps = 1000;
+    const double spread = 1 - retrySpread * static_cast<double>(random.below(steps)) / steps;
+    response.head.fields.set("Retry-After", absl::StrCat(absl::ToDoubleSeconds(after * spread)));
+}
+
 ForwardSession::ForwardSession(GatewayParts &parts, std::shared_ptr<HttpServerConnection> caller,
                                RoutedRequest routed, RepeatGate &gate, absl::Time now)
     : m_parts(parts), m_caller(std::move(caller)), m_routed(std::move(routed)),
@@ -340,10 +347,8 @@
 void ForwardSession::perform(const Actions::Refuse &action)
 {
     auto response = makeResponse(action.status, "text/plain", "");
-    if (action.retryAfter) {
-        response.head.fields.set("Retry-After",
-                                 absl::StrCat(absl::ToDoubleSeconds(*action.retryAfter)));
-    }
+    if (action.retryAfter)
+        setRetryAfter(response, *action.retryAfter, m_parts.random);
     m_caller->respond(response);
     finish(refusalReasonName(action.reason), action.status);
 }
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -15,6 +15,12 @@
 
 namespace Wisteria {
 
+// Callers that are refused together come back spread over the last part of the time.
+inline constexpr double retrySpread = 0.4;
+
+// Sets the field that tells a refused caller when to come back.
+void setRetryAfter(HttpResponse &, absl::Duration after, RandomSource &);
+
 // A request with what the configuration says of it.
 struct RoutedRequest
 {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -39,6 +39,8 @@
 constexpr std::size_t maxViewBytes = std::size_t{8} << 20U;
 // Callers that this router turns away come back after this long; by then they know of another one.
 constexpr absl::Duration turnedAwayRetryAfter = absl::Milliseconds(100);
+// Of a caller that does not say how long it waits.
+constexpr absl::Duration defaultPatience = absl::Seconds(10);
 constexpr absl::Duration stopCheckInterval = absl::Milliseconds(100);
 // Time for the last answers to leave the process.
 constexpr absl::Duration lastWrites = absl::Milliseconds(200);
@@ -113,6 +115,7 @@
     m_self.domain = settings.domain;
     m_self.callerAddress = settings.callerListen;
     m_self.peerAddress = settings.peerListen;
+    m_startedAt = monotonicNow();
     m_self.incarnation = Incarnation(static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now())));
     m_routersView.setWatching(false);
 }
@@ -218,13 +221,11 @@
 }
 
 void Gateway::refuse(const std::shared_ptr<HttpServerConnection> &caller, int status, std::string_view reason,
-                     const std::string &requestId)
+                     const std::string &requestId, std::optional<absl::Duration> after)
 {
     auto response = makeResponse(status, "text/plain", "");
-    if (status == detail::statusUnavailable) {
-        response.head.fields.set("Retry-After",
-                                 absl::StrCat(absl::ToDoubleSeconds(detail::turnedAwayRetryAfter)));
-    }
+    if (after)
+        setRetryAfter(response, *after, m_random);
     m_metrics.count("requests_refused_total", absl::StrCat("reason=\"", std::string(reason), "\""));
     m_log.write("refused",
                 {{"request", requestId},
@@ -241,8 +242,11 @@
     if (!request)
         return refuse(caller, detail::statusBadRequest, request.error().detail, "");
     const auto id = request->id.value();
-    if (!m_routes || !m_targetsView.hasView())
-        return refuse(caller, detail::statusUnavailable, "no_configuration", id);
+    const auto patience = request->patience.value_or(detail::defaultPatience);
+    if (!m_routes || !m_targetsView.hasView()) {
+        return refuse(caller, detail::statusUnavailable, "no_configuration", id,
+                      retryAfter(patience, monotonicNow() - m_startedAt));
+    }
     RoutedRequest routed{.request = std::move(*request), .table = m_routes};
     const auto host = fieldValue(message, "Host");
     routed.route = m_routes->findRoute(host, detail::requestPath(message));
@@ -256,10 +260,13 @@
     constexpr std::uint64_t drawSteps = 1U << 30U;
     const double draw = static_cast<double>(m_random.below(drawSteps)) / drawSteps;
     routed.service = m_routes->findService(RouteTable::chooseService(*routed.route, draw));
-    if (!routed.service)
-        return refuse(caller, detail::statusUnavailable, "unknown_service", id);
-    if (m_stopStarted && isStream(routed.route->kind))
-        return refuse(caller, detail::statusUnavailable, "stopping", id);
+    if (!routed.service) {
+        return refuse(caller, detail::statusUnavailable, "unknown_service", id,
+                      retryAfter(patience, absl::ZeroDuration()));
+    }
+    if (m_stopStarted && isStream(routed.route->kind)) {
+        return refuse(caller, detail::statusUnavailable, "stopping", id, detail::turnedAwayRetryAfter);
+    }
     routed.message = std::move(message);
     const auto now = monotonicNow();
     auto &budget = budgetOf(routed.service->name);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -74,7 +74,7 @@
     bool answerOwn(const std::shared_ptr<HttpServerConnection> &, const HttpRequest &);
     void forward(const std::shared_ptr<HttpServerConnection> &, HttpRequest);
     void refuse(const std::shared_ptr<HttpServerConnection> &, int status, std::string_view reason,
-                const std::string &requestId);
+                const std::string &requestId, std::optional<absl::Duration> after = std::nullopt);
     [[nodiscard]] HttpResponse entryPoints(const EntryPointQuery &) const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] RepeatBudget &budgetOf(const ServiceName &);
@@ -114,6 +114,7 @@
     RouterRoster::Member m_pullPeer;
     std::uint64_t m_seconds{0};
     boost::asio::steady_timer m_stopTimer;
+    absl::Time m_startedAt;
     std::optional<absl::Time> m_stopStarted;
     std::uint64_t m_reports{0};
     // Targets that this router found at fault since its last report.
