Forwarding: Make copies anew when their holder is lost; count repeats over all routers; know gone targets at once

A third of the repeats went to targets that had just restarted under another id. Change: CopyKeeper has the target make a copy elsewhere when the holder is lost, and renews it; routers report their counts, so that the budget is one over all; a refused connect, a 421 or a newer entry at the same address make a target gone, and all routers and requests hear of it. Ruled out: dearer stalls (the silences are those of dark engines).

--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -22,7 +22,8 @@
     TargetsRevision,
     Loads,
     Faults,
-    Replaced,
+    Gone,
+    Counts,
     IsStoreTrusted,
     Count
 };
@@ -41,6 +42,14 @@
     return out;
 }
 
+nlohmann::json encodeCounts(const ServiceCounts &counts)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &[service, it] : counts)
+        out.push_back({service.value(), it.requests, it.repeats});
+    return out;
+}
+
 nlohmann::json encodeIds(const std::vector<TargetId> &ids)
 {
     nlohmann::json out = nlohmann::json::array();
@@ -73,7 +82,8 @@
                                  report.targetsRevision.value(),
                                  detail::encodeLoads(report.loads),
                                  detail::encodeIds(report.faults),
-                                 detail::encodeIds(report.replaced),
+                                 detail::encodeIds(report.gone),
+                                 detail::encodeCounts(report.counts),
                                  report.router.isStoreTrusted};
     std::string out;
     nlohmann::json::to_cbor(json, out);
@@ -106,7 +116,11 @@
                                                                    it.at(3).get<std::int64_t>()};
         }
         report.faults = detail::decodeIds(json.at(detail::Faults));
-        report.replaced = detail::decodeIds(json.at(detail::Replaced));
+        report.gone = detail::decodeIds(json.at(detail::Gone));
+        for (const auto &it : json.at(detail::Counts)) {
+            report.counts[ServiceName(it.at(0).get<std::string>())] = {it.at(1).get<std::uint64_t>(),
+                                                                       it.at(2).get<std::uint64_t>()};
+        }
         report.router.isStoreTrusted = json.at(detail::IsStoreTrusted).get<bool>();
         return report;
     } catch (const nlohmann::json::exception &error) {
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibForwarding/RepeatBudget.h>
 #include <LibForwarding/RouterRoster.h>
 #include <LibForwarding/TargetPool.h>
 
@@ -14,6 +15,8 @@
 
 namespace Wisteria {
 
+using ServiceCounts = absl::btree_map<ServiceName, RequestCounts>;
+
 struct PeerReport
 {
     // Loads in one report; the largest ones where there are more. Source: keeps a report in one datagram.
@@ -26,8 +29,10 @@
     ObjectVersion targetsRevision;
     TargetLoads loads;
     std::vector<TargetId> faults;
-    // Targets whose address belongs to another one now.
-    std::vector<TargetId> replaced;
+    // Targets that it found gone.
+    std::vector<TargetId> gone;
+    // Requests and repeats of each service since the process started.
+    ServiceCounts counts;
 };
 
 // As CBOR, by nlohmann-json.
--- a/Libraries/LibForwarding/RepeatBudget.h
+++ b/Libraries/LibForwarding/RepeatBudget.h
@@ -1,8 +1,8 @@
 // Bounds how often the requests of one service are sent more than once, over all routers.
 //
-// Load pattern: many targets fail at once, and every router would repeat all that it had there. The users allow
-// `ratio` repeats a request plus a fixed number in a sliding window over all routers; this router takes its part of
-// the fixed number and the ratio of its own requests.
+// Load pattern: many targets fail at once, and every router repeats all that it had there. The users allow `ratio`
+// repeats a request plus a fixed number in a sliding window over all routers. Routers tell each other what they
+// counted; what the others do until that is heard is taken to be what this router does.
 
 #pragma once
 
@@ -15,6 +15,14 @@
 
 namespace Wisteria {
 
+struct RequestCounts
+{
+    std::uint64_t requests{0};
+    std::uint64_t repeats{0};
+
+    bool operator==(const RequestCounts &) const = default;
+};
+
 struct RepeatLimits
 {
     // Repeats for each request. Source: settings.
@@ -30,14 +38,21 @@
     // Part of what is allowed that is used, since windows and routers' counts do not line up exactly.
     static constexpr double usedShare = 0.85;
 
+    // Repeats of the others are heard of after this long. Source: PeerLink's longest interval.
+    static constexpr absl::Duration reportLag = absl::Milliseconds(500);
+
     explicit RepeatBudget(const RepeatLimits &limits) : m_limits(limits) { }
 
     // The window's length stays as it is.
     void setLimits(const RepeatLimits &);
     void noteRequest(absl::Time now);
-    // The number of routers that share the slack, this one included.
-    void setRouters(std::size_t n) { m_routers = n == 0 ? 1 : n; }
+    // What another router counted since it was last heard of.
+    void noteOthers(std::uint64_t requests, std::uint64_t repeats, absl::Time now);
+    // Routers that are heard of, and routers that there are, this one included in both.
+    void setRouters(std::size_t heard, std::size_t known);
     [[nodiscard]] bool tryTakeRepeat(absl::Time now) override;
+    // Since the process started.
+    [[nodiscard]] const RequestCounts &counts() const { return m_counts; }
 
 private:
     struct Bucket
@@ -45,6 +60,8 @@
         std::int64_t index{-1};
         std::uint32_t requests{0};
         std::uint32_t repeats{0};
+        std::uint64_t otherRequests{0};
+        std::uint64_t otherRepeats{0};
     };
     static constexpr std::int64_t bucketsPerWindow = 20;
 
@@ -52,7 +69,10 @@
     [[nodiscard]] Bucket &bucketAt(absl::Time now);
 
     RepeatLimits m_limits;
-    std::size_t m_routers{1};
+    RequestCounts m_counts;
+    std::size_t m_heard{1};
+    // Invariant: at least m_heard.
+    std::size_t m_known{1};
     // Invariant: the bucket with index i is at i % size, and stale once its `index` is older than a window.
     std::array<Bucket, bucketsPerWindow + 1> m_buckets{};
 };
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -42,14 +42,24 @@
         return "silent";
     case TargetFault::BadAnswer:
         return "bad_answer";
-    case TargetFault::Replaced:
-        return "replaced";
+    case TargetFault::Gone:
+        return "gone";
     }
     return "unknown";
 }
 
-void TargetPool::upsert(const TargetRecord &record, absl::Time)
+std::optional<TargetId> TargetPool::upsert(const TargetRecord &record, absl::Time)
 {
+    std::optional<TargetId> former;
+    for (auto &[id, other] : m_targets) {
+        if (id == record.id || other.isGone || other.record.address != record.address)
+            continue;
+        // Of two entries with one address, the one whose process started last is right.
+        if (other.record.startedAtMs > record.startedAtMs)
+            continue;
+        other.isGone = true;
+        former = id;
+    }
     auto &target = m_targets[record.id];
     if (target.record.startedAtMs != record.startedAtMs || target.record.address != record.address) {
         const auto own = target.own;
@@ -58,6 +68,7 @@
         target.own = own;
     }
     target.record = record;
+    return former;
 }
 
 void TargetPool::remove(const TargetId &id)
@@ -112,8 +123,8 @@
     target.failureShare += detail::failureGain * (1 - target.failureShare);
     if (fault == TargetFault::BadAnswer)
         return;
-    if (fault == TargetFault::Replaced) {
-        target.isReplaced = true;
+    if (fault == TargetFault::Gone) {
+        target.isGone = true;
         return;
     }
     const auto length = firstSuspicion * (1 << std::min(target.faultsInARow, 3));
@@ -132,16 +143,29 @@
     it->second.failureShare *= 1 - detail::failureGain;
 }
 
+void TargetPool::noteReachable(const TargetId &id)
+{
+    if (auto it = m_targets.find(id); it != m_targets.end())
+        it->second.suspectUntil = absl::InfinitePast();
+}
+
 void TargetPool::noteReportedFault(const TargetId &id, absl::Time now)
 {
     if (auto it = m_targets.find(id); it != m_targets.end())
         it->second.suspectUntil = std::max(it->second.suspectUntil, now + reportedSuspicion);
 }
 
-void TargetPool::noteReplaced(const TargetId &id)
+void TargetPool::noteGone(const TargetId &id)
 {
     if (auto it = m_targets.find(id); it != m_targets.end())
-        it->second.isReplaced = true;
+        it->second.isGone = true;
+}
+
+bool TargetPool::isSound(const TargetId &id, absl::Time now) const
+{
+    const auto it = m_targets.find(id);
+    return it != m_targets.end() && it->second.record.phase == TargetPhase::Ready && !it->second.isGone
+        && now >= it->second.suspectUntil;
 }
 
 bool TargetPool::isSuspect(const TargetId &id, absl::Time now) const
@@ -215,7 +239,7 @@
     std::uint64_t ties = 1;
     for (const auto &[id, target] : m_targets) {
         if (target.record.service != need.service || target.record.phase != TargetPhase::Ready
-            || target.isReplaced)
+            || target.isGone)
             continue;
         if (std::find(need.exclude.begin(), need.exclude.end(), id) != need.exclude.end())
             continue;
@@ -246,7 +270,7 @@
     if (const auto *record = find(primary))
         copy.avoidDomain = record->domain;
     auto holder = choose(copy, now);
-    if (holder && isSuspect(*holder, now))
+    if (holder && !isSound(*holder, now))
         return std::nullopt;
     return holder;
 }
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -76,8 +76,8 @@
     Silent,
     // It answered with an error of its own or with bytes that are no answer.
     BadAnswer,
-    // Another target has taken its address.
-    Replaced,
+    // Another target has its address, or nothing listens there any more.
+    Gone,
 };
 
 [[nodiscard]] std::string_view targetFaultName(TargetFault);
@@ -115,7 +115,8 @@
     }
 
     // Directory.
-    void upsert(const TargetRecord &, absl::Time now);
+    // Returns the target that had the record's address before and is gone with that.
+    std::optional<TargetId> upsert(const TargetRecord &, absl::Time now);
     void remove(const TargetId &);
     [[nodiscard]] const TargetRecord *find(const TargetId &) const;
     [[nodiscard]] std::size_t size() const { return m_targets.size(); }
@@ -130,10 +131,14 @@
     // Health.
     void noteFault(const TargetId &, TargetFault, absl::Time now);
     void noteSuccess(const TargetId &);
+    // The target accepts connections; what made it suspect was one request.
+    void noteReachable(const TargetId &);
     void noteReportedFault(const TargetId &, absl::Time now);
-    // Another router found that the target's address belongs to another one.
-    void noteReplaced(const TargetId &);
+    // Another router found that the target is gone.
+    void noteGone(const TargetId &);
     [[nodiscard]] bool isSuspect(const TargetId &, absl::Time now) const;
+    // Known, ready and neither suspect nor gone.
+    [[nodiscard]] bool isSound(const TargetId &, absl::Time now) const;
 
     // Others' work, replacing what the same router reported before.
     void setReportedLoads(const RouterId &, TargetLoads, absl::Time now);
@@ -154,8 +159,8 @@
         TargetLoad own;
         int faultsInARow{0};
         absl::Time suspectUntil{absl::InfinitePast()};
-        // Another target has the address; the entry is kept only until the directory catches up.
-        bool isReplaced{false};
+        // The target is gone; its entry is kept only until the directory catches up.
+        bool isGone{false};
         // Share of recent requests that failed, in [0, 1].
         double failureShare{0};
     };
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -14,6 +14,31 @@
 
 namespace Wisteria {
 
+// A copy of a run's memory, as the target that goes on from it is told of it.
+struct CopySource
+{
+    // Address of the target that keeps the copy, or of the one that made it where the copy has a handle.
+    std::string address;
+    // Empty: the copy goes by the request's id.
+    std::string handle;
+};
+
+// A call of a target that is no caller's request.
+struct TargetCall
+{
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+enum class CopyOutcome { Made, Refused, Impossible };
+
+struct CopyAnswer
+{
+    CopyOutcome outcome{CopyOutcome::Refused};
+    std::string handle;
+};
+
 // One attempt as the target is told of it.
 struct TargetOrder
 {
@@ -25,8 +50,8 @@
     std::optional<EventNumber> lastEvent;
     // Address of the target that should keep a copy of the running generation; empty for none.
     std::string copyHolder;
-    // Continue from the copy that the target at this address, the one that is asked, keeps; empty for none.
-    std::string continueFromCopyAt;
+    // Where to continue from; unset for reading the prompt.
+    std::optional<CopySource> continueFrom;
     // Zero is the most urgent.
     int priority{0};
 };
@@ -58,6 +83,10 @@
     virtual void writeTargetFields(HttpFields &, const CallerRequest &, const TargetOrder &) const = 0;
     [[nodiscard]] virtual AnswerOrigin judgeAnswer(const HttpResponseHead &, const RequestId &) const = 0;
     [[nodiscard]] virtual bool isEventStream(const HttpResponseHead &) const = 0;
+    // Asks the target of a run to copy its memory to the holder, and the run to go on.
+    [[nodiscard]] virtual TargetCall makeCopyCall(const RequestId &, const std::string &holderAddress) const = 0;
+    [[nodiscard]] virtual CopyAnswer readCopyAnswer(const HttpResponse &) const = 0;
+    [[nodiscard]] virtual TargetCall dropCopyCall(const std::string &handle) const = 0;
     // Empty when the target is not one that asks for entry points.
     [[nodiscard]] virtual std::optional<EntryPointQuery> readEntryPointQuery(std::string_view target) const = 0;
     [[nodiscard]] virtual HttpResponse writeEntryPoints(const std::vector<std::string> &addresses,
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -18,6 +18,8 @@
 constexpr absl::Duration doubtfulSilence = absl::Milliseconds(150);
 // A connect attempt that is lost on the way is no proof; the second one in a row is.
 constexpr int probesBeforeLost = 2;
+// A call for a copy. Source: a whole generation is copied in milliseconds, queued behind a few others.
+constexpr absl::Duration copyTimeout = absl::Milliseconds(1500);
 // Part of a prompt that an engine still reads when it goes on from a copy.
 constexpr double unreadShareOfCopy = 0.1;
 
@@ -36,6 +38,19 @@
     return "unknown";
 }
 
+std::string_view copyOutcomeName(CopyOutcome outcome)
+{
+    switch (outcome) {
+    case CopyOutcome::Made:
+        return "made";
+    case CopyOutcome::Refused:
+        return "refused";
+    case CopyOutcome::Impossible:
+        return "impossible";
+    }
+    return "unknown";
+}
+
 ForwardingTerms termsOf(const RoutedRequest &routed)
 {
     ForwardingTerms terms;
@@ -63,7 +78,8 @@
 ForwardSession::ForwardSession(GatewayParts &parts, std::shared_ptr<HttpServerConnection> caller,
                                RoutedRequest routed, RepeatGate &gate, absl::Time now)
     : m_parts(parts), m_caller(std::move(caller)), m_routed(std::move(routed)),
-      m_decisions(detail::termsOf(m_routed), gate, now), m_timer(parts.context), m_arrivedAt(now)
+      m_decisions(detail::termsOf(m_routed), gate, now), m_timer(parts.context), m_arrivedAt(now),
+      m_copyTimer(parts.context)
 {
 }
 
@@ -88,9 +104,19 @@
     handle(Events::StopNow{});
 }
 
-void ForwardSession::targetFailed(const TargetId &id)
+void ForwardSession::targetFailed(const TargetId &id, TargetFault fault)
 {
-    if (m_target != id || !m_attempt || !mayRepeat(m_routed.route->kind))
+    if (fault != TargetFault::ConnectionLost)
+        handleCopy(CopyEvents::TargetLost{id});
+    if (m_target != id || !m_attempt)
+        return;
+    if (fault == TargetFault::Gone) {
+        // The run ended with its process, though no reset may have come.
+        m_attempt->cancel();
+        attemptLost(fault);
+        return;
+    }
+    if (!mayRepeat(m_routed.route->kind))
         return;
     const auto probe = [self = shared_from_this(), attempt = m_attempt.get()] {
         if (self->m_attempt.get() == attempt)
@@ -121,44 +147,47 @@
     return need;
 }
 
-std::optional<TargetId> ForwardSession::chooseTarget(const Actions::StartAttempt &action, bool &fromCopy)
+std::optional<CopySource> ForwardSession::usableCopy() const
 {
-    const auto holder = std::exchange(m_copyHolder, std::nullopt);
-    fromCopy = action.fromCopy && holder && m_parts.targets.find(*holder)
-        && !m_parts.targets.isSuspect(*holder, monotonicNow());
-    if (fromCopy)
-        return holder;
-    return m_parts.targets.choose(need(), monotonicNow());
+    const auto &copy = m_copies.copy();
+    if (!copy || !m_parts.targets.isSound(copy->holder, monotonicNow()))
+        return std::nullopt;
+    const auto *holder = m_parts.targets.find(copy->holder);
+    return CopySource{copy->handle.empty() ? holder->address : m_targetAddress, copy->handle};
 }
 
 void ForwardSession::perform(const Actions::StartAttempt &action)
 {
+    const auto source = action.fromCopy ? usableCopy() : std::nullopt;
+    const auto holder = m_copies.copy();
     releaseLoad();
-    bool fromCopy = false;
-    const auto target = chooseTarget(action, fromCopy);
+    const auto target = source ? std::optional(holder->holder) : m_parts.targets.choose(need(), monotonicNow());
     const auto *record = target ? m_parts.targets.find(*target) : nullptr;
     if (!record) {
         handle(Events::NoTarget{});
         return;
     }
     m_tried.push_back(*target);
-    sendTo(*record, action, fromCopy);
+    sendTo(*record, action, source);
 }
 
-void ForwardSession::sendTo(const TargetRecord &record, const Actions::StartAttempt &action, bool fromCopy)
+void ForwardSession::sendTo(const TargetRecord &record, const Actions::StartAttempt &action,
+                            const std::optional<CopySource> &source)
 {
     const auto now = monotonicNow();
     const auto load = m_parts.targets.loadOf(record.id, now);
     m_target = record.id;
-    m_isFromCopy = fromCopy;
-    placeLoad(record.id);
+    m_targetAddress = record.address;
+    m_isFromCopy = source.has_value();
+    placeLoad(record.id, m_isFromCopy);
+    handleCopy(CopyEvents::AttemptBegan{m_copyHolder});
     TargetOrder order;
     order.target = record.id;
     order.timeLeft = action.timeLeft;
     if (m_routed.workspace)
         order.workspace = m_routed.workspace->name;
     order.lastEvent = action.lastEvent;
-    order.continueFromCopyAt = fromCopy ? record.address : "";
+    order.continueFrom = source;
     order.priority = m_routed.route->priority;
     if (m_copyHolder) {
         if (const auto *holder = m_parts.targets.find(*m_copyHolder))
@@ -175,7 +204,8 @@
         {{"number", action.number},
          {"target", record.id.value()},
          {"domain", record.domain.value()},
-         {"from_copy", fromCopy},
+         {"from_copy", m_isFromCopy},
+         {"copy_handle", source ? source->handle : ""},
          {"copy_holder", m_copyHolder ? m_copyHolder->value() : ""},
          {"last_event", action.lastEvent ? action.lastEvent->value() : 0},
          {"load_requests", load.requests},
@@ -196,25 +226,91 @@
                      TargetConnections::connectTimeout);
 }
 
-void ForwardSession::placeLoad(const TargetId &target)
+void ForwardSession::placeLoad(const TargetId &target, bool fromCopy)
 {
     const auto &size = m_routed.request.size;
     m_load = {.requests = 1,
-              .unreadTokens = m_isFromCopy ? static_cast<std::int64_t>(detail::unreadShareOfCopy
+              .unreadTokens = fromCopy ? static_cast<std::int64_t>(detail::unreadShareOfCopy
                                                                        * static_cast<double>(size.promptTokens))
                                            : size.promptTokens,
               .memoryTokens = size.memoryTokens()};
     m_parts.targets.addLoad(target, m_load);
-    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.hasBackups) {
-        m_copyHolder = m_parts.targets.chooseCopyHolder(need(), target, monotonicNow());
-        if (m_copyHolder) {
-            m_copyLoad = {.requests = 0, .unreadTokens = 0, .memoryTokens = size.memoryTokens()};
-            m_parts.targets.addLoad(*m_copyHolder, m_copyLoad);
-        }
-    }
+    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.hasBackups)
+        placeCopyLoad(m_parts.targets.chooseCopyHolder(need(), target, monotonicNow()));
     m_parts.loadChanged();
 }
 
+void ForwardSession::placeCopyLoad(const std::optional<TargetId> &holder)
+{
+    if (m_copyHolder)
+        m_parts.targets.subtractLoad(*m_copyHolder, std::exchange(m_copyLoad, {}));
+    m_copyHolder = holder;
+    if (!m_copyHolder)
+        return;
+    m_copyLoad = {.requests = 0, .unreadTokens = 0, .memoryTokens = m_routed.request.size.memoryTokens()};
+    m_parts.targets.addLoad(*m_copyHolder, m_copyLoad);
+}
+
+void ForwardSession::handleCopy(const CopyEvent &event)
+{
+    for (const auto &it : m_copies.handle(event, monotonicNow()))
+        std::visit([this](const auto &action) { perform(action); }, it);
+}
+
+void ForwardSession::perform(const CopyActions::MakeCopy &action)
+{
+    const auto now = monotonicNow();
+    auto holder = action.holder;
+    if (m_target && (!holder || !m_parts.targets.isSound(*holder, now)))
+        holder = m_parts.targets.chooseCopyHolder(need(), *m_target, now);
+    const auto *to = holder ? m_parts.targets.find(*holder) : nullptr;
+    const auto *from = m_target ? m_parts.targets.find(*m_target) : nullptr;
+    if (!to || !from) {
+        boost::asio::post(m_parts.context, [self = shared_from_this()] { self->handleCopy(CopyEvents::CopyRefused{}); });
+        return;
+    }
+    placeCopyLoad(holder);
+    const auto call = m_parts.dialect.makeCopyCall(m_routed.request.id, to->address);
+    m_parts.connections.call(
+        *from, call, detail::copyTimeout,
+        [self = shared_from_this(), holder = *holder, attempt = m_attempt.get()](const HttpCallResult &result) {
+            if (self->m_attempt.get() != attempt || self->m_decisions.isFinished())
+                return;
+            const auto answer = result ? self->m_parts.dialect.readCopyAnswer(*result) : CopyAnswer{};
+            self->log("copy",
+                      {{"holder", holder.value()},
+                       {"outcome", detail::copyOutcomeName(answer.outcome)},
+                       {"handle", answer.handle},
+                       {"status", result ? result->head.status : 0}});
+            if (answer.outcome == CopyOutcome::Made)
+                self->handleCopy(CopyEvents::CopyMade{holder, answer.handle});
+            else if (answer.outcome == CopyOutcome::Impossible)
+                self->handleCopy(CopyEvents::CopyImpossible{});
+            else
+                self->handleCopy(CopyEvents::CopyRefused{});
+        });
+}
+
+void ForwardSession::perform(const CopyActions::DropCopy &action)
+{
+    const auto *from = m_target ? m_parts.targets.find(*m_target) : nullptr;
+    if (!from)
+        return;
+    // NOTE: A copy that is not given back lapses by itself, so the answer does not matter.
+    m_parts.connections.call(*from, m_parts.dialect.dropCopyCall(action.handle), detail::copyTimeout,
+                             [](const HttpCallResult &) {});
+}
+
+void ForwardSession::perform(const CopyActions::SetTimer &action)
+{
+    m_copyTimer.expires_after(
+        absl::ToChronoNanoseconds(std::max(action.at - monotonicNow(), absl::ZeroDuration())));
+    m_copyTimer.async_wait([weak = weak_from_this()](const auto &ec) {
+        if (auto self = weak.lock(); self && !ec)
+            self->handleCopy(CopyEvents::Tick{});
+    });
+}
+
 void ForwardSession::markRead()
 {
     if (m_load.unreadTokens == 0 || !m_target)
@@ -228,8 +324,7 @@
     if (!m_target)
         return;
     m_parts.targets.subtractLoad(*m_target, std::exchange(m_load, {}));
-    if (m_copyHolder)
-        m_parts.targets.subtractLoad(*m_copyHolder, std::exchange(m_copyLoad, {}));
+    placeCopyLoad(std::nullopt);
     m_target.reset();
     m_parts.loadChanged();
 }
@@ -249,7 +344,7 @@
 
 void ForwardSession::attemptNotRun(TargetFault fault, bool wasRefused)
 {
-    const bool isFull = wasRefused && fault != TargetFault::Replaced;
+    const bool isFull = wasRefused && fault != TargetFault::Gone;
     const bool isCopyMissing = m_isFromCopy && isFull;
     if (!isFull)
         noteFault(fault);
@@ -285,6 +380,7 @@
     }
     m_lostAt.reset();
     handle(Events::EventsArrived{*events.back().number});
+    handleCopy(CopyEvents::EventsBegan{});
     std::string bytes;
     for (const auto &it : events)
         bytes += it.bytes;
@@ -384,16 +480,16 @@
         const auto again = self.lock();
         if (!session || !again)
             return;
-        session->m_parts.connections.probe(record, [session, attempt, again, number](bool isReachable) {
+        session->m_parts.connections.probe(record, [session, attempt, again, number](ProbeResult result) {
             const auto running = attempt.lock();
-            if (isReachable || !running || session->m_attempt != running)
+            if (result == ProbeResult::Accepts || !running || session->m_attempt != running)
                 return;
-            if (number < detail::probesBeforeLost) {
+            if (result == ProbeResult::Silent && number < detail::probesBeforeLost) {
                 (*again)(number + 1);
                 return;
             }
             running->cancel();
-            session->attemptLost(TargetFault::Silent);
+            session->attemptLost(result == ProbeResult::Refuses ? TargetFault::Gone : TargetFault::Silent);
         });
     };
     (*probe)(1);
@@ -404,6 +500,8 @@
     if (std::exchange(m_isLogged, true))
         return;
     m_timer.cancel();
+    m_copyTimer.cancel();
+    handleCopy(CopyEvents::AttemptEnded{});
     releaseLoad();
     m_attempt.reset();
     m_parts.metrics.count("requests_total",
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <LibForwarding/CopyKeeper.h>
 #include <LibForwarding/ForwardedRequest.h>
 #include <LibForwarding/RouteTable.h>
 #include <LibGateway/GatewayParts.h>
@@ -44,7 +45,7 @@
     // Ends what still runs because the process stops.
     void stopNow();
     // Another router or request found the target at fault.
-    void targetFailed(const TargetId &);
+    void targetFailed(const TargetId &, TargetFault);
     [[nodiscard]] bool isFinished() const { return m_decisions.isFinished(); }
 
     void attemptNotRun(TargetFault, bool wasRefused) override;
@@ -68,10 +69,16 @@
     void perform(const Actions::ProbeTarget &);
 
     [[nodiscard]] TargetNeed need() const;
-    [[nodiscard]] std::optional<TargetId> chooseTarget(const Actions::StartAttempt &, bool &fromCopy);
-    void sendTo(const TargetRecord &, const Actions::StartAttempt &, bool fromCopy);
+    // The copy from which the next attempt can go on.
+    [[nodiscard]] std::optional<CopySource> usableCopy() const;
+    void sendTo(const TargetRecord &, const Actions::StartAttempt &, const std::optional<CopySource> &);
+    void handleCopy(const CopyEvent &);
+    void perform(const CopyActions::MakeCopy &);
+    void perform(const CopyActions::DropCopy &);
+    void perform(const CopyActions::SetTimer &);
+    void placeCopyLoad(const std::optional<TargetId> &holder);
     // Adds the request's load to its targets, or takes it back.
-    void placeLoad(const TargetId &);
+    void placeLoad(const TargetId &, bool fromCopy);
     void markRead();
     void releaseLoad();
     void noteFault(TargetFault);
@@ -87,8 +94,12 @@
     std::shared_ptr<TargetAttempt> m_attempt;
     // Target of the running attempt; empty between attempts.
     std::optional<TargetId> m_target;
+    // Its address, which names the copies that it made.
+    std::string m_targetAddress;
     TargetLoad m_load;
-    // Target that keeps a copy of the running attempt.
+    CopyKeeper m_copies;
+    boost::asio::steady_timer m_copyTimer;
+    // Target whose load counts the copy.
     std::optional<TargetId> m_copyHolder;
     TargetLoad m_copyLoad;
     bool m_isFromCopy{false};
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -314,13 +314,16 @@
                      {"started_at_ms", record.startedAtMs}},
                     monotonicNow());
     }
-    m_targets.upsert(record, monotonicNow());
+    if (const auto former = m_targets.upsert(record, monotonicNow()))
+        tellSessions(*former, TargetFault::Gone);
 }
 
 void Gateway::targetRemoved(const TargetId &id)
 {
     m_log.write("target_removed", {{"target", id.value()}}, monotonicNow());
     m_targets.remove(id);
+    // A target that leaves without notice goes on serving what runs there for a while.
+    tellSessions(id, TargetFault::Unreachable);
     m_connections.remove(id);
 }
 
@@ -347,7 +350,9 @@
     report.targetsRevision = m_targetsView.changeRevision();
     report.loads = m_targets.ownLoads();
     report.faults = std::exchange(m_faults, {});
-    report.replaced = std::exchange(m_replaced, {});
+    report.gone = std::exchange(m_gone, {});
+    for (const auto &[service, budget] : m_budgets)
+        report.counts[service] = budget.counts();
     report.router.isStoreTrusted = m_targetsView.isTrusted(monotonicNow());
     return report;
 }
@@ -368,16 +373,31 @@
     m_targets.setReportedLoads(report.router.id, report.loads, now);
     for (const auto &it : report.faults) {
         m_targets.noteReportedFault(it, now);
-        for (const auto &session : m_sessions)
-            session->targetFailed(it);
+        tellSessions(it, TargetFault::Silent);
     }
-    for (const auto &it : report.replaced)
-        m_targets.noteReplaced(it);
+    for (const auto &it : report.gone) {
+        m_targets.noteGone(it);
+        tellSessions(it, TargetFault::Gone);
+    }
+    takeCounts(report, now);
     if (report.configurationRevision > m_configurationView.changeRevision()
         || report.targetsRevision > m_targetsView.changeRevision())
         pullSoon(report.router);
 }
 
+void Gateway::takeCounts(const PeerReport &report, absl::Time now)
+{
+    auto &last = m_lastCounts[report.router.id];
+    if (last.incarnation != report.router.incarnation)
+        last = {report.router.incarnation, report.counts};
+    for (const auto &[service, counts] : report.counts) {
+        auto &before = last.counts[service];
+        if (counts.requests >= before.requests && counts.repeats >= before.repeats)
+            budgetOf(service).noteOthers(counts.requests - before.requests, counts.repeats - before.repeats, now);
+        before = counts;
+    }
+}
+
 void Gateway::pullSoon(const RouterRoster::Member &peer)
 {
     m_pullPeer = peer;
@@ -436,16 +456,38 @@
 {
     if (fault == TargetFault::BadAnswer)
         return;
-    if (fault == TargetFault::Replaced) {
-        m_replaced.push_back(id);
-        m_peerLink->reportSoon();
-        return;
-    }
-    m_faults.push_back(id);
+    (fault == TargetFault::Gone ? m_gone : m_faults).push_back(id);
     m_peerLink->reportSoon();
-    boost::asio::post(m_context, [this, id] {
-        for (const auto &it : m_sessions)
-            it->targetFailed(id);
+    tellSessions(id, fault);
+    if (fault == TargetFault::ConnectionLost)
+        verifyTarget(id);
+}
+
+void Gateway::tellSessions(const TargetId &id, TargetFault fault)
+{
+    boost::asio::post(m_context, [this, id, fault] {
+        const std::vector<std::shared_ptr<ForwardSession>> sessions(m_sessions.begin(), m_sessions.end());
+        for (const auto &it : sessions)
+            it->targetFailed(id, fault);
+    });
+}
+
+void Gateway::verifyTarget(const TargetId &id)
+{
+    const auto *record = m_targets.find(id);
+    if (!record || !m_verifying.insert(id).second)
+        return;
+    m_connections.probe(*record, [this, id](ProbeResult result) {
+        m_verifying.erase(id);
+        const auto now = monotonicNow();
+        if (result == ProbeResult::Accepts) {
+            m_targets.noteReachable(id);
+            return;
+        }
+        const auto fault = result == ProbeResult::Refuses ? TargetFault::Gone : TargetFault::Unreachable;
+        m_targets.noteFault(id, fault, now);
+        m_log.write("target_verified", {{"target", id.value()}, {"fault", targetFaultName(fault)}}, now);
+        targetFailed(id, fault);
     });
 }
 
@@ -473,7 +515,7 @@
         it->setWatching(shouldWatch);
     }
     for (auto &[service, budget] : m_budgets)
-        budget.setRouters(routers);
+        budget.setRouters(routers, m_roster.members().size() + 1);
     if (++m_seconds % detail::reconcileSeconds == 0 && !shouldWatch)
         reconcile(now);
     m_metrics.setGauge("routers_alive", static_cast<double>(routers));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -16,6 +16,7 @@
 #include <absl/container/node_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <map>
 #include <memory>
 
 namespace Wisteria {
@@ -79,6 +80,10 @@
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] RepeatBudget &budgetOf(const ServiceName &);
     void targetFailed(const TargetId &, TargetFault);
+    void tellSessions(const TargetId &, TargetFault);
+    // Finds out whether a target that lost a connection is there at all.
+    void verifyTarget(const TargetId &);
+    void takeCounts(const PeerReport &, absl::Time now);
 
     void publishSelf();
     // Takes the changes that another router has and this one has not.
@@ -120,7 +125,15 @@
     // Targets that this router found at fault since its last report.
     std::vector<TargetId> m_faults;
     // Targets that it found replaced since then.
-    std::vector<TargetId> m_replaced;
+    std::vector<TargetId> m_gone;
+    absl::flat_hash_set<TargetId> m_verifying;
+    // What each router counted when it was last heard of.
+    struct LastCounts
+    {
+        Incarnation incarnation;
+        ServiceCounts counts;
+    };
+    std::map<RouterId, LastCounts> m_lastCounts;
     // A call to another router is under way or about to begin.
     bool m_isPulling{false};
 };
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -88,7 +88,7 @@
     if (m_isStream)
         listener->streamEnded();
     else if (m_origin == AnswerOrigin::NotRunReplaced)
-        listener->attemptNotRun(TargetFault::Replaced, true);
+        listener->attemptNotRun(TargetFault::Gone, true);
     else if (m_origin == AnswerOrigin::NotRunFull)
         listener->attemptNotRun(TargetFault::BadAnswer, true);
     else
@@ -102,9 +102,11 @@
         return;
     // A refusal in its head is the target's word, whatever happens to its body.
     if (m_origin == AnswerOrigin::NotRunReplaced)
-        listener->attemptNotRun(TargetFault::Replaced, true);
+        listener->attemptNotRun(TargetFault::Gone, true);
     else if (m_origin == AnswerOrigin::NotRunFull)
         listener->attemptNotRun(TargetFault::BadAnswer, true);
+    else if (failure == HttpFailure::Refused)
+        listener->attemptNotRun(TargetFault::Gone, false);
     else if (failure == HttpFailure::NotConnected)
         listener->attemptNotRun(TargetFault::Unreachable, false);
     else if (failure == HttpFailure::BadAnswer)
--- a/Libraries/LibGateway/TargetConnections.cpp
+++ b/Libraries/LibGateway/TargetConnections.cpp
@@ -2,6 +2,8 @@
 
 #include <LibGateway/TargetConnections.h>
 
+#include <LibPlatform/MonotonicClock.h>
+
 namespace Wisteria {
 
 namespace detail {
@@ -10,6 +12,9 @@
 // retransmissions on the users' links.
 constexpr absl::Duration targetSilence = absl::Milliseconds(1500);
 
+// Answers of calls to targets are a few fields.
+constexpr std::size_t maxCallAnswerBytes = std::size_t{64} * 1024;
+
 } // namespace detail
 
 std::shared_ptr<HttpClientConnection> TargetConnections::take(const TargetRecord &record, absl::Time now)
@@ -28,27 +33,27 @@
     return entry.pool->take(now);
 }
 
-void TargetConnections::probe(const TargetRecord &record, std::function<void(bool)> handler)
+void TargetConnections::probe(const TargetRecord &record, std::function<void(ProbeResult)> handler)
 {
     const auto endpoint = parseEndpoint(record.address);
     if (!endpoint) {
-        handler(false);
+        handler(ProbeResult::Refuses);
         return;
     }
     struct Probe
     {
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
-        std::function<void(bool)> handler;
+        std::function<void(ProbeResult)> handler;
 
-        void finish(bool isReachable)
+        void finish(ProbeResult result)
         {
             const auto done = std::exchange(handler, nullptr);
             boost::system::error_code ignored;
             socket.close(ignored);
             timer.cancel();
             if (done)
-                done(isReachable);
+                done(result);
         }
     };
     auto state = std::make_shared<Probe>(Probe{boost::asio::ip::tcp::socket(m_context),
@@ -56,9 +61,31 @@
     state->timer.expires_after(absl::ToChronoNanoseconds(connectTimeout));
     state->timer.async_wait([state](const auto &ec) {
         if (!ec)
-            state->finish(false);
+            state->finish(ProbeResult::Silent);
     });
-    state->socket.async_connect(*endpoint, [state](const auto &ec) { state->finish(!ec); });
+    state->socket.async_connect(*endpoint, [state](const auto &ec) {
+        if (!ec)
+            state->finish(ProbeResult::Accepts);
+        else
+            state->finish(ec == boost::asio::error::connection_refused ? ProbeResult::Refuses
+                                                                       : ProbeResult::Silent);
+    });
+}
+
+void TargetConnections::call(const TargetRecord &record, const TargetCall &target, absl::Duration timeout,
+                             HttpCallHandler handler)
+{
+    auto connection = take(record, monotonicNow());
+    if (!connection) {
+        handler(tl::unexpected(HttpFailure::NotConnected));
+        return;
+    }
+    HttpFields fields;
+    fields.set("Host", record.address);
+    if (!target.body.empty())
+        fields.set("Content-Type", "application/json");
+    callHttp(m_context, connection, serializeRequest(target.method, target.path, fields, target.body), timeout,
+             detail::maxCallAnswerBytes, std::move(handler));
 }
 
 void TargetConnections::remove(const TargetId &id)
--- a/Libraries/LibGateway/TargetConnections.h
+++ b/Libraries/LibGateway/TargetConnections.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <LibForwarding/TargetPool.h>
+#include <LibGateway/Dialect.h>
 #include <LibNet/HttpClient.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -12,6 +13,8 @@
 
 namespace Wisteria {
 
+enum class ProbeResult { Accepts, Refuses, Silent };
+
 class TargetConnections
 {
 public:
@@ -24,7 +27,9 @@
     // A connection to the target; null for an address that is none.
     [[nodiscard]] std::shared_ptr<HttpClientConnection> take(const TargetRecord &, absl::Time now);
     // Tells whether the target accepts connections at all.
-    void probe(const TargetRecord &, std::function<void(bool isReachable)>);
+    void probe(const TargetRecord &, std::function<void(ProbeResult)>);
+    // Calls the target on a kept connection.
+    void call(const TargetRecord &, const TargetCall &, absl::Duration timeout, HttpCallHandler);
     void remove(const TargetId &);
     // Closes idle connections whose peer is about to do so.
     void dropOld(absl::Time now);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -90,7 +90,8 @@
             return;
         self->m_timer.cancel();
         if (failed) {
-            self->fail(HttpFailure::NotConnected);
+            self->fail(failed == boost::asio::error::connection_refused ? HttpFailure::Refused
+                                                                        : HttpFailure::NotConnected);
             return;
         }
         applySocketOptions(self->m_socket, self->m_limits);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -27,6 +27,8 @@
 enum class HttpFailure {
     // The connection could not be made; no byte was sent.
     NotConnected,
+    // Nothing listens at the address; no byte was sent.
+    Refused,
     // Closed or reset after the request may have been read.
     ConnectionLost,
     // The bytes that came are no answer.
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -115,7 +115,7 @@
         detail::CountedGate gate(1);
         ForwardedRequest request(detail::onceTerms(), gate, m_start);
         (void)request.begin(m_start);
-        const Events::AttemptNotRun refused{.fault = TargetFault::Replaced, .wasRefused = true};
+        const Events::AttemptNotRun refused{.fault = TargetFault::Gone, .wasRefused = true};
         CPPUNIT_ASSERT(detail::findAction<Actions::StartAttempt>(request.handle(refused, m_start)));
         const auto actions = request.handle(refused, m_start);
         const auto *refusal = detail::findAction<Actions::Refuse>(actions);
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -148,7 +148,7 @@
         CPPUNIT_ASSERT(decoded->router.isStoreTrusted);
         CPPUNIT_ASSERT(decoded->loads == report.loads);
         CPPUNIT_ASSERT(decoded->faults == report.faults);
-        CPPUNIT_ASSERT(decoded->replaced == report.replaced);
+        CPPUNIT_ASSERT(decoded->gone == report.gone);
         CPPUNIT_ASSERT(decoded->targetsRevision == report.targetsRevision);
     }
 
@@ -240,7 +240,7 @@
         report.targetsRevision = ObjectVersion(99);
         report.loads[TargetId("t1")] = {.requests = 2, .unreadTokens = 8000, .memoryTokens = 18000};
         report.faults = {TargetId("t2")};
-        report.replaced = {TargetId("t3")};
+        report.gone = {TargetId("t3")};
         return report;
     }
 
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -100,12 +100,12 @@
 
     void replacedTargetIsNeverChosen()
     {
-        m_pool.noteFault(id(0), TargetFault::Replaced, m_now);
+        m_pool.noteFault(id(0), TargetFault::Gone, m_now);
         TargetNeed last = need();
         for (int n = 1; n < targets; ++n)
             last.exclude.push_back(id(n));
         CPPUNIT_ASSERT(!m_pool.choose(last, m_now + absl::Minutes(1)));
-        m_pool.noteReplaced(id(1));
+        m_pool.noteGone(id(1));
         last.exclude = {id(0)};
         for (int n = 2; n < targets; ++n)
             last.exclude.push_back(id(n));
@@ -114,7 +114,7 @@
 
     void renewedTargetIsChosenAgain()
     {
-        m_pool.noteFault(id(0), TargetFault::Replaced, m_now);
+        m_pool.noteFault(id(0), TargetFault::Gone, m_now);
         auto renewed = record(0);
         renewed.startedAtMs += 1;
         m_pool.upsert(renewed, m_now);
