Tests: Run the gateway against stand-ins of the platform; cover HTTP framing and the adapter

Stand-ins of store and engines on loopback: dying and silent engines, lost answers, full engines, lost history, no configuration, leaving engines, a planned stop. Streams at a stopping router run to 94 % of the grace (was 5/6), so that more of them end whole.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -42,8 +42,9 @@
     // A router that stops takes requests from callers that have not heard of it for this long, and no longer.
     // Source: the lifetime of entry points, and some callers keep them three times as long.
     static constexpr absl::Duration stopListeningAfter = absl::Seconds(3);
-    // Part of the grace after which streams that still run are broken off.
-    static constexpr double breakOffShare = 5.0 / 6;
+    // Part of the grace after which streams that still run are broken off. Source: leaves half a second of eight for
+    // the last writes.
+    static constexpr double breakOffShare = 0.94;
 
     // Errors: InvalidSettings.
     [[nodiscard]] static ErrorOr<std::unique_ptr<Gateway>> create(boost::asio::io_context &,
--- /dev/null
+++ b/Tests/LibNet/TestHttp.cpp
@@ -0,0 +1,300 @@
+// HTTP on both sides: framing, limits, late and extra answers, against raw bytes on loopback.
+
+#include <LibCore/Random.h>
+#include <LibNet/HttpClient.h>
+#include <LibNet/HttpServer.h>
+#include <LibPlatform/MonotonicClock.h>
+
+#include <boost/asio/write.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+// Answers each request with its own body, or leaves it open.
+class EchoHandler final : public HttpRequestHandler
+{
+public:
+    void handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request) override
+    {
+        bodies.push_back(request.body());
+        if (isHolding) {
+            connection->setCallerLeftHandler([this] { ++callersLeft; });
+            return;
+        }
+        connection->respond(makeResponse(200, "text/plain", request.body()));
+    }
+
+    std::vector<std::string> bodies;
+    bool isHolding{false};
+    int callersLeft{0};
+};
+
+// Accepts one connection, reads a little and answers with fixed bytes.
+class RawPeer
+{
+public:
+    RawPeer(boost::asio::io_context &context, std::string answer, bool closes)
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}), m_socket(context),
+          m_answer(std::move(answer)), m_closes(closes)
+    {
+        m_acceptor.async_accept(m_socket, [this](const auto &ec) {
+            if (!ec)
+                m_socket.async_read_some(boost::asio::buffer(m_buf), [this](const auto &, std::size_t) { reply(); });
+        });
+    }
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+private:
+    void reply()
+    {
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_answer), [this](const auto &, std::size_t) {
+            if (m_closes)
+                m_socket.close();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_answer;
+    bool m_closes;
+    std::array<char, 4096> m_buf;
+};
+
+} // namespace detail
+
+class TestHttp : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestHttp);
+    CPPUNIT_TEST(chunkedAndSizedBodiesArrive);
+    CPPUNIT_TEST(requestsInOnePacketAreAnsweredInOrder);
+    CPPUNIT_TEST(conflictingLengthsAreRefused);
+    CPPUNIT_TEST(garbageIsRefused);
+    CPPUNIT_TEST(largeHeadsAndBodiesAreRefused);
+    CPPUNIT_TEST(slowRequestTimesOut);
+    CPPUNIT_TEST(callerThatLeavesIsNoticed);
+    CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
+    CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(extraAnswerClosesTheConnection);
+    CPPUNIT_TEST(garbageAnswerIsBad);
+    CPPUNIT_TEST(silentPeerTimesOut);
+    CPPUNIT_TEST(refusedConnectIsTold);
+    CPPUNIT_TEST(damagedRequestsDoNotCrash);
+    CPPUNIT_TEST(connectionFieldsAreRemoved);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_context = std::make_unique<boost::asio::io_context>(1);
+        boost::asio::ip::tcp::acceptor probe(*m_context, {boost::asio::ip::address_v4::loopback(), 0});
+        m_address = absl::StrCat("127.0.0.1:", probe.local_endpoint().port());
+        probe.close();
+        HttpServerLimits limits;
+        limits.maxHeaderBytes = 1024;
+        limits.maxBodyBytes = 4096;
+        limits.requestTimeout = absl::Milliseconds(150);
+        m_handler = {};
+        m_server = std::move(*HttpServer::create(*m_context, *Address::parse(m_address), m_handler, limits));
+    }
+    void tearDown() override
+    {
+        m_server.reset();
+        m_context.reset();
+    }
+
+    void chunkedAndSizedBodiesArrive()
+    {
+        const auto answer = exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT(answer.find("abcde") != std::string::npos);
+        CPPUNIT_ASSERT(exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi").find("hi")
+                       != std::string::npos);
+    }
+
+    void requestsInOnePacketAreAnsweredInOrder()
+    {
+        const auto answer = exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1"
+                                     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n2");
+        CPPUNIT_ASSERT(answer.find("\r\n\r\n1") < answer.find("\r\n\r\n2"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_handler.bodies.size());
+    }
+
+    void conflictingLengthsAreRefused()
+    {
+        for (const auto *fields : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                                   "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+                                   "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: -1\r\n",
+                                   "Content-Length : 5\r\n", "Content-Length: 5x\r\n"}) {
+            const auto answer = exchange(absl::StrCat("POST / HTTP/1.1\r\nHost: a\r\n", fields, "\r\n12345"));
+            CPPUNIT_ASSERT_MESSAGE(fields, answer.rfind("HTTP/1.1 400", 0) == 0);
+        }
+        CPPUNIT_ASSERT(m_handler.bodies.empty());
+    }
+
+    void garbageIsRefused()
+    {
+        CPPUNIT_ASSERT(exchange("\x16\x03\x01 nonsense\r\n\r\n").rfind("HTTP/1.1 400", 0) == 0);
+    }
+
+    void largeHeadsAndBodiesAreRefused()
+    {
+        CPPUNIT_ASSERT(exchange("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n").rfind("HTTP/1.1 431", 0)
+                       == 0);
+        CPPUNIT_ASSERT(exchange("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n").rfind("HTTP/1.1 413", 0) == 0);
+    }
+
+    void slowRequestTimesOut()
+    {
+        CPPUNIT_ASSERT(exchange("GET / HTTP/1.1\r\nHost").rfind("HTTP/1.1 408", 0) == 0);
+    }
+
+    void callerThatLeavesIsNoticed()
+    {
+        m_handler.isHolding = true;
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        m_context->run_for(std::chrono::milliseconds(30));
+        socket.close();
+        m_context->run_for(std::chrono::milliseconds(30));
+        CPPUNIT_ASSERT_EQUAL(1, m_handler.callersLeft);
+    }
+
+    void truncatedAnswerIsNoAnswer()
+    {
+        CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true)
+                       == HttpFailure::ConnectionLost);
+        CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true)
+                       == HttpFailure::ConnectionLost);
+    }
+
+    void answerWithoutLengthEndsWithItsConnection()
+    {
+        const auto result = ask("HTTP/1.1 200 OK\r\n\r\nwhole", true);
+        CPPUNIT_ASSERT(result && result->body == "whole");
+    }
+
+    void extraAnswerClosesTheConnection()
+    {
+        const auto result = ask("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1HTTP/1.1 200 OK\r\nContent-Length: "
+                                "1\r\n\r\n2",
+                                false);
+        CPPUNIT_ASSERT(result && result->body == "1");
+        CPPUNIT_ASSERT(!m_connection->isReusable());
+    }
+
+    void garbageAnswerIsBad()
+    {
+        CPPUNIT_ASSERT(failureOf("nonsense\r\n\r\n", false) == HttpFailure::BadAnswer);
+    }
+
+    void silentPeerTimesOut() { CPPUNIT_ASSERT(failureOf("", false) == HttpFailure::Timeout); }
+
+    void refusedConnectIsTold()
+    {
+        boost::asio::ip::tcp::acceptor closed(*m_context, {boost::asio::ip::address_v4::loopback(), 0});
+        const auto endpoint = closed.local_endpoint();
+        closed.close();
+        const auto result = askAt(endpoint);
+        CPPUNIT_ASSERT(!result && result.error() == HttpFailure::Refused);
+    }
+
+    void damagedRequestsDoNotCrash()
+    {
+        const std::string whole = "POST /a/b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        SeededRandom random(5);
+        for (int n = 0; n < 150; ++n) {
+            auto damaged = whole;
+            for (int k = 0; k < 3; ++k)
+                damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+            boost::asio::ip::tcp::socket socket(*m_context);
+            socket.connect(*parseEndpoint(m_address));
+            boost::asio::write(socket, boost::asio::buffer(damaged));
+            m_context->run_for(std::chrono::milliseconds(1));
+        }
+        CPPUNIT_ASSERT(exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi").find("hi")
+                       != std::string::npos);
+    }
+
+    void connectionFieldsAreRemoved()
+    {
+        HttpFields fields;
+        fields.set("Connection", "keep-alive, X-Hop");
+        fields.set("X-Hop", "1");
+        fields.set("Keep-Alive", "timeout=3");
+        fields.set("X-End", "1");
+        removeConnectionFields(fields);
+        CPPUNIT_ASSERT(fieldValue(fields, "X-Hop").empty());
+        CPPUNIT_ASSERT(fieldValue(fields, "Connection").empty());
+        CPPUNIT_ASSERT(fieldValue(fields, "Keep-Alive").empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(fieldValue(fields, "X-End")));
+    }
+
+private:
+    // Sends bytes to the server and returns what comes back within a moment.
+    std::string exchange(const std::string &bytes)
+    {
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string out;
+        std::array<char, 4096> buf{};
+        std::function<void()> read = [&] {
+            socket.async_read_some(boost::asio::buffer(buf), [&](const auto &ec, std::size_t n) {
+                out.append(buf.data(), n);
+                if (!ec)
+                    read();
+            });
+        };
+        read();
+        m_context->run_for(std::chrono::milliseconds(out.empty() ? 220 : 50));
+        socket.cancel();
+        m_context->poll();
+        return out;
+    }
+
+    HttpCallResult askAt(const boost::asio::ip::tcp::endpoint &endpoint)
+    {
+        m_connection = std::make_shared<HttpClientConnection>(*m_context, endpoint, SocketLimits{});
+        HttpCallResult result = tl::unexpected(HttpFailure::Timeout);
+        bool isDone = false;
+        constexpr std::size_t maxBody = 4096;
+        callHttp(*m_context, m_connection, serializeRequest("GET", "/", {}, ""), absl::Milliseconds(200), maxBody,
+                 [&](HttpCallResult answer) {
+                     result = std::move(answer);
+                     isDone = true;
+                 });
+        while (!isDone)
+            m_context->run_one();
+        m_context->run_for(std::chrono::milliseconds(10));
+        return result;
+    }
+
+    HttpCallResult ask(const std::string &answer, bool closes)
+    {
+        detail::RawPeer peer(*m_context, answer, closes);
+        return askAt(peer.endpoint());
+    }
+
+    HttpFailure failureOf(const std::string &answer, bool closes)
+    {
+        const auto result = ask(answer, closes);
+        CPPUNIT_ASSERT(!result);
+        return result.error();
+    }
+
+    std::unique_ptr<boost::asio::io_context> m_context;
+    std::string m_address;
+    detail::EchoHandler m_handler;
+    std::unique_ptr<HttpServer> m_server;
+    std::shared_ptr<HttpClientConnection> m_connection;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestHttp);
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/Platform/TestAdapter.cpp
@@ -0,0 +1,211 @@
+// The platform's names decoded into the project's types, and damaged objects refused.
+
+#include <ObjectDecoder.h>
+#include <PlatformDialect.h>
+
+#include <LibCore/Random.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria::Platform {
+
+class TestAdapter : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestAdapter);
+    CPPUNIT_TEST(requestIsDecoded);
+    CPPUNIT_TEST(requestWithoutAnIdIsRefused);
+    CPPUNIT_TEST(targetFieldsAreTheSystemsOwn);
+    CPPUNIT_TEST(answersAreJudged);
+    CPPUNIT_TEST(copiesAreNamed);
+    CPPUNIT_TEST(entryPointsAreEncoded);
+    CPPUNIT_TEST(configurationIsDecoded);
+    CPPUNIT_TEST(targetsAreDecodedAndCheckedFieldByField);
+    CPPUNIT_TEST(damagedObjectsDoNotCrash);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void requestIsDecoded()
+    {
+        const auto request = m_dialect.readRequest(callerFields());
+        CPPUNIT_ASSERT(request);
+        CPPUNIT_ASSERT(request->id == RequestId("9c41"));
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), request->apiKey);
+        CPPUNIT_ASSERT(request->patience == absl::Milliseconds(2500));
+        CPPUNIT_ASSERT(request->lastEvent == EventNumber(12));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1460}, request->size.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, request->size.maxOutputTokens);
+    }
+
+    void requestWithoutAnIdIsRefused()
+    {
+        CPPUNIT_ASSERT(!m_dialect.readRequest({}));
+        auto fields = callerFields();
+        fields.set("Token-Counts", "many");
+        CPPUNIT_ASSERT(!m_dialect.readRequest(fields));
+        fields = callerFields();
+        fields.set("Deadline-Ms", "-5");
+        CPPUNIT_ASSERT(!m_dialect.readRequest(fields));
+    }
+
+    void targetFieldsAreTheSystemsOwn()
+    {
+        auto fields = callerFields();
+        for (const auto *name : {"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Tenant", "Expect-Instance"})
+            fields.set(name, "forged");
+        const auto request = *m_dialect.readRequest(fields);
+        TargetOrder order;
+        order.target = TargetId("i-1");
+        order.timeLeft = absl::Milliseconds(700);
+        order.workspace = WorkspaceName("w");
+        m_dialect.writeTargetFields(fields, request, order);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), value(fields, "Expect-Instance"));
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), value(fields, "Tenant"));
+        CPPUNIT_ASSERT_EQUAL(std::string("700"), value(fields, "Deadline-Ms"));
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41"), value(fields, "Request-Id"));
+        for (const auto *name : {"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Authorization"})
+            CPPUNIT_ASSERT_MESSAGE(name, value(fields, name).empty());
+    }
+
+    void answersAreJudged()
+    {
+        const RequestId id("9c41");
+        HttpResponseHead head;
+        head.status = 200;
+        head.fields.set("Request-Id", "9c41");
+        CPPUNIT_ASSERT(m_dialect.judgeAnswer(head, id) == AnswerOrigin::Foreign);
+        head.fields.set("Engine-Seal", "s");
+        CPPUNIT_ASSERT(m_dialect.judgeAnswer(head, id) == AnswerOrigin::Target);
+        CPPUNIT_ASSERT(m_dialect.judgeAnswer(head, RequestId("other")) == AnswerOrigin::Foreign);
+        head.fields.set("Content-Encoding", "gzip");
+        CPPUNIT_ASSERT(m_dialect.judgeAnswer(head, id) == AnswerOrigin::Foreign);
+        HttpResponseHead refused;
+        refused.status = 503;
+        refused.fields.set("Not-Executed", "1");
+        CPPUNIT_ASSERT(m_dialect.judgeAnswer(refused, id) == AnswerOrigin::NotRunFull);
+        refused.status = 421;
+        CPPUNIT_ASSERT(m_dialect.judgeAnswer(refused, id) == AnswerOrigin::NotRunReplaced);
+    }
+
+    void copiesAreNamed()
+    {
+        const auto request = *m_dialect.readRequest(callerFields());
+        auto fields = callerFields();
+        TargetOrder order;
+        order.copyHolder = "10.0.0.2:80";
+        order.continueFrom = CopySource{"10.0.0.1:80", ""};
+        m_dialect.writeTargetFields(fields, request, order);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80"), value(fields, "Kv-Backup"));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80/9c41"), value(fields, "Kv-From"));
+        order.continueFrom = CopySource{"10.0.0.1:80", "h7"};
+        m_dialect.writeTargetFields(fields, request, order);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80/h7"), value(fields, "Kv-From"));
+        CPPUNIT_ASSERT(m_dialect.readCopyAnswer(makeResponse(200, "", R"({"handle":"h7","created":4})")).handle == "h7");
+        CPPUNIT_ASSERT(m_dialect.readCopyAnswer(makeResponse(404, "", "")).outcome == CopyOutcome::Impossible);
+        CPPUNIT_ASSERT(m_dialect.readCopyAnswer(makeResponse(503, "", "")).outcome == CopyOutcome::Refused);
+        CPPUNIT_ASSERT(m_dialect.readCopyAnswer(makeResponse(200, "", "nonsense")).outcome == CopyOutcome::Refused);
+    }
+
+    void entryPointsAreEncoded()
+    {
+        const auto query = m_dialect.readEntryPointQuery("/-/resolve?name=a.example&region=r&zone=suva");
+        CPPUNIT_ASSERT(query && query->domain == FailureDomain("suva"));
+        CPPUNIT_ASSERT(!m_dialect.readEntryPointQuery("/-/resolved"));
+        const auto body = nlohmann::json::parse(m_dialect.writeEntryPoints({"10.0.0.1:1"}, absl::Seconds(2)).body);
+        CPPUNIT_ASSERT(body["addresses"] == nlohmann::json({"10.0.0.1:1"}));
+        CPPUNIT_ASSERT(body["ttlS"] == 2.0);
+    }
+
+    void configurationIsDecoded()
+    {
+        const auto configuration = m_decoder.configuration({"main", ObjectVersion(3), configurationSpec(), false});
+        CPPUNIT_ASSERT(configuration);
+        CPPUNIT_ASSERT(configuration->version == ConfigVersion(7));
+        const auto &route = configuration->routes.at(0);
+        CPPUNIT_ASSERT(route.kind == RouteKind::ResumableStream);
+        CPPUNIT_ASSERT(route.timeout == absl::Seconds(25));
+        CPPUNIT_ASSERT(route.longestGap == absl::Milliseconds(700));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, route.shares.size());
+        CPPUNIT_ASSERT_EQUAL(5, route.maxAttempts);
+        CPPUNIT_ASSERT(configuration->services.at(0).engine.hasBackups);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{88000}, configuration->services.at(0).engine.memoryTokens);
+        CPPUNIT_ASSERT(configuration->limits.idleTimeout == absl::Seconds(15));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, configuration->workspaces.size());
+        CPPUNIT_ASSERT(!m_decoder.configuration({"other", ObjectVersion(3), configurationSpec(), false}));
+    }
+
+    void targetsAreDecodedAndCheckedFieldByField()
+    {
+        CPPUNIT_ASSERT(m_decoder.target({"i-1", ObjectVersion(1), targetSpec(), false}));
+        for (const auto *field : {"service", "address", "zone", "slots", "state"}) {
+            for (const nlohmann::json &bad : {nlohmann::json(), nlohmann::json::array(), nlohmann::json(true)}) {
+                auto spec = targetSpec();
+                spec[field] = bad;
+                CPPUNIT_ASSERT_MESSAGE(field, !m_decoder.target({"i-1", ObjectVersion(1), spec, false}));
+            }
+        }
+        auto spec = targetSpec();
+        spec["state"] = "resting";
+        CPPUNIT_ASSERT(!m_decoder.target({"i-1", ObjectVersion(1), spec, false}));
+        spec = targetSpec();
+        spec["address"] = "somewhere";
+        CPPUNIT_ASSERT(!m_decoder.target({"i-1", ObjectVersion(1), spec, false}));
+        spec["slots"] = -1;
+        CPPUNIT_ASSERT(!m_decoder.target({"i-1", ObjectVersion(1), spec, false}));
+    }
+
+    void damagedObjectsDoNotCrash()
+    {
+        SeededRandom random(23);
+        for (const auto &whole : {configurationSpec().dump(), targetSpec().dump()}) {
+            for (int n = 0; n < 4000; ++n) {
+                auto text = whole;
+                for (int k = 0; k < 3; ++k)
+                    text[random.below(text.size())] = "{}[]\",:0a9"[random.below(10)];
+                const auto json = nlohmann::json::parse(text, nullptr, false);
+                if (json.is_discarded())
+                    continue;
+                const DirectoryObject object{"main", ObjectVersion(1), json, false};
+                (void)m_decoder.configuration(object);
+                (void)m_decoder.target(object);
+                (void)m_decoder.router(object);
+            }
+        }
+    }
+
+private:
+    static std::string value(const HttpFields &fields, std::string_view name)
+    {
+        return std::string(fieldValue(fields, name));
+    }
+    static HttpFields callerFields()
+    {
+        HttpFields fields;
+        fields.set("Request-Id", "9c41");
+        fields.set("Authorization", "Bearer secret");
+        fields.set("Deadline-Ms", "2500");
+        fields.set("Last-Event-Id", "12");
+        fields.set("Token-Counts", "1460,80");
+        return fields;
+    }
+    static nlohmann::json configurationSpec()
+    {
+        return nlohmann::json::parse(R"({"version":7,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/",
+            "kind":"stream","timeoutMs":25000,"targetLatencyMs":4500,"priority":1,"trafficSplit":[{"service":"a",
+            "weight":90},{"service":"b","weight":10}],"maxAttempts":5,"resumable":true,"gapAimMs":700}],
+            "services":[{"name":"a","maxConnections":360,"engine":{"slots":64,"kvTokens":88000,"backups":true}}],
+            "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+            "tenants":[{"name":"t","apiKeys":["k"],"priority":1}]})");
+    }
+    static nlohmann::json targetSpec()
+    {
+        return nlohmann::json::parse(R"({"service":"a","address":"10.128.0.9:8080","zone":"kochi","version":"v1",
+            "slots":64,"state":"ready","coldRemainingMs":0,"sequence":4,"born":1700000000000})");
+    }
+
+    PlatformDialect m_dialect;
+    ObjectDecoder m_decoder;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAdapter);
+
+} // namespace Wisteria::Platform
--- /dev/null
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -0,0 +1,298 @@
+// The whole gateway behind the platform's adapter, against stand-ins on loopback.
+
+#include "FakePlatform.h"
+
+#include <LibGateway/Gateway.h>
+#include <LibPlatform/MonotonicClock.h>
+
+#include <ObjectDecoder.h>
+#include <PlatformDialect.h>
+#include <StoreClient.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+nlohmann::json route(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return {{"name", name},          {"host", "site.example"},  {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},          {"timeoutMs", 3000},       {"targetLatencyMs", 100},
+            {"priority", 1},         {"service", service},      {"maxAttempts", kind == "unsafe" ? 1 : 4},
+            {"resumable", kind == "stream"}, {"gapAimMs", 300}};
+}
+
+nlohmann::json configuration(int version)
+{
+    return {{"version", version},
+            {"routes", {route("stream", "stream", "llm"), route("book", "unsafe", "app"), route("look", "safe", "app")}},
+            {"services",
+             {{{"name", "llm"}, {"engine", {{"kvTokens", 88000}, {"slots", 64}, {"backups", true}}}},
+              {{"name", "app"}}}},
+            {"tenants", {{{"name", "w"}, {"apiKeys", {"key"}}}}}};
+}
+
+} // namespace detail
+
+class TestGatewayOnPlatform : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestGatewayOnPlatform);
+    CPPUNIT_TEST(allKindsAreServed);
+    CPPUNIT_TEST(streamOfADyingEngineIsWhole);
+    CPPUNIT_TEST(streamOfASilentEngineIsWhole);
+    CPPUNIT_TEST(onceRunsOnceWhenItsAnswerIsLost);
+    CPPUNIT_TEST(idempotentIsRepeatedWhenItsAnswerIsLost);
+    CPPUNIT_TEST(fullEnginesAreATrueRefusal);
+    CPPUNIT_TEST(wrongKeysAndRoutesAreRefused);
+    CPPUNIT_TEST(newConfigurationComesIntoForce);
+    CPPUNIT_TEST(lostHistoryIsReadAnew);
+    CPPUNIT_TEST(withoutConfigurationNothingIsPromisedFalsely);
+    CPPUNIT_TEST(leavingEngineGetsNothing);
+    CPPUNIT_TEST(plannedStopCutsNoStream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_context = std::make_unique<boost::asio::io_context>(1);
+        m_fleet = {};
+        m_store = std::make_unique<FakeStore>(*m_context);
+        m_engines.clear();
+        for (int n = 0; n < 4; ++n)
+            addEngine(absl::StrCat("llm-", n), "llm", absl::StrCat("z", n % 2));
+        for (int n = 0; n < 2; ++n)
+            addEngine(absl::StrCat("app-", n), "app", absl::StrCat("z", n % 2));
+        m_store->put("config", "main", detail::configuration(1));
+    }
+
+    void tearDown() override
+    {
+        // Sockets end before the loop that they belong to.
+        m_gateway.reset();
+        m_client.reset();
+        m_engines.clear();
+        m_store.reset();
+        m_context.reset();
+    }
+
+    void allKindsAreServed()
+    {
+        startGateway();
+        CPPUNIT_ASSERT_EQUAL(std::string("answer of r1"), call("POST", "/book/x", "r1").body);
+        CPPUNIT_ASSERT_EQUAL(std::string("answer of r2"), call("GET", "/look/x", "r2").body);
+        const auto stream = call("POST", "/stream/x", "r3");
+        CPPUNIT_ASSERT_EQUAL(FakeEngine::wholeStream(), stream.body);
+        CPPUNIT_ASSERT(!fieldValue(stream.head.fields, "Engine-Seal").empty());
+    }
+
+    void streamOfADyingEngineIsWhole() { checkStreamSurvives(FakeEngineMode::Dying); }
+    void streamOfASilentEngineIsWhole() { checkStreamSurvives(FakeEngineMode::Silent); }
+
+    void onceRunsOnceWhenItsAnswerIsLost()
+    {
+        startGateway();
+        setModes("app", FakeEngineMode::Dying);
+        CPPUNIT_ASSERT_EQUAL(502, call("POST", "/book/x", "r1").head.status);
+        CPPUNIT_ASSERT_EQUAL(1, m_fleet.runs["r1"]);
+    }
+
+    void idempotentIsRepeatedWhenItsAnswerIsLost()
+    {
+        startGateway();
+        m_engines.at("app-0")->setMode(FakeEngineMode::Dying);
+        for (int n = 0; n < 4; ++n) {
+            const auto id = absl::StrCat("r", n);
+            CPPUNIT_ASSERT_EQUAL("answer of " + id, call("GET", "/look/x", id).body);
+        }
+    }
+
+    void fullEnginesAreATrueRefusal()
+    {
+        startGateway();
+        setModes("app", FakeEngineMode::Full);
+        const auto response = call("POST", "/book/x", "r1");
+        CPPUNIT_ASSERT_EQUAL(503, response.head.status);
+        CPPUNIT_ASSERT(!fieldValue(response.head.fields, "Retry-After").empty());
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet.runs["r1"]);
+    }
+
+    void wrongKeysAndRoutesAreRefused()
+    {
+        startGateway();
+        CPPUNIT_ASSERT_EQUAL(401, call("POST", "/book/x", "r1", "other").head.status);
+        CPPUNIT_ASSERT_EQUAL(404, call("POST", "/none/x", "r2").head.status);
+    }
+
+    void newConfigurationComesIntoForce()
+    {
+        startGateway();
+        auto next = detail::configuration(2);
+        next["tenants"][0]["apiKeys"] = {"key2"};
+        m_store->put("config", "main", next);
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r").head.status == 401; }));
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r2", "key2").head.status);
+    }
+
+    void lostHistoryIsReadAnew()
+    {
+        startGateway();
+        m_store->dropHistory();
+        auto next = detail::configuration(3);
+        next["tenants"][0]["apiKeys"] = {"key3"};
+        m_store->put("config", "main", next);
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r", "key3").head.status == 200; }));
+    }
+
+    void withoutConfigurationNothingIsPromisedFalsely()
+    {
+        m_store->failWith(503);
+        startGateway(Readiness::DontWait);
+        const auto response = call("POST", "/book/x", "r1");
+        CPPUNIT_ASSERT_EQUAL(503, response.head.status);
+        double after = 0;
+        CPPUNIT_ASSERT(absl::SimpleAtod(std::string(fieldValue(response.head.fields, "Retry-After")), &after));
+        CPPUNIT_ASSERT(after > 0 && after < 1);
+        CPPUNIT_ASSERT_EQUAL(503, call("GET", "/-/resolve?name=site.example&zone=z0", "").head.status);
+        m_store->failWith(0);
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r2").head.status == 200; }));
+    }
+
+    void leavingEngineGetsNothing()
+    {
+        startGateway();
+        m_store->put("servers", "app-0", m_engines.at("app-0")->entry("draining"));
+        m_store->remove("servers", "app-1");
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r").head.status == 503; }));
+        const int before = m_engines.at("app-0")->arrivals() + m_engines.at("app-1")->arrivals();
+        (void)call("POST", "/book/x", "r2");
+        CPPUNIT_ASSERT_EQUAL(before, m_engines.at("app-0")->arrivals() + m_engines.at("app-1")->arrivals());
+    }
+
+    void plannedStopCutsNoStream()
+    {
+        startGateway();
+        HttpResponse response;
+        bool isDone = false;
+        startCall("POST", "/stream/x", "r1", "key", response, isDone);
+        m_context->run_for(std::chrono::milliseconds(60));
+        m_gateway->startStop();
+        CPPUNIT_ASSERT_EQUAL(503, call("GET", "/-/ready", "").head.status);
+        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        CPPUNIT_ASSERT_EQUAL(FakeEngine::wholeStream(), response.body);
+        CPPUNIT_ASSERT_EQUAL(503, call("POST", "/stream/x", "r2").head.status);
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r3").head.status);
+    }
+
+private:
+    enum class Readiness { Wait, DontWait };
+
+    void addEngine(const std::string &id, const std::string &service, const std::string &zone)
+    {
+        m_engines[id] = std::make_unique<FakeEngine>(*m_context, m_fleet, id, service, zone);
+        m_store->put("servers", id, m_engines[id]->entry());
+    }
+
+    void setModes(const std::string &prefix, FakeEngineMode mode)
+    {
+        for (const auto &[id, engine] : m_engines) {
+            if (id.rfind(prefix, 0) == 0)
+                engine->setMode(mode);
+        }
+    }
+
+    void startGateway(Readiness readiness = Readiness::Wait)
+    {
+        GatewaySettings settings;
+        settings.id = RouterId("g1");
+        settings.domain = FailureDomain("z0");
+        settings.callerListen = freeAddress();
+        settings.entryPointListen = settings.callerListen;
+        settings.readinessListen = settings.callerListen;
+        settings.peerListen = freeAddress();
+        settings.store = m_store->address();
+        settings.repeats = {.ratio = 0.8, .slack = 150, .window = absl::Seconds(10)};
+        m_address = settings.callerListen;
+        m_client = std::move(*Platform::StoreClient::create(*m_context, settings.store, absl::Seconds(1)));
+        auto gateway = Gateway::create(
+            *m_context, settings, {.dialect = m_dialect, .decoder = m_decoder, .store = *m_client});
+        CPPUNIT_ASSERT(gateway);
+        m_gateway = std::move(*gateway);
+        if (readiness == Readiness::Wait)
+            CPPUNIT_ASSERT(runUntil([&] { return call("GET", "/-/ready", "").head.status == 200; }));
+    }
+
+    void startCall(const std::string &method, const std::string &target, const std::string &id,
+                   const std::string &key, HttpResponse &response, bool &isDone)
+    {
+        HttpFields fields;
+        fields.set("Host", "site.example");
+        fields.set("Request-Id", id);
+        fields.set("Authorization", "Bearer " + key);
+        fields.set("Deadline-Ms", "3000");
+        fields.set("Token-Counts", "1000,140");
+        auto connection = std::make_shared<HttpClientConnection>(*m_context, *parseEndpoint(m_address), SocketLimits{});
+        constexpr std::size_t maxBody = 1U << 20U;
+        callHttp(*m_context, connection, serializeRequest(method, target, fields, method == "POST" ? "body" : ""),
+                 absl::Seconds(5), maxBody, [&response, &isDone](HttpCallResult result) {
+                     if (result)
+                         response = std::move(*result);
+                     isDone = true;
+                 });
+    }
+
+    HttpResponse call(const std::string &method, const std::string &target, const std::string &id,
+                      const std::string &key = "key")
+    {
+        HttpResponse response;
+        bool isDone = false;
+        startCall(method, target, id, key, response, isDone);
+        while (!isDone)
+            m_context->run_one_for(std::chrono::milliseconds(100));
+        return response;
+    }
+
+    // Repeats the check for a few seconds.
+    template <typename Check>
+    bool runUntil(Check check)
+    {
+        const auto end = monotonicNow() + absl::Seconds(5);
+        while (monotonicNow() < end) {
+            if (check())
+                return true;
+            m_context->run_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    void checkStreamSurvives(FakeEngineMode mode)
+    {
+        startGateway();
+        // One domain fails; copies are kept in the other one.
+        for (const auto &[id, engine] : m_engines) {
+            if (engine->entry()["zone"] == "z0")
+                engine->setMode(mode);
+        }
+        for (int n = 0; n < 6; ++n) {
+            const auto id = absl::StrCat("r", n);
+            CPPUNIT_ASSERT_EQUAL(FakeEngine::wholeStream(), call("POST", "/stream/x", id).body);
+            CPPUNIT_ASSERT_EQUAL(1, m_fleet.runs[id]);
+        }
+    }
+
+    std::unique_ptr<boost::asio::io_context> m_context;
+    FakeFleet m_fleet;
+    std::unique_ptr<FakeStore> m_store;
+    std::map<std::string, std::unique_ptr<FakeEngine>> m_engines;
+    std::unique_ptr<Platform::StoreClient> m_client;
+    Platform::PlatformDialect m_dialect;
+    Platform::ObjectDecoder m_decoder;
+    std::unique_ptr<Gateway> m_gateway;
+    std::string m_address;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestGatewayOnPlatform);
+
+} // namespace Wisteria
