--- a/Libraries/LibGateway/Directory.cpp
+++ b/Libraries/LibGateway/Directory.cpp
@@ -35,8 +35,8 @@
 DirectoryView::DirectoryView(DirectoryKind kind, boost::asio::io_context &context, DirectoryStore &store,
                              const DirectoryDecoder &decoder, DirectoryListener &listener, StructuredLog &log,
                              RandomSource &random)
-    : m_kind(kind), m_store(store), m_decoder(decoder), m_listener(listener), m_log(log), m_follower(random),
-      m_timer(context)
+    : m_kind(kind), m_store(store), m_decoder(decoder), m_listener(listener), m_log(log), m_random(random),
+      m_follower(random), m_timer(context)
 {
 }
 
@@ -97,16 +97,20 @@
             m_callWaits = true;
             return;
         }
-        m_store.watch(m_kind, watch->after, detail::watchWait, [this](ErrorOr<DirectoryBatch> result) {
-            if (!result && result.error().code == ErrorCode::Conflict) {
-                handle(FollowerEvents::HistoryLost{});
-            } else if (!result) {
-                handle(FollowerEvents::CallFailed{});
-            } else {
-                stage(result->objects);
-                handle(FollowerEvents::Watched{detail::stampsOf(result->objects), result->revision});
-            }
-        });
+        constexpr std::uint64_t steps = 1000;
+        const double share = detail::leastWatchShare
+            + (1 - detail::leastWatchShare) * static_cast<double>(m_random.below(steps)) / steps;
+        m_store.watch(
+            m_kind, watch->after, share * detail::watchWait, [this](ErrorOr<DirectoryBatch> result) {
+                if (!result && result.error().code == ErrorCode::Conflict) {
+                    handle(FollowerEvents::HistoryLost{});
+                } else if (!result) {
+                    handle(FollowerEvents::CallFailed{});
+                } else {
+                    stage(result->objects);
+                    handle(FollowerEvents::Watched{detail::stampsOf(result->objects), result->revision});
+                }
+            });
     } else if (const auto *it = std::get_if<FollowerActions::Apply>(&action)) {
         apply(it->name);
     } else if (const auto *it = std::get_if<FollowerActions::Remove>(&action)) {
--- a/Libraries/LibGateway/Directory.h
+++ b/Libraries/LibGateway/Directory.h
@@ -69,6 +69,7 @@
     const DirectoryDecoder &m_decoder;
     DirectoryListener &m_listener;
     StructuredLog &m_log;
+    RandomSource &m_random;
     DirectoryFollower m_follower;
     boost::asio::steady_timer m_timer;
     // Content of applied objects, and of those that wait to be applied.
