--- a/Libraries/LibGateway/Directory.cpp
+++ b/Libraries/LibGateway/Directory.cpp
@@ -12,9 +12,11 @@
 
 namespace detail {
 
-// How long the store keeps a watch waiting. A silent partition is noticed after this; changes are heard of
-// from other routers long before. Source: the users' pages allow 30 s.
-constexpr absl::Duration watchWait = absl::Seconds(10);
+// How long the store keeps a watch waiting. A connection that has gone silent is noticed only after this, and
+// leaving targets must be known within two seconds. Watchers draw a part of it each, so that they do not all
+// go blind for the same time.
+constexpr absl::Duration watchWait = absl::Milliseconds(2500);
+constexpr double leastWatchShare = 0.4;
 
 ObjectStamp stampOf(const DirectoryObject &object)
 {
