--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -94,16 +94,6 @@
     return it == m_targets.end() ? nullptr : &it->second.record;
 }
 
-std::vector<TargetId> TargetPool::idsOf(const ServiceName &service) const
-{
-    std::vector<TargetId> out;
-    for (const auto &[id, target] : m_targets) {
-        if (target.record.service == service)
-            out.push_back(id);
-    }
-    return out;
-}
-
 void TargetPool::addLoad(const TargetId &id, const TargetLoad &load)
 {
     if (auto it = m_targets.find(id); it != m_targets.end())
@@ -191,11 +181,6 @@
     m_reporters[router] = Reporter{std::move(loads), now};
 }
 
-void TargetPool::forgetReporter(const RouterId &router)
-{
-    m_reporters.erase(router);
-}
-
 TargetLoad TargetPool::loadOf(const TargetId &id, absl::Time now) const
 {
     TargetLoad load;
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -122,7 +122,6 @@
     void remove(const TargetId &);
     [[nodiscard]] const TargetRecord *find(const TargetId &) const;
     [[nodiscard]] std::size_t size() const { return m_targets.size(); }
-    [[nodiscard]] std::vector<TargetId> idsOf(const ServiceName &) const;
 
     // Own work.
     void addLoad(const TargetId &, const TargetLoad &);
@@ -144,7 +143,6 @@
 
     // Others' work, replacing what the same router reported before.
     void setReportedLoads(const RouterId &, TargetLoads, absl::Time now);
-    void forgetReporter(const RouterId &);
 
     // The best target for the need; empty when the service has none that is left to try.
     [[nodiscard]] std::optional<TargetId> choose(const TargetNeed &, absl::Time now);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -104,7 +104,6 @@
 void HttpClientConnection::startWriting()
 {
     m_isWriting = true;
-    m_wasUsed = true;
     boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
                              [self = shared_from_this()](const auto &ec, std::size_t) {
                                  self->m_isWriting = false;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -66,7 +66,6 @@
 
     // The connection can take another request.
     [[nodiscard]] bool isReusable() const { return m_state == State::Idle; }
-    [[nodiscard]] bool wasUsed() const { return m_wasUsed; }
     // Called when an idle connection closes, or when the answer is complete and the connection is idle again.
     void setIdleHandler(std::function<void(const std::shared_ptr<HttpClientConnection> &)> handler)
     {
@@ -102,7 +101,6 @@
     std::string m_sending;
     bool m_isWriting{false};
     bool m_headTaken{false};
-    bool m_wasUsed{false};
     std::optional<Parser> m_parser;
     // Bytes that the parser needs to see again with more.
     std::string m_unparsed;
@@ -126,7 +124,6 @@
     // Closes idle connections that the peer is about to close.
     void dropOld(absl::Time now);
     void closeIdle();
-    [[nodiscard]] std::size_t idle() const { return m_idle.size(); }
 
 private:
     struct Idle
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -325,12 +325,4 @@
     m_acceptor.close(ignored);
 }
 
-std::size_t HttpServer::openRequests() const
-{
-    std::size_t n = 0;
-    for (const auto *it : m_connections)
-        n += it->hasOpenRequest() ? 1 : 0;
-    return n;
-}
-
 } // namespace Wisteria
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -117,8 +117,6 @@
     // Answers say that the connection closes, and idle connections close. New connections are still taken.
     void startClosing();
     void stopListening();
-    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
-    [[nodiscard]] std::size_t openRequests() const;
 
 private:
     HttpServer(boost::asio::io_context &, HttpRequestHandler &, const HttpServerLimits &);
