Meta: Share the compiler's cache and the linter's verdicts between clones

Each clone compiled and linted everything anew, since absolute paths entered the keys. Change: paths below the root are hashed as relative ones. What is checked stays the same.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -11,7 +11,8 @@
 lint_one() {
     local build=$1 cache=$2 file=$3
     grep -q "$PWD/$file\"" "$build/compile_commands.json" || return 0
-    # The preprocessed text stands for the file and all of its includes.
+    # The preprocessed text stands for the file and all of its includes; without the folder, so that clones share
+    # the verdicts.
     local command key
     command=$(python3 - "$build" "$PWD/$file" <<'PY'
 import json, shlex, sys
@@ -24,7 +25,7 @@
         break
 PY
 )
-    key=$( { cat .clang-tidy; (cd "$build" && eval "$command -E -P" 2>/dev/null); cat "$file"; } | sha256sum | cut -d' ' -f1)
+    key=$( { cat .clang-tidy; (cd "$build" && eval "$command -E -P" 2>/dev/null | sed "s|$PWD/||g"); cat "$file"; } | sha256sum | cut -d' ' -f1)
     [ -e "$cache/$key" ] && return 0
     if clang-tidy --quiet -p "$build" "$file" 2>/dev/null; then
         touch "$cache/$key"
--- a/Meta/wisteriahold.sh
+++ b/Meta/wisteriahold.sh
@@ -5,6 +5,8 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 build=${WISTERIA_BUILD:-$root/Build}
 jobs=${WISTERIA_JOBS:-$(nproc)}
+# Clones in other folders share the compiler's cache: paths below the root are hashed as relative ones.
+export CCACHE_BASEDIR=$root CCACHE_NOHASHDIR=true
 
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy clang
     libabsl-dev libgrpc++-dev libprotobuf-dev libcpp-httplib-dev libcxxopts-dev libgoogle-glog-dev
