Forwarding: Tie answers of copy calls to their attempt; keep one sum of reported loads a target

Change: calls are numbered and only the awaited answer counts; the sum of reports is updated when one arrives; one RandomSource::fraction() in place of five hand-made draws; fields that nothing read are gone. Ruled out: comparing the attempt in the host, since a refusal that is posted without a call went round that check.

--- a/Libraries/LibCaller/Backoff.h
+++ b/Libraries/LibCaller/Backoff.h
@@ -35,8 +35,7 @@
         auto wait = std::min(m_current, m_policy.maxBackoff);
         m_current = wait * 2;
         // Between half and the whole, so that callers cut together do not come back together.
-        constexpr std::uint64_t steps = 1000;
-        return wait / 2 + wait / 2 * static_cast<double>(m_random.below(steps)) / steps;
+        return wait / 2 * (1 + m_random.fraction());
     }
 
     void reset()
--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -17,6 +17,13 @@
 
     // A uniformly distributed number in [0, bound). The bound must be positive.
     [[nodiscard]] std::uint64_t below(std::uint64_t bound) { return next() % bound; }
+
+    // A uniformly distributed number in [0, 1).
+    [[nodiscard]] double fraction()
+    {
+        // As many of the upper bits as a double holds exactly.
+        return static_cast<double>(next() >> 11U) * 0x1p-53;
+    }
 };
 
 // A Mersenne Twister with a seed chosen by the host.
--- a/Libraries/LibForwarding/CopyKeeper.cpp
+++ b/Libraries/LibForwarding/CopyKeeper.cpp
@@ -12,7 +12,9 @@
 
 void CopyKeeper::on(const CopyEvents::AttemptBegan &event, absl::Time)
 {
+    const int calls = m_calls;
     *this = CopyKeeper();
+    m_calls = calls;
     if (event.holder)
         m_copy = KeptCopy{*event.holder, ""};
 }
@@ -37,22 +39,24 @@
 
 void CopyKeeper::on(const CopyEvents::CopyMade &event, absl::Time now)
 {
-    m_isCopying = false;
+    if (!endCall(event.call))
+        return;
     m_copy = KeptCopy{event.holder, event.handle};
     setTimer(now + renewInterval);
 }
 
-void CopyKeeper::on(const CopyEvents::CopyRefused &, absl::Time now)
+void CopyKeeper::on(const CopyEvents::CopyRefused &event, absl::Time now)
 {
-    m_isCopying = false;
+    if (!endCall(event.call))
+        return;
     m_copy.reset();
     setTimer(now + refusedPause);
 }
 
-void CopyKeeper::on(const CopyEvents::CopyImpossible &, absl::Time)
+void CopyKeeper::on(const CopyEvents::CopyImpossible &event, absl::Time)
 {
-    m_isCopying = false;
-    m_isImpossible = true;
+    if (endCall(event.call))
+        m_isImpossible = true;
 }
 
 void CopyKeeper::on(const CopyEvents::AttemptEnded &, absl::Time)
@@ -77,12 +81,20 @@
     if (m_isCopying || m_isImpossible)
         return;
     m_isCopying = true;
-    CopyActions::MakeCopy action;
+    CopyActions::MakeCopy action{.call = ++m_calls};
     if (m_copy && !m_copy->handle.empty())
         action.holder = m_copy->holder;
     m_out.emplace_back(action);
 }
 
+bool CopyKeeper::endCall(int call)
+{
+    if (!m_isCopying || call != m_calls)
+        return false;
+    m_isCopying = false;
+    return true;
+}
+
 void CopyKeeper::setTimer(absl::Time at)
 {
     if (m_isImpossible)
--- a/Libraries/LibForwarding/CopyKeeper.h
+++ b/Libraries/LibForwarding/CopyKeeper.h
@@ -42,18 +42,22 @@
 {
     TargetId target;
 };
+// An answer counts only for the latest call of the running attempt.
 struct CopyMade
 {
+    int call{0};
     TargetId holder;
     std::string handle;
 };
 // The holder had no room or could not be reached, or there is none.
 struct CopyRefused
 {
+    int call{0};
 };
 // The target can make no copies of this run.
 struct CopyImpossible
 {
+    int call{0};
 };
 // The attempt is over; a copy by name is given back.
 struct AttemptEnded
@@ -74,6 +78,8 @@
 // Have the target send a copy to the holder, or to one that the host chooses.
 struct MakeCopy
 {
+    // Comes back with the answer.
+    int call{0};
     std::optional<TargetId> holder;
 };
 struct DropCopy
@@ -112,13 +118,18 @@
     void on(const CopyEvents::Tick &, absl::Time now);
 
     void makeCopy();
+    // Takes note of the answer to a call; false when it is not the awaited one.
+    [[nodiscard]] bool endCall(int call);
     void setTimer(absl::Time at);
 
     std::optional<KeptCopy> m_copy;
     bool m_hasEvents{false};
     bool m_isImpossible{false};
-    // A call for a copy is under way.
+    // A call for a copy is under way: the one numbered m_calls.
     bool m_isCopying{false};
+    // Calls of all attempts. Invariant: never goes back, so that an answer to an earlier attempt is known as
+    // such.
+    int m_calls{0};
     std::optional<absl::Time> m_copyAt;
     std::vector<CopyAction> m_out;
 };
--- a/Libraries/LibForwarding/DirectoryFollower.cpp
+++ b/Libraries/LibForwarding/DirectoryFollower.cpp
@@ -65,7 +65,7 @@
         m_out.emplace_back(FollowerActions::StoreLost{});
     }
     // Half of the pause is drawn, so that routers do not come back together.
-    const auto pause = m_pause * (0.5 + static_cast<double>(m_random.below(1000)) / 2000);
+    const auto pause = m_pause * (1 + m_random.fraction()) / 2;
     m_pause = std::min(m_pause * 2, longestPause);
     m_callAt = now + pause;
     setTimer();
--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -83,11 +83,8 @@
     m_attemptStartedAt = now;
     m_lastEventAt = now;
     m_nextProbeAt = now + firstProbe;
-    m_out.emplace_back(Actions::StartAttempt{.number = ++m_attempts,
-                                             .fromCopy = fromCopy,
-                                             .lastEvent = m_lastEvent,
-                                             .timeLeft = timeLeft,
-                                             .isRepeat = m_mayHaveRun});
+    m_out.emplace_back(Actions::StartAttempt{
+        .number = ++m_attempts, .fromCopy = fromCopy, .lastEvent = m_lastEvent, .timeLeft = timeLeft});
     ++m_runs;
     m_hasCopy = m_terms.usesCopies;
     setTimer(now);
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -114,8 +114,6 @@
     std::optional<EventNumber> lastEvent;
     // What the target may spend.
     absl::Duration timeLeft;
-    // The request was sent to a target before; this one draws on the retry budget.
-    bool isRepeat{false};
 };
 // Closes the connection of the running attempt.
 struct CancelAttempt
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -60,7 +60,7 @@
     return "unknown";
 }
 
-std::optional<TargetId> TargetPool::upsert(const TargetRecord &record, absl::Time)
+std::optional<TargetId> TargetPool::upsert(const TargetRecord &record)
 {
     std::optional<TargetId> former;
     for (auto &[id, other] : m_targets) {
@@ -178,23 +178,53 @@
 
 void TargetPool::setReportedLoads(const RouterId &router, TargetLoads loads, absl::Time now)
 {
-    m_reporters[router] = Reporter{std::move(loads), now};
+    auto &reporter = m_reporters[router];
+    for (const auto &[id, load] : reporter.loads)
+        m_reported[id] -= load;
+    for (const auto &[id, load] : loads)
+        m_reported[id] += load;
+    // Entries of zero are left out, so that targets that are long gone take no memory.
+    for (const auto &[id, load] : reporter.loads) {
+        if (const auto it = m_reported.find(id); it != m_reported.end() && it->second == TargetLoad{})
+            m_reported.erase(it);
+    }
+    reporter = Reporter{std::move(loads), now};
+    m_nextSilence = std::min(m_nextSilence, now + reportLifetime);
 }
 
-TargetLoad TargetPool::loadOf(const TargetId &id, absl::Time now) const
+void TargetPool::dropSilentReporters(absl::Time now)
 {
-    TargetLoad load;
-    if (auto it = m_targets.find(id); it != m_targets.end())
-        load = it->second.own;
+    if (now <= m_nextSilence)
+        return;
+    m_nextSilence = absl::InfiniteFuture();
+    std::vector<std::pair<RouterId, absl::Time>> silent;
     for (const auto &[router, reporter] : m_reporters) {
         if (now - reporter.heardAt > reportLifetime)
-            continue;
-        if (auto it = reporter.loads.find(id); it != reporter.loads.end())
-            load += it->second;
+            silent.emplace_back(router, reporter.heardAt);
+        else
+            m_nextSilence = std::min(m_nextSilence, reporter.heardAt + reportLifetime);
+    }
+    for (const auto &[router, heardAt] : silent) {
+        setReportedLoads(router, {}, heardAt);
+        m_reporters.erase(router);
     }
+}
+
+TargetLoad TargetPool::loadOf(const Target &target) const
+{
+    auto load = target.own;
+    if (const auto it = m_reported.find(target.record.id); it != m_reported.end())
+        load += it->second;
     return load;
 }
 
+TargetLoad TargetPool::loadOf(const TargetId &id, absl::Time now)
+{
+    dropSilentReporters(now);
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? TargetLoad{} : loadOf(it->second);
+}
+
 bool TargetPool::isDomainSuspect(const FailureDomain &domain, const ServiceName &service,
                                  absl::Time now) const
 {
@@ -208,7 +238,7 @@
 
 double TargetPool::cost(const Target &target, const TargetNeed &need, absl::Time now) const
 {
-    const auto load = loadOf(target.record.id, now);
+    const auto load = loadOf(target);
     double cost = detail::failureCostMs * target.failureShare * target.failureShare;
     if (now < target.suspectUntil)
         cost += detail::suspectCostMs;
@@ -239,6 +269,7 @@
 
 std::optional<TargetId> TargetPool::choose(const TargetNeed &need, absl::Time now)
 {
+    dropSilentReporters(now);
     absl::flat_hash_map<FailureDomain, bool> doubtful;
     std::vector<std::pair<double, const TargetId *>> candidates;
     double bestCost = std::numeric_limits<double>::infinity();
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -118,7 +118,7 @@
 
     // Directory.
     // Returns the target that had the record's address before and is gone with that.
-    std::optional<TargetId> upsert(const TargetRecord &, absl::Time now);
+    std::optional<TargetId> upsert(const TargetRecord &);
     void remove(const TargetId &);
     [[nodiscard]] const TargetRecord *find(const TargetId &) const;
     [[nodiscard]] std::size_t size() const { return m_targets.size(); }
@@ -150,7 +150,7 @@
     [[nodiscard]] std::optional<TargetId> chooseCopyHolder(const TargetNeed &, const TargetId &primary,
                                                            absl::Time now);
     // Own and reported work.
-    [[nodiscard]] TargetLoad loadOf(const TargetId &, absl::Time now) const;
+    [[nodiscard]] TargetLoad loadOf(const TargetId &, absl::Time now);
 
 private:
     struct Target
@@ -170,6 +170,9 @@
         absl::Time heardAt;
     };
 
+    // Takes back the loads of routers that were silent for too long.
+    void dropSilentReporters(absl::Time now);
+    [[nodiscard]] TargetLoad loadOf(const Target &) const;
     [[nodiscard]] bool isDomainSuspect(const FailureDomain &, const ServiceName &, absl::Time now) const;
     // Part of the memory that is in use once the need is met.
     [[nodiscard]] static double memoryShare(const TargetLoad &, const TargetNeed &);
@@ -180,6 +183,11 @@
     RandomSource &m_random;
     absl::btree_map<TargetId, Target> m_targets;
     absl::flat_hash_map<RouterId, Reporter> m_reporters;
+    // Invariant: the sum of the loads of `m_reporters`, also for targets that the directory does not list
+    // yet.
+    absl::flat_hash_map<TargetId, TargetLoad> m_reported;
+    // No reporter is silent for too long before this.
+    absl::Time m_nextSilence{absl::InfiniteFuture()};
 };
 
 } // namespace Wisteria
--- a/Libraries/LibGateway/Directory.cpp
+++ b/Libraries/LibGateway/Directory.cpp
@@ -99,9 +99,7 @@
             m_callWaits = true;
             return;
         }
-        constexpr std::uint64_t steps = 1000;
-        const double share = detail::leastWatchShare
-            + (1 - detail::leastWatchShare) * static_cast<double>(m_random.below(steps)) / steps;
+        const double share = detail::leastWatchShare + (1 - detail::leastWatchShare) * m_random.fraction();
         m_store.watch(
             m_kind, watch->after, share * detail::watchWait, [this](ErrorOr<DirectoryBatch> result) {
                 if (!result && result.error().code == ErrorCode::Conflict) {
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -70,8 +70,7 @@
 
 void setRetryAfter(HttpResponse &response, absl::Duration after, RandomSource &random)
 {
-    constexpr std::uint64_t steps = 1000;
-    const double spread = 1 - retrySpread * static_cast<double>(random.below(steps)) / steps;
+    const double spread = 1 - retrySpread * random.fraction();
     response.head.fields.set("Retry-After", absl::StrCat(absl::ToDoubleSeconds(after * spread)));
 }
 
@@ -267,31 +266,31 @@
     const auto *to = holder ? m_parts.targets.find(*holder) : nullptr;
     const auto *from = m_target ? m_parts.targets.find(*m_target) : nullptr;
     if (!to || !from) {
-        boost::asio::post(m_parts.context,
-                          [self = shared_from_this()] { self->handleCopy(CopyEvents::CopyRefused{}); });
+        boost::asio::post(m_parts.context, [self = shared_from_this(), call = action.call] {
+            self->handleCopy(CopyEvents::CopyRefused{call});
+        });
         return;
     }
     placeCopyLoad(holder);
     const auto call = m_parts.dialect.makeCopyCall(m_routed.request.id, to->address);
-    m_parts.connections.call(*from, call, detail::copyTimeout,
-                             [self = shared_from_this(), holder = *holder,
-                              attempt = m_attempt.get()](const HttpCallResult &result) {
-                                 if (self->m_attempt.get() != attempt || self->m_decisions.isFinished())
-                                     return;
-                                 const auto answer =
-                                     result ? self->m_parts.dialect.readCopyAnswer(*result) : CopyAnswer{};
-                                 self->log("copy",
-                                           {{"holder", holder.value()},
-                                            {"outcome", detail::copyOutcomeName(answer.outcome)},
-                                            {"handle", answer.handle},
-                                            {"status", result ? result->head.status : 0}});
-                                 if (answer.outcome == CopyOutcome::Made)
-                                     self->handleCopy(CopyEvents::CopyMade{holder, answer.handle});
-                                 else if (answer.outcome == CopyOutcome::Impossible)
-                                     self->handleCopy(CopyEvents::CopyImpossible{});
-                                 else
-                                     self->handleCopy(CopyEvents::CopyRefused{});
-                             });
+    m_parts.connections.call(
+        *from, call, detail::copyTimeout,
+        [self = shared_from_this(), holder = *holder, number = action.call](const HttpCallResult &result) {
+            if (self->m_decisions.isFinished())
+                return;
+            const auto answer = result ? self->m_parts.dialect.readCopyAnswer(*result) : CopyAnswer{};
+            self->log("copy",
+                      {{"holder", holder.value()},
+                       {"outcome", detail::copyOutcomeName(answer.outcome)},
+                       {"handle", answer.handle},
+                       {"status", result ? result->head.status : 0}});
+            if (answer.outcome == CopyOutcome::Made)
+                self->handleCopy(CopyEvents::CopyMade{number, holder, answer.handle});
+            else if (answer.outcome == CopyOutcome::Impossible)
+                self->handleCopy(CopyEvents::CopyImpossible{number});
+            else
+                self->handleCopy(CopyEvents::CopyRefused{number});
+        });
 }
 
 void ForwardSession::perform(const CopyActions::DropCopy &action)
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -264,9 +264,7 @@
         if (!routed.workspace)
             return refuse(caller, detail::statusUnauthorized, "unknown_key", id);
     }
-    constexpr std::uint64_t drawSteps = 1U << 30U;
-    const double draw = static_cast<double>(m_random.below(drawSteps)) / drawSteps;
-    routed.service = m_routes->findService(RouteTable::chooseService(*routed.route, draw));
+    routed.service = m_routes->findService(RouteTable::chooseService(*routed.route, m_random.fraction()));
     if (!routed.service) {
         return refuse(caller, detail::statusUnavailable, "unknown_service", id,
                       retryAfter(patience, absl::ZeroDuration()));
@@ -321,7 +319,7 @@
                      {"started_at_ms", record.startedAtMs}},
                     monotonicNow());
     }
-    if (const auto former = m_targets.upsert(record, monotonicNow()))
+    if (const auto former = m_targets.upsert(record))
         tellSessions(*former, TargetFault::Gone);
 }
 
@@ -412,7 +410,7 @@
     if (m_isPulling)
         return;
     m_isPulling = true;
-    const auto delay = detail::pullDelay * (1 + static_cast<double>(m_random.below(1000)) / 1000);
+    const auto delay = detail::pullDelay * (1 + m_random.fraction());
     m_pullTimer.expires_after(absl::ToChronoNanoseconds(delay));
     m_pullTimer.async_wait([this](const auto &ec) {
         if (ec)
--- /dev/null
+++ b/Tests/LibForwarding/TestCopyKeeper.cpp
@@ -0,0 +1,129 @@
+// The copies of running generations under the loss of domains one after the other.
+
+#include <LibForwarding/CopyKeeper.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestCopyKeeper : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestCopyKeeper);
+    CPPUNIT_TEST(copyOfTheTargetItselfNeedsNoCall);
+    CPPUNIT_TEST(lostHolderIsReplaced);
+    CPPUNIT_TEST(nothingIsCopiedBeforeTheFirstEvent);
+    CPPUNIT_TEST(copyByNameIsRenewedAtItsHolder);
+    CPPUNIT_TEST(refusedCopyIsAskedForAgain);
+    CPPUNIT_TEST(answerToAnEarlierAttemptIsIgnored);
+    CPPUNIT_TEST(copyByNameIsGivenBack);
+    CPPUNIT_TEST(impossibleCopyIsNotAskedForAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void copyOfTheTargetItselfNeedsNoCall()
+    {
+        CPPUNIT_ASSERT(begin(first).empty());
+        CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::EventsBegan{}, m_now).empty());
+        CPPUNIT_ASSERT(m_keeper.copy()->holder == first);
+    }
+
+    // Load pattern: the holder's domain is lost, then the target's, each within the life of a stream.
+    void lostHolderIsReplaced()
+    {
+        (void)begin(first);
+        (void)m_keeper.handle(CopyEvents::EventsBegan{}, m_now);
+        const auto actions = m_keeper.handle(CopyEvents::TargetLost{first}, m_now);
+        CPPUNIT_ASSERT(!m_keeper.copy());
+        const int call = callOf(actions);
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, second, "h1"}, m_now);
+        CPPUNIT_ASSERT(m_keeper.copy()->holder == second);
+        CPPUNIT_ASSERT_EQUAL(std::string("h1"), m_keeper.copy()->handle);
+    }
+
+    void nothingIsCopiedBeforeTheFirstEvent()
+    {
+        (void)begin(first);
+        CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::TargetLost{first}, m_now).empty());
+        callOf(m_keeper.handle(CopyEvents::EventsBegan{}, m_now));
+    }
+
+    void copyByNameIsRenewedAtItsHolder()
+    {
+        const int call = beginWithoutHolder();
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, first, "h1"}, m_now);
+        const auto early = m_now + CopyKeeper::renewInterval - absl::Milliseconds(1);
+        CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::Tick{}, early).empty());
+        const auto actions = m_keeper.handle(CopyEvents::Tick{}, m_now + CopyKeeper::renewInterval);
+        callOf(actions);
+        CPPUNIT_ASSERT(std::get<CopyActions::MakeCopy>(actions.front()).holder == first);
+    }
+
+    void refusedCopyIsAskedForAgain()
+    {
+        const int call = beginWithoutHolder();
+        (void)m_keeper.handle(CopyEvents::CopyRefused{call}, m_now);
+        CPPUNIT_ASSERT(!m_keeper.copy());
+        const auto later = m_now + CopyKeeper::refusedPause;
+        CPPUNIT_ASSERT(callOf(m_keeper.handle(CopyEvents::Tick{}, later)) != call);
+    }
+
+    void answerToAnEarlierAttemptIsIgnored()
+    {
+        const int call = beginWithoutHolder();
+        (void)begin(second);
+        (void)m_keeper.handle(CopyEvents::CopyRefused{call}, m_now);
+        CPPUNIT_ASSERT(m_keeper.copy() && m_keeper.copy()->holder == second);
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, first, "h1"}, m_now);
+        CPPUNIT_ASSERT(m_keeper.copy()->holder == second);
+        (void)m_keeper.handle(CopyEvents::CopyImpossible{call}, m_now);
+        (void)m_keeper.handle(CopyEvents::EventsBegan{}, m_now);
+        callOf(m_keeper.handle(CopyEvents::TargetLost{second}, m_now));
+    }
+
+    void copyByNameIsGivenBack()
+    {
+        const int call = beginWithoutHolder();
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, first, "h1"}, m_now);
+        const auto actions = m_keeper.handle(CopyEvents::AttemptEnded{}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("h1"), std::get<CopyActions::DropCopy>(actions.front()).handle);
+        CPPUNIT_ASSERT(!m_keeper.copy());
+    }
+
+    void impossibleCopyIsNotAskedForAgain()
+    {
+        const int call = beginWithoutHolder();
+        (void)m_keeper.handle(CopyEvents::CopyImpossible{call}, m_now);
+        CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::Tick{}, m_now + absl::Seconds(10)).empty());
+    }
+
+private:
+    std::vector<CopyAction> begin(const TargetId &holder)
+    {
+        return m_keeper.handle(CopyEvents::AttemptBegan{holder}, m_now);
+    }
+
+    // Returns the number of the call that the first event brings about.
+    int beginWithoutHolder()
+    {
+        (void)m_keeper.handle(CopyEvents::AttemptBegan{}, m_now);
+        return callOf(m_keeper.handle(CopyEvents::EventsBegan{}, m_now));
+    }
+
+    static int callOf(const std::vector<CopyAction> &actions)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+        const auto *action = std::get_if<CopyActions::MakeCopy>(&actions.front());
+        CPPUNIT_ASSERT(action);
+        return action->call;
+    }
+
+    const TargetId first{"first"};
+    const TargetId second{"second"};
+    absl::Time m_now{absl::FromUnixSeconds(1000)};
+    CopyKeeper m_keeper;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestCopyKeeper);
+
+} // namespace Wisteria
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(routersThatChooseTogetherDoNotHerd);
     CPPUNIT_TEST(reportsOfOtherRoutersCount);
     CPPUNIT_TEST(oldReportsDoNotCount);
+    CPPUNIT_TEST(reportsAddUpOverRoutersAndReplaceEachOther);
     CPPUNIT_TEST(suspectIsTheLastChoice);
     CPPUNIT_TEST(suspectComesBackByItself);
     CPPUNIT_TEST(lostDomainIsLeftBeforeAllItsTargetsFailed);
@@ -33,7 +34,7 @@
     {
         m_random = SeededRandom(7);
         for (int n = 0; n < targets; ++n)
-            m_pool.upsert(record(n), m_now);
+            m_pool.upsert(record(n));
     }
 
     void burstOfLongPromptsIsSpreadOverTargets()
@@ -80,6 +81,19 @@
         CPPUNIT_ASSERT(m_pool.loadOf(id(0), later) == TargetLoad{});
     }
 
+    void reportsAddUpOverRoutersAndReplaceEachOther()
+    {
+        m_pool.setReportedLoads(RouterId("a"), {{id(0), load()}, {id(1), load()}}, m_now);
+        m_pool.setReportedLoads(RouterId("b"), {{id(0), load()}}, m_now);
+        CPPUNIT_ASSERT_EQUAL(2, m_pool.loadOf(id(0), m_now).requests);
+        m_pool.setReportedLoads(RouterId("a"), {{id(0), load()}}, m_now + absl::Seconds(1));
+        CPPUNIT_ASSERT_EQUAL(2, m_pool.loadOf(id(0), m_now).requests);
+        CPPUNIT_ASSERT(m_pool.loadOf(id(1), m_now) == TargetLoad{});
+        // Only the router that was silent is left out.
+        const auto later = m_now + TargetPool::reportLifetime + absl::Milliseconds(1);
+        CPPUNIT_ASSERT_EQUAL(1, m_pool.loadOf(id(0), later).requests);
+    }
+
     void suspectIsTheLastChoice()
     {
         m_pool.noteFault(id(0), TargetFault::Unreachable, m_now);
@@ -132,7 +146,7 @@
         m_pool.noteFault(id(0), TargetFault::Gone, m_now);
         auto renewed = record(0);
         renewed.startedAtMs += 1;
-        m_pool.upsert(renewed, m_now);
+        m_pool.upsert(renewed);
         TargetNeed last = need();
         for (int n = 1; n < targets; ++n)
             last.exclude.push_back(id(n));
@@ -145,7 +159,7 @@
             m_pool.remove(id(n));
         auto leaving = record(0);
         leaving.phase = TargetPhase::Leaving;
-        m_pool.upsert(leaving, m_now);
+        m_pool.upsert(leaving);
         CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
     }
 
@@ -182,7 +196,7 @@
         m_pool.addLoad(id(0), load());
         auto renewed = record(0);
         renewed.startedAtMs += 1;
-        m_pool.upsert(renewed, m_now);
+        m_pool.upsert(renewed);
         m_pool.subtractLoad(id(0), load());
         CPPUNIT_ASSERT(m_pool.loadOf(id(0), m_now) == TargetLoad{});
     }
