--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -2,16 +2,12 @@
 
 #include <LibGateway/Gateway.h>
 
-#include <LibCore/JsonText.h>
 #include <LibCore/Views.h>
 #include <LibPlatform/MonotonicClock.h>
 
 #include <boost/asio/post.hpp>
 
-#include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 
 #include <algorithm>
@@ -27,16 +23,13 @@
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-constexpr std::string_view peerViewsPath = "/v1/peer/views/";
 constexpr std::string_view metricsPath = "/metrics";
-// A call to another router for its view.
-constexpr absl::Duration peerCallTimeout = absl::Milliseconds(600);
-// Changes come in groups when a failure domain is lost; one call takes them all. Source: a fraction of the
-// two seconds within which a leaving target gets no more work.
-constexpr absl::Duration pullDelay = absl::Milliseconds(60);
+// Changes of targets are small, and must be known soon; a configuration of thousands of routes takes longer
+// on a slow link.
+constexpr absl::Duration targetsCallTimeout = absl::Milliseconds(600);
+constexpr absl::Duration configurationCallTimeout = absl::Milliseconds(1500);
 // Routers that do not watch the store compare their whole view with another router's this often, in seconds.
 constexpr std::uint64_t reconcileSeconds = 10;
-constexpr std::size_t maxViewBytes = std::size_t{8} << 20U;
 // Callers that this router turns away come back after this long; by then they know of another one.
 constexpr absl::Duration turnedAwayRetryAfter = absl::Milliseconds(100);
 // Of a caller that does not say how long it waits.
@@ -46,25 +39,6 @@
 constexpr absl::Duration lastWrites = absl::Milliseconds(200);
 constexpr absl::Duration publishRetry = absl::Milliseconds(500);
 
-std::string viewQuery(const ViewRevisions &query)
-{
-    return absl::StrCat(abslView(peerViewsPath), query.configuration.value(), "/", query.targets.value());
-}
-
-// Empty when the target is no such query.
-std::optional<ViewRevisions> readViewQuery(std::string_view target)
-{
-    if (!absl::StartsWith(abslView(target), abslView(peerViewsPath)))
-        return std::nullopt;
-    const std::pair<absl::string_view, absl::string_view> parts =
-        absl::StrSplit(abslView(target.substr(peerViewsPath.size())), absl::MaxSplits('/', 1));
-    std::uint64_t configuration = 0;
-    std::uint64_t targets = 0;
-    if (!absl::SimpleAtoi(parts.first, &configuration) || !absl::SimpleAtoi(parts.second, &targets))
-        return std::nullopt;
-    return ViewRevisions{ObjectVersion(configuration), ObjectVersion(targets)};
-}
-
 std::string requestPath(const HttpRequest &request)
 {
     const auto target = request.target();
@@ -111,7 +85,10 @@
                           m_random),
       m_targetsView(DirectoryKind::Targets, context, site.store, site.decoder, *this, m_log, m_random),
       m_routersView(DirectoryKind::Routers, context, site.store, site.decoder, *this, m_log, m_random),
-      m_second(context), m_pullTimer(context), m_stopTimer(context)
+      m_configurationRelay(context, m_configurationView, "configuration", detail::configurationCallTimeout,
+                           m_log, m_random),
+      m_targetsRelay(context, m_targetsView, "targets", detail::targetsCallTimeout, m_log, m_random),
+      m_second(context), m_stopTimer(context)
 {
     m_self.id = settings.id;
     m_self.domain = settings.domain;
@@ -201,13 +178,10 @@
         caller->respond(entryPoints(*query));
         return true;
     }
-    if (const auto after = detail::readViewQuery(view)) {
-        nlohmann::json views;
-        if (after->configuration < m_configurationView.changeRevision())
-            views["configuration"] = m_configurationView.changesAfter(after->configuration);
-        if (after->targets.value() == 0 || after->targets < m_targetsView.changeRevision())
-            views["targets"] = m_targetsView.changesAfter(after->targets);
-        caller->respond(makeResponse(detail::statusOk, "application/json", views.dump()));
+    if (const auto request = ViewRelay::readRequest(view)) {
+        auto &relay = request->view == m_targetsRelay.name() ? m_targetsRelay : m_configurationRelay;
+        caller->respond(request->view == relay.name() ? relay.answer(request->after)
+                                                      : makeResponse(detail::statusNotFound, "", ""));
         return true;
     }
     if (view == detail::metricsPath) {
@@ -385,9 +359,8 @@
         tellSessions(it, TargetFault::Gone);
     }
     takeCounts(report, now);
-    if (report.configurationRevision > m_configurationView.changeRevision()
-        || report.targetsRevision > m_targetsView.changeRevision())
-        pullSoon(report.router);
+    m_configurationRelay.noteRevision(report.router, report.configurationRevision);
+    m_targetsRelay.noteRevision(report.router, report.targetsRevision);
 }
 
 void Gateway::takeCounts(const PeerReport &report, absl::Time now)
@@ -404,61 +377,6 @@
     }
 }
 
-void Gateway::pullSoon(const RouterRoster::Member &peer)
-{
-    m_pullPeer = peer;
-    if (m_isPulling)
-        return;
-    m_isPulling = true;
-    const auto delay = detail::pullDelay * (1 + m_random.fraction());
-    m_pullTimer.expires_after(absl::ToChronoNanoseconds(delay));
-    m_pullTimer.async_wait([this](const auto &ec) {
-        if (ec)
-            return;
-        m_isPulling = false;
-        pullFrom(m_pullPeer, {m_configurationView.changeRevision(), m_targetsView.changeRevision()});
-    });
-}
-
-void Gateway::pullFrom(const RouterRoster::Member &peer, const ViewRevisions &have)
-{
-    const auto endpoint = parseEndpoint(peer.peerAddress);
-    if (!endpoint || std::exchange(m_isPulling, true))
-        return;
-    HttpFields fields;
-    fields.set("Host", peer.peerAddress);
-    fields.set("Connection", "close");
-    const auto query = detail::viewQuery(have);
-    auto connection = std::make_shared<HttpClientConnection>(m_context, *endpoint, SocketLimits{});
-    callHttp(
-        m_context, connection, serializeRequest("GET", query, fields, ""), detail::peerCallTimeout,
-        detail::maxViewBytes, [this, id = peer.id](HttpCallResult result) {
-            m_isPulling = false;
-            if (!result || result->head.status != detail::statusOk)
-                return;
-            const auto views = parseUntrustedJson(result->body);
-            if (!views || !views->is_object())
-                return;
-            for (const auto &[name, view] :
-                 {std::pair{"configuration", &m_configurationView}, std::pair{"targets", &m_targetsView}}) {
-                if (!views->contains(name))
-                    continue;
-                const auto before = view->changeRevision();
-                if (auto taken = view->takeRelayed((*views)[name]); !taken)
-                    m_log.write("relay_failed",
-                                {{"router", id.value()}, {"view", name}, {"detail", taken.error().detail}},
-                                monotonicNow());
-                else if (view->changeRevision() > before)
-                    m_log.write("relayed",
-                                {{"router", id.value()},
-                                 {"view", name},
-                                 {"from", before.value()},
-                                 {"to", view->changeRevision().value()}},
-                                monotonicNow());
-            }
-        });
-}
-
 void Gateway::targetFailed(const TargetId &id, TargetFault fault)
 {
     if (fault == TargetFault::BadAnswer)
@@ -507,8 +425,7 @@
     }
     if (candidates.empty())
         return;
-    pullFrom(candidates[m_random.below(candidates.size())],
-             {m_configurationView.changeRevision(), ObjectVersion()});
+    m_targetsRelay.pullWhole(candidates[m_random.below(candidates.size())]);
 }
 
 void Gateway::everySecond()
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -8,6 +8,7 @@
 #include <LibGateway/ForwardSession.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/PeerLink.h>
+#include <LibGateway/ViewRelay.h>
 #include <LibNet/HttpServer.h>
 
 #include <boost/asio/io_context.hpp>
@@ -29,13 +30,6 @@
     DirectoryStore &store;
 };
 
-// Revisions of a router's views, as it tells another one.
-struct ViewRevisions
-{
-    ObjectVersion configuration;
-    ObjectVersion targets;
-};
-
 class Gateway final : private HttpRequestHandler, private DirectoryListener, private PeerLinkHost
 {
 public:
@@ -91,9 +85,6 @@
     void takeCounts(const PeerReport &, absl::Time now);
 
     void publishSelf();
-    // Takes the changes that another router has and this one has not.
-    void pullSoon(const RouterRoster::Member &);
-    void pullFrom(const RouterRoster::Member &, const ViewRevisions &have);
     // Compares the whole view of targets with another router's.
     void reconcile(absl::Time now);
     void everySecond();
@@ -113,6 +104,8 @@
     DirectoryView m_configurationView;
     DirectoryView m_targetsView;
     DirectoryView m_routersView;
+    ViewRelay m_configurationRelay;
+    ViewRelay m_targetsRelay;
     std::shared_ptr<const RouteTable> m_routes;
     // Sessions hold references to the budgets, hence nodes that stay where they are.
     absl::node_hash_map<ServiceName, RepeatBudget> m_budgets;
@@ -120,8 +113,6 @@
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::unique_ptr<PeerLink> m_peerLink;
     boost::asio::steady_timer m_second;
-    boost::asio::steady_timer m_pullTimer;
-    RouterRoster::Member m_pullPeer;
     std::uint64_t m_seconds{0};
     boost::asio::steady_timer m_stopTimer;
     absl::Time m_startedAt;
@@ -139,8 +130,6 @@
         ServiceCounts counts;
     };
     std::map<RouterId, LastCounts> m_lastCounts;
-    // A call to another router is under way or about to begin.
-    bool m_isPulling{false};
 };
 
 } // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -0,0 +1,153 @@
+// Calls between routers for their views.
+
+#include <LibGateway/ViewRelay.h>
+
+#include <LibCore/JsonText.h>
+#include <LibCore/Views.h>
+#include <LibNet/Compression.h>
+#include <LibPlatform/MonotonicClock.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+constexpr int statusOk = 200;
+constexpr int statusNoContent = 204;
+constexpr std::string_view viewsPath = "/v1/peer/views/";
+// Routers ask from a few revisions only; more than this are not kept encoded.
+constexpr std::size_t maxEncoded = 8;
+
+std::string_view failureName(HttpFailure failure)
+{
+    switch (failure) {
+    case HttpFailure::NotConnected:
+        return "not connected";
+    case HttpFailure::Refused:
+        return "refused";
+    case HttpFailure::ConnectionLost:
+        return "connection lost";
+    case HttpFailure::BadAnswer:
+        return "unreadable answer";
+    case HttpFailure::Timeout:
+        return "no answer in time";
+    }
+    return "unknown";
+}
+
+} // namespace detail
+
+ViewRelay::ViewRelay(boost::asio::io_context &context, DirectoryView &view, std::string name,
+                     absl::Duration callTimeout, StructuredLog &log, RandomSource &random)
+    : m_context(context), m_view(view), m_name(std::move(name)), m_callTimeout(callTimeout), m_log(log),
+      m_random(random), m_timer(context)
+{
+}
+
+std::optional<ViewRequest> ViewRelay::readRequest(std::string_view path)
+{
+    if (!absl::StartsWith(abslView(path), abslView(detail::viewsPath)))
+        return std::nullopt;
+    const std::pair<std::string, absl::string_view> parts =
+        absl::StrSplit(abslView(path.substr(detail::viewsPath.size())), absl::MaxSplits('/', 1));
+    std::uint64_t after = 0;
+    if (!absl::SimpleAtoi(parts.second, &after))
+        return std::nullopt;
+    return ViewRequest{parts.first, ObjectVersion(after)};
+}
+
+HttpResponse ViewRelay::answer(ObjectVersion after)
+{
+    const auto revision = m_view.changeRevision();
+    if (after.value() != 0 && after >= revision)
+        return makeResponse(detail::statusNoContent, "", "");
+    if (m_encodedAt != revision || m_encoded.size() >= detail::maxEncoded)
+        m_encoded.clear();
+    m_encodedAt = revision;
+    auto &encoded = m_encoded[after];
+    if (encoded.empty())
+        encoded = compressBytes(m_view.changesAfter(after).dump());
+    auto response = makeResponse(detail::statusOk, "application/json", encoded);
+    response.head.fields.set("Content-Encoding", "deflate");
+    return response;
+}
+
+void ViewRelay::noteRevision(const RouterRoster::Member &peer, ObjectVersion revision)
+{
+    if (revision <= m_view.changeRevision())
+        return;
+    m_newerPeer = peer;
+    if (std::exchange(m_isPulling, true))
+        return;
+    m_timer.expires_after(absl::ToChronoNanoseconds(pullDelay * (1 + m_random.fraction())));
+    m_timer.async_wait([this](const auto &ec) {
+        if (!ec)
+            pull(m_newerPeer, m_view.changeRevision());
+    });
+}
+
+void ViewRelay::pullWhole(const RouterRoster::Member &peer)
+{
+    if (!std::exchange(m_isPulling, true))
+        pull(peer, ObjectVersion());
+}
+
+void ViewRelay::pull(const RouterRoster::Member &peer, ObjectVersion after)
+{
+    const auto endpoint = parseEndpoint(peer.peerAddress);
+    if (!endpoint) {
+        m_isPulling = false;
+        logFailure(peer.id, endpoint.error().detail);
+        return;
+    }
+    HttpFields fields;
+    fields.set("Host", peer.peerAddress);
+    fields.set("Connection", "close");
+    const auto path = absl::StrCat(abslView(detail::viewsPath), m_name, "/", after.value());
+    callHttp(m_context, std::make_shared<HttpClientConnection>(m_context, *endpoint, SocketLimits{}),
+             serializeRequest("GET", path, fields, ""), m_callTimeout, maxViewBytes,
+             [this, id = peer.id](const HttpCallResult &result) {
+                 m_isPulling = false;
+                 take(id, result);
+             });
+}
+
+void ViewRelay::take(const RouterId &id, const HttpCallResult &result)
+{
+    if (!result)
+        return logFailure(id, detail::failureName(result.error()));
+    if (result->head.status == detail::statusNoContent)
+        return;
+    if (result->head.status != detail::statusOk)
+        return logFailure(id, absl::StrCat("status ", result->head.status));
+    const auto text = expandBytes(result->body, maxViewBytes);
+    if (!text)
+        return logFailure(id, text.error().detail);
+    const auto json = parseUntrustedJson(*text);
+    if (!json)
+        return logFailure(id, json.error().detail);
+    const auto before = m_view.changeRevision();
+    if (const auto taken = m_view.takeRelayed(*json); !taken)
+        return logFailure(id, taken.error().detail);
+    if (m_view.changeRevision() > before) {
+        m_log.write("relayed",
+                    {{"router", id.value()},
+                     {"view", m_name},
+                     {"bytes", result->body.size()},
+                     {"from", before.value()},
+                     {"to", m_view.changeRevision().value()}},
+                    monotonicNow());
+    }
+}
+
+void ViewRelay::logFailure(const RouterId &id, std::string_view detail)
+{
+    m_log.write("relay_failed", {{"router", id.value()}, {"view", m_name}, {"detail", detail}},
+                monotonicNow());
+}
+
+} // namespace Wisteria
--- a/Meta/wisteriahold.sh
+++ b/Meta/wisteriahold.sh
@@ -10,7 +10,7 @@
 
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy clang
     libabsl-dev libgrpc++-dev libprotobuf-dev libcpp-httplib-dev libcxxopts-dev libgoogle-glog-dev
-    libcppunit-dev libexpected-dev libtoml11-dev libboost-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev
+    libcppunit-dev libexpected-dev libtoml11-dev libboost-dev nlohmann-json3-dev libxxhash-dev zlib1g-dev librapidcheck-dev
     spin python3)
 
 usage() {
@@ -22,6 +22,7 @@
   test               build, then run the tests (arguments go to ctest)
   processes          the failure tests on real processes
   model [--mutants]  check the models; with --mutants, every seeded mistake must be found
+  soak [ARGS]        routers as processes under drawn faults (--seed N --seeds N --seconds S --routers N)
   measure [ARGS]     the policy tables from the virtual clock
   sanitize KIND      the process-free tests under address,undefined or thread
   format [--check]   format the sources, or fail where they are not formatted
@@ -70,6 +71,7 @@
 test) setup; build; "$root/Meta/run-tests.sh" "$build" "$@" ;;
 processes) setup; build; exec "$root/Meta/process-tests.sh" "$build" "$@" ;;
 model) setup; exec "$root/Meta/check-models.sh" "$@" ;;
+soak) setup; build; exec "$build/bin/wisteria-soak" --gateway "$build/bin/wisteria-gateway" --folder "$build/soak" "$@" ;;
 measure) setup; build; exec "$build/bin/wisteria-measure" "$@" ;;
 sanitize) setup; sanitize "${1:?kind}" ;;
 format)
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -1,100 +1,11 @@
 // The view of the platform's objects, against a store and a second view in memory.
 
-#include <LibGateway/Directory.h>
+#include "FakeViews.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <unistd.h>
-
 namespace Wisteria {
 
-namespace detail {
-
-// Keeps the handlers of its calls until the test answers them.
-class HeldStore final : public DirectoryStore
-{
-public:
-    void list(DirectoryKind, DirectoryHandler handler) override { m_list = std::move(handler); }
-    void watch(DirectoryKind, ObjectVersion, absl::Duration, DirectoryHandler handler) override
-    {
-        m_watch = std::move(handler);
-    }
-    void publish(const RouterRecord &, std::function<void(ErrorOr<void>)>) override { }
-
-    void answerList(DirectoryBatch batch) { std::exchange(m_list, nullptr)(std::move(batch)); }
-    void answerWatch(DirectoryBatch batch) { std::exchange(m_watch, nullptr)(std::move(batch)); }
-
-private:
-    DirectoryHandler m_list;
-    DirectoryHandler m_watch;
-};
-
-// The content is the version or the address itself.
-class PlainDecoder final : public DirectoryDecoder
-{
-public:
-    ErrorOr<TrafficConfiguration> configuration(const DirectoryObject &object) const override
-    {
-        if (!object.content.is_number_unsigned())
-            return makeError(ErrorCode::InvalidRequest, "no version");
-        TrafficConfiguration out;
-        out.version = ConfigVersion(object.content.get<std::uint64_t>());
-        return out;
-    }
-    ErrorOr<TargetRecord> target(const DirectoryObject &object) const override
-    {
-        if (!object.content.is_string())
-            return makeError(ErrorCode::InvalidRequest, "no address");
-        TargetRecord out;
-        out.id = TargetId(object.name);
-        out.address = object.content.get<std::string>();
-        return out;
-    }
-    ErrorOr<RouterRecord> router(const DirectoryObject &) const override
-    {
-        return makeError(ErrorCode::InvalidRequest, "none");
-    }
-};
-
-class RecordingListener final : public DirectoryListener
-{
-public:
-    void configurationChanged(std::shared_ptr<const RouteTable> table) override
-    {
-        versions.push_back(table->version().value());
-    }
-    void targetChanged(const TargetRecord &record) override { targets[record.id.value()] = record.address; }
-    void targetRemoved(const TargetId &id) override { targets.erase(id.value()); }
-    void routerChanged(const RouterRecord &) override { }
-
-    std::vector<std::uint64_t> versions;
-    std::map<std::string, std::string> targets;
-};
-
-DirectoryObject object(const std::string &name, std::uint64_t revision, nlohmann::json content)
-{
-    return {name, ObjectVersion(revision), std::move(content), false};
-}
-
-// A view with all that it needs.
-struct ViewHost
-{
-    explicit ViewHost(DirectoryKind kind) : view(kind, context, store, decoder, listener, log, random)
-    {
-        view.start();
-    }
-
-    boost::asio::io_context context;
-    HeldStore store;
-    PlainDecoder decoder;
-    RecordingListener listener;
-    StructuredLog log{STDERR_FILENO, "test"};
-    SeededRandom random{1};
-    DirectoryView view;
-};
-
-} // namespace detail
-
 class TestDirectoryView : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestDirectoryView);
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -11,6 +11,8 @@
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
 namespace detail {
@@ -45,7 +47,7 @@
     return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port());
 }
 
-FakeStore::FakeStore(boost::asio::io_context &context) : m_address(freeAddress())
+FakeStore::FakeStore(boost::asio::io_context &context) : m_context(context), m_address(freeAddress())
 {
     auto server = HttpServer::create(context, *Address::parse(m_address), *this, {});
     VERIFY(server.has_value());
@@ -80,7 +82,7 @@
     m_historyFrom = m_revision + 1;
     m_history.clear();
     for (const auto &it : std::exchange(m_waiting, {}))
-        it.connection->respond(makeResponse(410, "application/json", "{}"));
+        respond(it.connection, 410, nlohmann::json::object());
 }
 
 bool FakeStore::answerWatch(const Waiting &waiting)
@@ -92,46 +94,84 @@
     }
     if (events.empty())
         return false;
-    const nlohmann::json body = {{"events", events}, {"currentRev", m_revision}};
-    waiting.connection->respond(makeResponse(200, "application/json", body.dump()));
+    waiting.timer->cancel();
+    respond(waiting.connection, 200, {{"events", events}, {"currentRev", m_revision}});
     return true;
 }
 
+void FakeStore::startWatch(const std::shared_ptr<HttpServerConnection> &connection, const std::string &kind,
+                           const std::string &target)
+{
+    const Waiting waiting{connection, kind, detail::number(detail::queryValue(target, "watch")),
+                          std::make_shared<boost::asio::steady_timer>(m_context)};
+    if (waiting.after < m_historyFrom) {
+        respond(connection, 410, nlohmann::json::object());
+        return;
+    }
+    if (answerWatch(waiting))
+        return;
+    m_waiting.push_back(waiting);
+    waiting.timer->expires_after(
+        std::chrono::milliseconds(detail::number(detail::queryValue(target, "waitMs"))));
+    waiting.timer->async_wait([this, timer = waiting.timer](const auto &ec) {
+        const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                     [&](const Waiting &waits) { return waits.timer == timer; });
+        if (ec || it == m_waiting.end())
+            return;
+        respond(it->connection, 200, {{"events", nlohmann::json::array()}, {"currentRev", m_revision}});
+        m_waiting.erase(it);
+    });
+}
+
+void FakeStore::respond(const std::shared_ptr<HttpServerConnection> &connection, int status,
+                        const nlohmann::json &body)
+{
+    if (m_mode != FakeStoreMode::Mute)
+        connection->respond(makeResponse(status, "application/json", body.dump()));
+}
+
+void FakeStore::write(const std::shared_ptr<HttpServerConnection> &connection, const HttpRequest &request,
+                      const std::string &kind)
+{
+    const auto body = nlohmann::json::parse(request.body());
+    const auto name = body["metadata"]["name"].get<std::string>();
+    const bool isCreate = request.method_string() == "POST";
+    if (isCreate && m_objects[kind].contains(name)) {
+        respond(connection, 409, m_objects[kind][name]);
+        return;
+    }
+    put(kind, name, body["spec"]);
+    respond(connection, isCreate ? 201 : 200, m_objects[kind][name]);
+}
+
 void FakeStore::handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request)
 {
     ++m_calls;
     const std::string target(request.target().data(), request.target().size());
-    if (m_failure != 0) {
-        connection->respond(makeResponse(m_failure, "application/json", "{}"));
+    if (m_mode == FakeStoreMode::Busy) {
+        respond(connection, 503, nlohmann::json::object());
         return;
     }
     const std::vector<std::string> parts = absl::StrSplit(target.substr(0, target.find('?')), '/');
     const auto &kind = parts.at(3);
-    if (request.method_string() == "POST") {
-        const auto body = nlohmann::json::parse(request.body());
-        put(kind, body["metadata"]["name"].get<std::string>(), body["spec"]);
-        connection->respond(makeResponse(201, "application/json", "{}"));
+    if (request.method_string() != "GET") {
+        write(connection, request, kind);
         return;
     }
-    if (const auto after = detail::queryValue(target, "watch"); !after.empty()) {
-        const Waiting waiting{connection, kind, detail::number(after)};
-        if (waiting.after < m_historyFrom)
-            connection->respond(makeResponse(410, "application/json", "{}"));
-        else if (!answerWatch(waiting))
-            m_waiting.push_back(waiting);
+    if (!detail::queryValue(target, "watch").empty()) {
+        startWatch(connection, kind, target);
         return;
     }
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[name, object] : m_objects[kind])
         items.push_back(object);
-    const nlohmann::json body = {{"items", items}, {"hasMore", false}, {"currentRev", m_revision}};
-    connection->respond(makeResponse(200, "application/json", body.dump()));
+    respond(connection, 200, {{"items", items}, {"hasMore", false}, {"currentRev", m_revision}});
 }
 
 FakeEngine::FakeEngine(boost::asio::io_context &context, FakeFleet &fleet, std::string id,
                        std::string service, std::string zone)
     : m_context(context), m_fleet(fleet), m_id(std::move(id)), m_service(std::move(service)),
-      m_zone(std::move(zone)), m_address(freeAddress())
+      m_zone(std::move(zone)), m_address(freeAddress()), m_publishedAddress(m_address)
 {
     auto server = HttpServer::create(context, *Address::parse(m_address), *this, {});
     VERIFY(server.has_value());
@@ -140,11 +180,12 @@
 
 nlohmann::json FakeEngine::entry(const std::string &state) const
 {
-    return {{"service", m_service}, {"address", m_address}, {"zone", m_zone},
-            {"slots", 8},           {"state", state},       {"born", 1}};
+    return {{"service", m_service}, {"address", m_publishedAddress},
+            {"zone", m_zone},       {"slots", 8},
+            {"state", state},       {"born", m_lives + 1}};
 }
 
-std::string FakeEngine::wholeStream()
+std::string FakeFleet::wholeStream() const
 {
     std::string out;
     for (int n = 1; n <= events; ++n)
@@ -152,9 +193,36 @@
     return out;
 }
 
+void FakeEngine::restart(const std::string &id)
+{
+    m_id = id;
+    ++m_lives;
+    m_running.clear();
+    std::erase_if(m_fleet.copies,
+                  [this](const std::string &it) { return absl::StartsWith(it, m_publishedAddress + "/"); });
+}
+
+void FakeEngine::copyRun(const std::shared_ptr<HttpServerConnection> &connection, const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body);
+    if (!m_running.contains(json["id"].get<std::string>())) {
+        connection->respond(makeResponse(404, "application/json", "{}"));
+        return;
+    }
+    const auto handle = absl::StrCat("h", ++m_fleet.handles);
+    m_fleet.copies.insert(m_publishedAddress + "/" + handle);
+    connection->respond(
+        makeResponse(200, "application/json", nlohmann::json{{"handle", handle}, {"created", 1}}.dump()));
+}
+
 void FakeEngine::handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request)
 {
     ++m_arrivals;
+    const std::string target(request.target().data(), request.target().size());
+    if (target == "/-/kv-move") {
+        copyRun(connection, request.body());
+        return;
+    }
     const std::string requestId(fieldValue(request, "Request-Id"));
     auto response = makeResponse(200, "text/plain", "answer of " + requestId);
     response.head.fields.set("Request-Id", requestId);
@@ -163,6 +231,8 @@
         connection->respond(response);
         return;
     }
+    if (m_fleet.arrived)
+        m_fleet.arrived(m_id);
     const std::string from(fieldValue(request, "Kv-From"));
     const bool isCopyMissing = !from.empty() && m_fleet.copies.erase(from) == 0;
     if (m_mode == FakeEngineMode::Full || isCopyMissing) {
@@ -172,6 +242,7 @@
         return;
     }
     response.head.fields.set("Engine-Seal", "seal");
+    m_fleet.workspaces[requestId] = fieldValue(request, "Tenant");
     if (from.empty()) {
         ++m_fleet.runs[requestId];
         if (!fieldValue(request, "Last-Event-Id").empty())
@@ -180,7 +251,7 @@
     const std::string holder(fieldValue(request, "Kv-Backup"));
     if (!holder.empty())
         m_fleet.copies.insert(holder + "/" + requestId);
-    if (!absl::StartsWith(std::string(request.target().data(), request.target().size()), "/stream/")) {
+    if (!absl::StartsWith(target, "/stream/")) {
         if (m_mode == FakeEngineMode::Dying)
             connection->abort();
         else if (m_mode != FakeEngineMode::Silent)
@@ -189,12 +260,14 @@
     }
     response.head.fields.set("Content-Type", "text/event-stream");
     connection->openStream(response.head);
+    m_running.insert(requestId);
     streamFrom(connection,
                static_cast<int>(detail::number(std::string(fieldValue(request, "Last-Event-Id")))) + 1);
 }
 
 void FakeEngine::streamFrom(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
+    const int events = m_fleet.events;
     if (event > events) {
         connection->endStream();
         return;
@@ -209,8 +282,13 @@
         return;
     }
     connection->writeStream(text);
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, eventInterval);
-    timer->async_wait([this, timer, connection, event](const auto &) { streamFrom(connection, event + 1); });
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_fleet.eventInterval);
+    timer->async_wait([this, timer, connection, event, life = m_lives](const auto &) {
+        if (life == m_lives)
+            streamFrom(connection, event + 1);
+        else
+            connection->abort();
+    });
 }
 
 } // namespace Wisteria
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -94,7 +94,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("answer of r1"), call("POST", "/book/x", "r1").body);
         CPPUNIT_ASSERT_EQUAL(std::string("answer of r2"), call("GET", "/look/x", "r2").body);
         const auto stream = call("POST", "/stream/x", "r3");
-        CPPUNIT_ASSERT_EQUAL(FakeEngine::wholeStream(), stream.body);
+        CPPUNIT_ASSERT_EQUAL(m_fleet.wholeStream(), stream.body);
         CPPUNIT_ASSERT(!fieldValue(stream.head.fields, "Engine-Seal").empty());
     }
 
@@ -166,7 +166,7 @@
 
     void withoutConfigurationNothingIsPromisedFalsely()
     {
-        m_store->failWith(503);
+        m_store->setMode(FakeStoreMode::Busy);
         startGateway(Readiness::DontWait);
         const auto response = call("POST", "/book/x", "r1");
         CPPUNIT_ASSERT_EQUAL(503, response.head.status);
@@ -175,7 +175,7 @@
             absl::SimpleAtod(std::string(fieldValue(response.head.fields, "Retry-After")), &after));
         CPPUNIT_ASSERT(after > 0 && after < 1);
         CPPUNIT_ASSERT_EQUAL(503, call("GET", "/-/resolve?name=site.example&zone=z0", "").head.status);
-        m_store->failWith(0);
+        m_store->setMode(FakeStoreMode::Sound);
         CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r2").head.status == 200; }));
     }
 
@@ -200,7 +200,7 @@
         m_gateway->startStop();
         CPPUNIT_ASSERT_EQUAL(503, call("GET", "/-/ready", "").head.status);
         CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
-        CPPUNIT_ASSERT_EQUAL(FakeEngine::wholeStream(), response.body);
+        CPPUNIT_ASSERT_EQUAL(m_fleet.wholeStream(), response.body);
         CPPUNIT_ASSERT_EQUAL(503, call("POST", "/stream/x", "r2").head.status);
         CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r3").head.status);
     }
@@ -297,7 +297,7 @@
         }
         for (int n = 0; n < 6; ++n) {
             const auto id = absl::StrCat("r", n);
-            CPPUNIT_ASSERT_EQUAL(FakeEngine::wholeStream(), call("POST", "/stream/x", id).body);
+            CPPUNIT_ASSERT_EQUAL(m_fleet.wholeStream(), call("POST", "/stream/x", id).body);
             CPPUNIT_ASSERT_EQUAL(1, m_fleet.runs[id]);
         }
     }
--- /dev/null
+++ b/Tests/Soak/FaultPlan.cpp
@@ -0,0 +1,278 @@
+// Drawing and performing the faults.
+
+#include "FaultPlan.h"
+
+#include <LibPlatform/MonotonicClock.h>
+
+#include <csignal>
+
+namespace Wisteria {
+
+FaultPlan::FaultPlan(SoakWorld &world) : m_world(world)
+{
+    constexpr auto callers = &SoakRouter::callerLink;
+    constexpr auto store = &SoakRouter::storeLink;
+    m_faults = {
+        {"router killed",
+         [this] {
+             auto *router = drawRouter();
+             if (router)
+                 killRouter(*router);
+             return router != nullptr;
+         }},
+        {"router paused", [this] { return pauseRouter(); }},
+        {"router stopped", [this] { return stopRouter(); }},
+        {"router reloaded", [this] { return reloadRouter(); }},
+        {"engine crashed", [this] { return crashEngine(); }},
+        {"engine dark", [this] { return darkenEngine(); }},
+        {"domain lost", [this] { return loseDomain(); }},
+        {"engine released", [this] { return releaseEngine(); }},
+        {"engine full", [this] { return setEngineMode(FakeEngineMode::Full); }},
+        {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Dying); }},
+        {"engine silent", [this] { return setEngineMode(FakeEngineMode::Silent); }},
+        {"engine link cut", [this] { return harmEngineLink(LinkFault::Cut); }},
+        {"engine link cut one way", [this] { return harmEngineLink(LinkFault::CutToServer); }},
+        {"engine link delayed", [this] { return harmEngineLink(LinkFault::Delayed); }},
+        {"caller link cut", [this, callers] { return harmRouterLink(callers, LinkFault::Cut); }},
+        {"caller link delayed", [this, callers] { return harmRouterLink(callers, LinkFault::Delayed); }},
+        {"caller link reset", [this, callers] { return resetRouterLink(callers); }},
+        {"store link cut", [this, store] { return harmRouterLink(store, LinkFault::Cut); }},
+        {"store link cut one way", [this, store] { return harmRouterLink(store, LinkFault::CutToServer); }},
+        {"store link reset", [this, store] { return resetRouterLink(store); }},
+        {"store link silent", [this, store] { return silenceRouterLink(store); }},
+        {"store busy", [this] { return harmStore(FakeStoreMode::Busy); }},
+        {"store mute", [this] { return harmStore(FakeStoreMode::Mute); }},
+        {"store history dropped", [this] { return dropHistory(); }},
+        {"configuration changed", [this] { return changeConfiguration(); }},
+    };
+}
+
+void FaultPlan::run(absl::Duration length)
+{
+    beginNext(monotonicNow() + length);
+}
+
+void FaultPlan::beginNext(absl::Time until)
+{
+    if (monotonicNow() >= until)
+        return;
+    const auto &fault = m_faults[m_world.random().below(m_faults.size())];
+    if (fault.begin())
+        ++m_begun[fault.name];
+    m_world.after(m_world.drawn(leastPause, longestPause), [this, until] { beginNext(until); });
+}
+
+SoakRouter *FaultPlan::drawRouter()
+{
+    auto &router = m_world.routers()[m_world.random().below(m_world.routers().size())];
+    return router.isDisturbed || !router.process->isRunning() ? nullptr : &router;
+}
+
+SoakEngine *FaultPlan::drawEngine()
+{
+    auto &engine = m_world.engines()[m_world.random().below(m_world.engines().size())];
+    return engine.isDisturbed ? nullptr : &engine;
+}
+
+void FaultPlan::killRouter(SoakRouter &router)
+{
+    router.isDisturbed = true;
+    router.isEndWanted = true;
+    // Ends at once; the disturbance goes on until the process has started again.
+    m_world.disturb(DisturbanceKind::Router, router.process->place().id)();
+    router.process->signal(SIGKILL);
+}
+
+void FaultPlan::killAllRouters()
+{
+    for (auto &it : m_world.routers()) {
+        if (it.process->isRunning())
+            killRouter(it);
+    }
+}
+
+bool FaultPlan::pauseRouter()
+{
+    auto *router = drawRouter();
+    if (!router)
+        return false;
+    router->isDisturbed = true;
+    router->process->signal(SIGSTOP);
+    m_world.after(m_world.drawn(shortestFault, longestFault),
+                  [router, end = m_world.disturb(DisturbanceKind::Router, router->process->place().id)] {
+                      router->process->signal(SIGCONT);
+                      router->isDisturbed = false;
+                      end();
+                  });
+    return true;
+}
+
+bool FaultPlan::stopRouter()
+{
+    auto *router = drawRouter();
+    if (!router)
+        return false;
+    router->isDisturbed = true;
+    router->isEndWanted = true;
+    // Ends with the grace at the latest.
+    constexpr absl::Duration grace = absl::Seconds(8);
+    m_world.after(grace, m_world.disturb(DisturbanceKind::PlannedStop, router->process->place().id));
+    router->process->signal(SIGTERM);
+    return true;
+}
+
+bool FaultPlan::reloadRouter()
+{
+    auto *router = drawRouter();
+    if (!router)
+        return false;
+    router->process->writeSettings(1 + m_world.random().fraction());
+    router->process->signal(SIGHUP);
+    return true;
+}
+
+bool FaultPlan::crashEngine()
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    engine->link->resetAll();
+    m_world.restartEngine(*engine);
+    return true;
+}
+
+bool FaultPlan::darkenEngine()
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    engine->link->silenceAll();
+    m_world.restartEngine(*engine);
+    return true;
+}
+
+bool FaultPlan::loseDomain()
+{
+    const auto domain = "z" + std::to_string(m_world.random().below(SoakWorld::domains));
+    const bool isDark = m_world.random().below(2) == 0;
+    for (auto &it : m_world.engines()) {
+        if (it.isDisturbed || it.engine->zone() != domain || it.engine->service() != "llm")
+            continue;
+        if (isDark)
+            it.link->silenceAll();
+        else
+            it.link->resetAll();
+        m_world.restartEngine(it);
+    }
+    return true;
+}
+
+bool FaultPlan::releaseEngine()
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    engine->isDisturbed = true;
+    m_world.publish(*engine, "draining");
+    m_world.noteLeaving(engine->engine->id());
+    // Serves a little longer than the routers may send to it.
+    m_world.after(Promises::changeBound + absl::Seconds(2),
+                  [this, engine] { m_world.restartEngine(*engine); });
+    return true;
+}
+
+bool FaultPlan::setEngineMode(FakeEngineMode mode)
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    engine->isDisturbed = true;
+    engine->engine->setMode(mode);
+    m_world.after(m_world.drawn(shortestFault, longestFault),
+                  [engine, end = m_world.disturb(DisturbanceKind::Engine, engine->engine->id())] {
+                      engine->engine->setMode(FakeEngineMode::Sound);
+                      engine->isDisturbed = false;
+                      end();
+                  });
+    return true;
+}
+
+bool FaultPlan::harmEngineLink(LinkFault fault)
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    engine->isDisturbed = true;
+    engine->link->setFault(fault);
+    m_world.after(m_world.drawn(shortestFault, longestFault),
+                  [engine, end = m_world.disturb(DisturbanceKind::Engine, engine->engine->id())] {
+                      engine->link->setFault(LinkFault::None);
+                      engine->isDisturbed = false;
+                      end();
+                  });
+    return true;
+}
+
+bool FaultPlan::harmRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link, LinkFault fault)
+{
+    auto *router = drawRouter();
+    if (!router)
+        return false;
+    auto *proxy = (router->*link).get();
+    proxy->setFault(fault);
+    m_world.after(m_world.drawn(shortestFault, longestFault),
+                  [proxy, end = m_world.disturb(DisturbanceKind::Router, router->process->place().id)] {
+                      proxy->setFault(LinkFault::None);
+                      end();
+                  });
+    return true;
+}
+
+bool FaultPlan::silenceRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link)
+{
+    auto *router = drawRouter();
+    if (!router)
+        return false;
+    (router->*link)->silenceAll();
+    m_world.disturb(DisturbanceKind::Router, router->process->place().id)();
+    return true;
+}
+
+bool FaultPlan::resetRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link)
+{
+    auto *router = drawRouter();
+    if (!router)
+        return false;
+    (router->*link)->resetAll();
+    m_world.disturb(DisturbanceKind::Router, router->process->place().id)();
+    return true;
+}
+
+bool FaultPlan::harmStore(FakeStoreMode mode)
+{
+    if (std::exchange(m_isStoreHarmed, true))
+        return false;
+    m_world.store().setMode(mode);
+    m_world.after(m_world.drawn(shortestFault, longestFault),
+                  [this, end = m_world.disturb(DisturbanceKind::Store, "")] {
+                      m_world.store().setMode(FakeStoreMode::Sound);
+                      m_isStoreHarmed = false;
+                      end();
+                  });
+    return true;
+}
+
+bool FaultPlan::dropHistory()
+{
+    m_world.disturb(DisturbanceKind::Store, "")();
+    m_world.store().dropHistory();
+    return true;
+}
+
+bool FaultPlan::changeConfiguration()
+{
+    m_world.rotateKeys();
+    return true;
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/Soak/FaultPlan.h
@@ -0,0 +1,68 @@
+// The faults of a soak, drawn from its seed: in series, overlapping, of every kind that the stand-ins can
+// bring about from outside the processes.
+
+#pragma once
+
+#include "SoakWorld.h"
+
+#include <absl/container/btree_map.h>
+
+#include <functional>
+#include <string>
+
+namespace Wisteria {
+
+class FaultPlan
+{
+public:
+    // Between the beginnings of two faults.
+    static constexpr absl::Duration leastPause = absl::Milliseconds(150);
+    static constexpr absl::Duration longestPause = absl::Milliseconds(1200);
+    // How long a fault lasts that has a length.
+    static constexpr absl::Duration shortestFault = absl::Milliseconds(300);
+    static constexpr absl::Duration longestFault = absl::Milliseconds(3500);
+
+    explicit FaultPlan(SoakWorld &);
+
+    // Begins faults until the time has passed; those that run then still end.
+    void run(absl::Duration length);
+    // Ends every process at once, as a loss of power does.
+    void killAllRouters();
+    // Faults that were begun, by name.
+    [[nodiscard]] const absl::btree_map<std::string, int> &begun() const { return m_begun; }
+
+private:
+    struct Fault
+    {
+        std::string name;
+        // False when nothing was left to disturb.
+        std::function<bool()> begin;
+    };
+
+    void beginNext(absl::Time until);
+    [[nodiscard]] SoakRouter *drawRouter();
+    [[nodiscard]] SoakEngine *drawEngine();
+    void killRouter(SoakRouter &);
+    bool pauseRouter();
+    bool stopRouter();
+    bool reloadRouter();
+    bool crashEngine();
+    bool darkenEngine();
+    bool loseDomain();
+    bool releaseEngine();
+    bool setEngineMode(FakeEngineMode);
+    bool harmEngineLink(LinkFault);
+    bool harmRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link, LinkFault);
+    bool silenceRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link);
+    bool resetRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link);
+    bool harmStore(FakeStoreMode);
+    bool dropHistory();
+    bool changeConfiguration();
+
+    SoakWorld &m_world;
+    std::vector<Fault> m_faults;
+    absl::btree_map<std::string, int> m_begun;
+    bool m_isStoreHarmed{false};
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/Soak/FaultProxy.h
@@ -0,0 +1,67 @@
+// A TCP proxy on loopback that delays, resets, silences or cuts the connections through it.
+
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Wisteria {
+
+enum class LinkFault {
+    None,
+    // Bytes of both directions are held back until the fault ends.
+    Cut,
+    // Bytes towards the server are held back; answers still pass.
+    CutToServer,
+    // Each read waits before it is passed on.
+    Delayed,
+};
+
+class FaultProxy
+{
+public:
+    // Of a delayed link, a read. Source: above the links of the users' sheets, below the routers' limits.
+    static constexpr std::chrono::milliseconds delay{60};
+
+    FaultProxy(boost::asio::io_context &, const std::string &listenAddress, const std::string &serverAddress);
+    ~FaultProxy();
+
+    void setFault(LinkFault);
+    // Resets the open connections.
+    void resetAll();
+    // The open connections carry nothing more and are never closed; new ones work.
+    void silenceAll();
+
+private:
+    struct Pair;
+    // One direction of a connection.
+    struct Pipe
+    {
+        boost::asio::ip::tcp::socket *from;
+        boost::asio::ip::tcp::socket *to;
+        bool isToServer;
+        bool isHeld{false};
+        std::array<char, 16384> buf;
+    };
+
+    void accept();
+    void read(const std::shared_ptr<Pair> &, Pipe &);
+    void pass(const std::shared_ptr<Pair> &, Pipe &, std::size_t n);
+    [[nodiscard]] bool holdsBack(const Pipe &) const;
+    void close(const std::shared_ptr<Pair> &);
+
+    boost::asio::io_context &m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_server;
+    LinkFault m_fault{LinkFault::None};
+    std::set<std::shared_ptr<Pair>> m_pairs;
+};
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/Soak/Promises.cpp
@@ -0,0 +1,134 @@
+// One judgement a promise.
+
+#include "Promises.h"
+
+#include <Platform/FakePlatform.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+bool isPromiseOfNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+// Every route and key of the soak's calls is allowed, so that the router has no reason for these.
+bool isWrongDenial(int status)
+{
+    return status >= 300 && status < 500 && !isPromiseOfNotRun(status);
+}
+
+} // namespace detail
+
+void Promises::check(bool isKept, const std::string &promise, const std::string &details)
+{
+    ++m_judged[promise];
+    if (!isKept)
+        m_violations.push_back(absl::StrCat(promise, ": ", details));
+}
+
+bool Promises::isObserved(const SoakCall &call) const
+{
+    return m_disturbances.isCalm(DisturbanceKind::Observer, "", call.sentAt, call.endedAt);
+}
+
+bool Promises::wasInTouch(const std::string &router, absl::Time from, absl::Time to) const
+{
+    return m_disturbances.isCalm(DisturbanceKind::Router, router, from - contact, to)
+        && m_disturbances.isCalm(DisturbanceKind::PlannedStop, router, from - contact, to)
+        && m_disturbances.isCalm(DisturbanceKind::Store, "", from - contact, to)
+        && m_disturbances.isCalm(DisturbanceKind::Observer, "", from - contact, to);
+}
+
+void Promises::judge(const SoakCall &call)
+{
+    if (call.kind == SoakCallKind::Once)
+        m_onceCalls.push_back(call.id);
+    if (detail::isPromiseOfNotRun(call.status) && !call.isFromEngine) {
+        m_refused.push_back(call.id);
+        check(!m_fleet.runs.contains(call.id), "not run is true", call.id);
+    }
+    check(!detail::isWrongDenial(call.status), "allowed work is not denied",
+          absl::StrCat(call.id, " status ", call.status));
+    judgeBody(call);
+    const bool isUndisturbed =
+        m_disturbances.isCalm(DisturbanceKind::Router, call.router, call.sentAt - contact, call.endedAt);
+    if (isUndisturbed && isObserved(call) && !call.isUnread) {
+        check(call.endedAt - call.sentAt <= routeTimeout + answerMargin, "final answer at the timeout",
+              absl::StrCat(call.id, " after ", absl::FormatDuration(call.endedAt - call.sentAt)));
+    }
+    const bool isOnlyPlanned = isUndisturbed && isObserved(call)
+        && m_disturbances.isCalm(DisturbanceKind::Engine, "", call.sentAt - contact, call.endedAt)
+        && m_disturbances.isCalm(DisturbanceKind::Store, "", call.sentAt - contact, call.endedAt);
+    if (isOnlyPlanned && !call.isUnread) {
+        // A request that crosses the closing of its connection is not read by anyone.
+        const bool isCrossed = !m_fleet.runs.contains(call.id) && call.endedAt - call.sentAt <= crossing;
+        check(call.isComplete || isCrossed, "a planned stop cuts nothing", call.id);
+    }
+}
+
+void Promises::judgeBody(const SoakCall &call)
+{
+    if (call.status != 200)
+        return;
+    const auto details =
+        absl::StrCat(call.id, " complete ", call.isComplete, " with ", call.body.size(), " bytes");
+    if (call.kind == SoakCallKind::Stream) {
+        const auto whole = m_fleet.wholeStream();
+        check(absl::StartsWith(whole, call.body), "streams have no gap and no repeat", details);
+        check(!call.isComplete || call.body == whole, "streams that look complete are whole", details);
+    } else if (call.isComplete) {
+        check(call.body == "answer of " + call.id, "answers belong to their request", details);
+    }
+    if (call.isComplete) {
+        check(call.isFromEngine, "successes are the engine's", call.id);
+        const auto it = m_fleet.workspaces.find(call.id);
+        check(it != m_fleet.workspaces.end() && it->second == "w", "the workspace is the key's", call.id);
+    }
+}
+
+void Promises::judgeRevoked(const SoakCall &call, absl::Time revokedAt)
+{
+    if (call.sentAt < revokedAt + changeBound || !wasInTouch(call.router, revokedAt, call.endedAt))
+        return;
+    check(call.status == 401 || call.status == 0, "taken keys end in time",
+          absl::StrCat(call.id, " status ", call.status, " ", absl::FormatDuration(call.sentAt - revokedAt),
+                       " after it at ", call.router));
+}
+
+void Promises::judgeArrivalAtLeaving(const std::string &engine, absl::Time leftAt, absl::Time now)
+{
+    // Which router sent it is not seen by the engine, so all must have been in touch.
+    if (!wasInTouch("", leftAt, now))
+        return;
+    check(now <= leftAt + changeBound + answerMargin, "leaving targets get nothing new",
+          absl::StrCat(engine, " ", absl::FormatDuration(now - leftAt), " after it left"));
+}
+
+void Promises::judgeRecovered(const SoakCall &call)
+{
+    judge(call);
+    check(call.status == 200 && call.isComplete, "served again after the faults",
+          absl::StrCat(call.id, " status ", call.status, " at ", call.router));
+}
+
+void Promises::noteUnexpectedExit(const std::string &router, int exitCode)
+{
+    check(false, "routers end only when told", absl::StrCat(router, " code ", exitCode));
+}
+
+void Promises::judgeAtTheEnd()
+{
+    for (const auto &id : m_refused)
+        check(!m_fleet.runs.contains(id), "not run stays true", id);
+    for (const auto &id : m_onceCalls) {
+        const auto it = m_fleet.runs.find(id);
+        check(it == m_fleet.runs.end() || it->second == 1, "at most once", id);
+    }
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/Soak/SoakWorld.cpp
@@ -0,0 +1,226 @@
+// Setting up, and what several faults share.
+
+#include "SoakWorld.h"
+
+#include <LibCore/Verify.h>
+#include <LibPlatform/MonotonicClock.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include <unistd.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+// Below the ports that the kernel hands out to outgoing connections, so that a router that is down keeps its
+// own. Each process takes another part, so that several soaks can run at once.
+constexpr int firstPort = 10240;
+constexpr int portParts = 40;
+constexpr int portsOfAPart = 520;
+constexpr int modelEngines = 9;
+constexpr int plainEngines = 3;
+// Time between the end of an engine and the change of its entry. Source: the users' sheets (three intervals
+// of 1.2 s at the most).
+constexpr absl::Duration entryLag = absl::Milliseconds(1200);
+constexpr absl::Duration processCheck = absl::Milliseconds(50);
+constexpr absl::Duration delayCheck = absl::Milliseconds(20);
+// What this process sees is late beyond this.
+constexpr absl::Duration tolerableDelay = absl::Milliseconds(120);
+
+nlohmann::json route(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return {{"name", name},
+            {"host", "site.example"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeoutMs", absl::ToInt64Milliseconds(Promises::routeTimeout)},
+            {"targetLatencyMs", kind == "stream" ? 1500 : 150},
+            {"priority", 1},
+            {"service", service},
+            {"maxAttempts", kind == "unsafe" ? 1 : 5},
+            {"resumable", kind == "stream"},
+            {"gapAimMs", 700}};
+}
+
+} // namespace detail
+
+SoakWorld::SoakWorld(boost::asio::io_context &context, const SoakOptions &options)
+    : m_context(context), m_options(options), m_random(options.seed),
+      m_nextPort(detail::firstPort + (getpid() % detail::portParts) * detail::portsOfAPart),
+      m_fleet{.events = 80, .eventInterval = std::chrono::milliseconds(20)}, m_store(context),
+      m_promises(m_fleet, m_disturbances), m_processTimer(context), m_delayTimer(context)
+{
+    m_fleet.arrived = [this](const std::string &engine) {
+        if (const auto it = m_leaving.find(engine); it != m_leaving.end())
+            m_promises.judgeArrivalAtLeaving(engine, it->second, monotonicNow());
+    };
+    for (int n = 0; n < detail::modelEngines; ++n)
+        addEngine(n, "llm");
+    for (int n = 0; n < detail::plainEngines; ++n)
+        addEngine(n, "app");
+    publishConfiguration();
+    for (int n = 0; n < options.routers; ++n)
+        addRouter(n);
+}
+
+SoakWorld::~SoakWorld() = default;
+
+std::string SoakWorld::nextAddress()
+{
+    boost::asio::io_context probe;
+    while (true) {
+        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(),
+                                                      static_cast<std::uint16_t>(m_nextPort++));
+        boost::asio::ip::tcp::acceptor acceptor(probe, endpoint.protocol());
+        boost::system::error_code ec;
+        acceptor.bind(endpoint, ec);
+        if (!ec)
+            return absl::StrCat("127.0.0.1:", endpoint.port());
+    }
+}
+
+void SoakWorld::addRouter(int number)
+{
+    SoakRouter router;
+    GatewayPlace place;
+    place.id = absl::StrCat("g", number);
+    place.domain = absl::StrCat("z", number % domains);
+    place.callerAddress = nextAddress();
+    place.peerAddress = nextAddress();
+    place.storeAddress = nextAddress();
+    router.callerLinkAddress = nextAddress();
+    router.callerLink =
+        std::make_unique<FaultProxy>(m_context, router.callerLinkAddress, place.callerAddress);
+    router.storeLink = std::make_unique<FaultProxy>(m_context, place.storeAddress, m_store.address());
+    router.process = std::make_unique<GatewayProcess>(place, m_options.gatewayBinary, m_options.folder);
+    m_routers.push_back(std::move(router));
+}
+
+void SoakWorld::addEngine(int number, const std::string &service)
+{
+    SoakEngine engine;
+    engine.engine = std::make_unique<FakeEngine>(m_context, m_fleet, absl::StrCat(service, "-", number),
+                                                 service, absl::StrCat("z", number % domains));
+    const auto address = nextAddress();
+    engine.link = std::make_unique<FaultProxy>(m_context, address, engine.engine->address());
+    engine.engine->setPublishedAddress(address);
+    m_engines.push_back(std::move(engine));
+    publish(m_engines.back(), "ready");
+}
+
+void SoakWorld::start()
+{
+    for (auto &it : m_routers)
+        it.process->start();
+    watchProcesses();
+    m_delayDue = monotonicNow();
+    watchOwnDelay();
+}
+
+void SoakWorld::after(absl::Duration delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context);
+    timer->expires_after(absl::ToChronoNanoseconds(delay));
+    timer->async_wait([timer, action = std::move(action)](const auto &ec) {
+        if (!ec)
+            action();
+    });
+}
+
+absl::Duration SoakWorld::drawn(absl::Duration least, absl::Duration most)
+{
+    return least + (most - least) * m_random.fraction();
+}
+
+std::function<void()> SoakWorld::disturb(DisturbanceKind kind, const std::string &subject)
+{
+    const auto number = m_disturbances.begin(kind, subject, monotonicNow());
+    return [this, number] { m_disturbances.end(number, monotonicNow()); };
+}
+
+void SoakWorld::restartEngine(SoakEngine &it)
+{
+    it.isDisturbed = true;
+    const auto old = it.engine->id();
+    it.engine->restart(absl::StrCat(it.engine->service(), "-r", ++m_engineLives));
+    after(detail::entryLag, [this, &it, old, end = disturb(DisturbanceKind::Engine, old)] {
+        m_store.remove("servers", old);
+        publish(it, "ready");
+        it.isDisturbed = false;
+        end();
+    });
+}
+
+void SoakWorld::publish(const SoakEngine &it, const std::string &state)
+{
+    m_store.put("servers", it.engine->id(), it.engine->entry(state));
+}
+
+void SoakWorld::noteLeaving(const std::string &engine)
+{
+    m_leaving.emplace(engine, monotonicNow());
+}
+
+void SoakWorld::publishConfiguration()
+{
+    m_store.put("config", "main",
+                {{"version", ++m_version},
+                 {"routes",
+                  {detail::route("stream", "stream", "llm"), detail::route("book", "unsafe", "app"),
+                   detail::route("look", "safe", "app")}},
+                 {"services",
+                  {{{"name", "llm"}, {"engine", {{"kvTokens", 88000}, {"slots", 64}, {"backups", true}}}},
+                   {{"name", "app"}}}},
+                 {"tenants", {{{"name", "w"}, {"apiKeys", {"key", absl::StrCat("key-", m_keys)}}}}}});
+}
+
+void SoakWorld::rotateKeys()
+{
+    m_revokedKey = RevokedKey{absl::StrCat("key-", m_keys), monotonicNow()};
+    ++m_keys;
+    publishConfiguration();
+}
+
+void SoakWorld::watchProcesses()
+{
+    for (auto &it : m_routers) {
+        int exitCode = 0;
+        if (!it.process->hasEnded(exitCode))
+            continue;
+        if (!it.isEndWanted)
+            m_promises.noteUnexpectedExit(it.process->place().id, exitCode);
+        it.isEndWanted = false;
+        const auto end = disturb(DisturbanceKind::Router, it.process->place().id);
+        // Started again after a short while, as the platform does.
+        after(drawn(absl::Milliseconds(100), absl::Seconds(1)), [&it, end] {
+            it.process->start();
+            it.isDisturbed = false;
+            end();
+        });
+    }
+    m_processTimer.expires_after(absl::ToChronoNanoseconds(detail::processCheck));
+    m_processTimer.async_wait([this](const auto &ec) {
+        if (!ec)
+            watchProcesses();
+    });
+}
+
+void SoakWorld::watchOwnDelay()
+{
+    const auto now = monotonicNow();
+    if (now - m_delayDue > detail::tolerableDelay) {
+        const auto number = m_disturbances.begin(DisturbanceKind::Observer, "", m_delayDue);
+        m_disturbances.end(number, now);
+    }
+    m_delayDue = now + detail::delayCheck;
+    m_delayTimer.expires_after(absl::ToChronoNanoseconds(detail::delayCheck));
+    m_delayTimer.async_wait([this](const auto &ec) {
+        if (!ec)
+            watchOwnDelay();
+    });
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/Soak/SoakWorld.h
@@ -0,0 +1,124 @@
+// The system under the soak: routers as processes of their own, stand-ins of the platform in this process,
+// and proxies on the links between them.
+
+#pragma once
+
+#include "Disturbances.h"
+#include "FaultProxy.h"
+#include "GatewayProcess.h"
+#include "Promises.h"
+
+#include <LibCore/Random.h>
+#include <Platform/FakePlatform.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Wisteria {
+
+struct SoakOptions
+{
+    std::string gatewayBinary;
+    std::string folder;
+    int routers{4};
+    std::uint64_t seed{1};
+    absl::Duration length{absl::Seconds(15)};
+    // Calls of all kinds a second.
+    double callsPerSecond{30};
+};
+
+struct SoakRouter
+{
+    std::unique_ptr<GatewayProcess> process;
+    std::unique_ptr<FaultProxy> callerLink;
+    std::unique_ptr<FaultProxy> storeLink;
+    // Callers connect here.
+    std::string callerLinkAddress;
+    // The process is being killed, paused or stopped; no second such fault meanwhile.
+    bool isDisturbed{false};
+    // The end of the process is wanted.
+    bool isEndWanted{false};
+};
+
+struct SoakEngine
+{
+    std::unique_ptr<FakeEngine> engine;
+    std::unique_ptr<FaultProxy> link;
+    bool isDisturbed{false};
+};
+
+class SoakWorld
+{
+public:
+    static constexpr int domains = 3;
+
+    SoakWorld(boost::asio::io_context &, const SoakOptions &);
+    ~SoakWorld();
+
+    // Starts the routers.
+    void start();
+    [[nodiscard]] std::vector<SoakRouter> &routers() { return m_routers; }
+    [[nodiscard]] std::vector<SoakEngine> &engines() { return m_engines; }
+    [[nodiscard]] FakeStore &store() { return m_store; }
+    [[nodiscard]] FakeFleet &fleet() { return m_fleet; }
+    [[nodiscard]] Promises &promises() { return m_promises; }
+    [[nodiscard]] Disturbances &disturbances() { return m_disturbances; }
+    [[nodiscard]] RandomSource &random() { return m_random; }
+    [[nodiscard]] const SoakOptions &options() const { return m_options; }
+
+    // Runs the action after the time; the loop owns it until then.
+    void after(absl::Duration, std::function<void()>);
+    // A drawn time between the two.
+    [[nodiscard]] absl::Duration drawn(absl::Duration least, absl::Duration most);
+    // Opens a disturbance; what is returned ends it.
+    [[nodiscard]] std::function<void()> disturb(DisturbanceKind, const std::string &subject);
+
+    // The engine's process ends and starts again under another id; its entry follows later, as a lapsed one.
+    void restartEngine(SoakEngine &);
+    void publish(const SoakEngine &, const std::string &state);
+    void noteLeaving(const std::string &engine);
+    // Takes the newest key away and adds another one, in a new version of the configuration.
+    void rotateKeys();
+    struct RevokedKey
+    {
+        std::string key;
+        absl::Time revokedAt;
+    };
+    [[nodiscard]] const std::optional<RevokedKey> &revokedKey() const { return m_revokedKey; }
+
+private:
+    void addRouter(int number);
+    void addEngine(int number, const std::string &service);
+    void publishConfiguration();
+    void watchProcesses();
+    void watchOwnDelay();
+    [[nodiscard]] std::string nextAddress();
+
+    boost::asio::io_context &m_context;
+    SoakOptions m_options;
+    SeededRandom m_random;
+    int m_nextPort;
+    FakeFleet m_fleet;
+    FakeStore m_store;
+    Disturbances m_disturbances;
+    Promises m_promises;
+    std::vector<SoakRouter> m_routers;
+    std::vector<SoakEngine> m_engines;
+    std::map<std::string, absl::Time> m_leaving;
+    int m_version{0};
+    int m_keys{0};
+    int m_engineLives{0};
+    std::optional<RevokedKey> m_revokedKey;
+    boost::asio::steady_timer m_processTimer;
+    boost::asio::steady_timer m_delayTimer;
+    absl::Time m_delayDue;
+};
+
+} // namespace Wisteria
