Forwarding: Refuse a generation that cannot end before its caller leaves

Change: DispatchRule, apart from I/O: backlog of the best sound target, reading and the caller's own guess of the length against the time left; 503 at once with a Retry-After, logged as no_time_left with its inputs. Failed try, reverted: letting a generation that misses its objective anyway wait at the router until the targets have little to read.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -25,6 +25,8 @@
         return "no_target";
     case RefusalReason::TargetsFull:
         return "targets_full";
+    case RefusalReason::NoTimeLeft:
+        return "no_time_left";
     case RefusalReason::AttemptsUsedUp:
         return "attempts_used_up";
     case RefusalReason::RetryBudgetUsedUp:
@@ -139,6 +141,13 @@
     giveUp(m_mayHaveRun ? RefusalReason::AnswerLost : RefusalReason::NoTarget);
 }
 
+void ForwardedRequest::on(const Events::NoTimeLeft &, absl::Time)
+{
+    // The attempt did not begin.
+    --m_runs;
+    giveUp(m_mayHaveRun ? RefusalReason::AnswerLost : RefusalReason::NoTimeLeft);
+}
+
 void ForwardedRequest::on(const Events::AttemptNotRun &event, absl::Time now)
 {
     --m_runs;
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -40,6 +40,10 @@
 struct NoTarget
 {
 };
+// No target could end the request in time; nothing was sent.
+struct NoTimeLeft
+{
+};
 // Nothing of the attempt can have run: no byte was sent, or the target said so.
 struct AttemptNotRun
 {
@@ -85,14 +89,16 @@
 
 } // namespace Events
 
-using ForwardingEvent = std::variant<Events::NoTarget, Events::AttemptNotRun, Events::StreamOpened,
-                                     Events::EventsArrived, Events::StreamEnded, Events::AnswerArrived,
-                                     Events::AttemptLost, Events::CallerLeft, Events::StopNow, Events::Tick>;
+using ForwardingEvent =
+    std::variant<Events::NoTarget, Events::NoTimeLeft, Events::AttemptNotRun, Events::StreamOpened,
+                 Events::EventsArrived, Events::StreamEnded, Events::AnswerArrived, Events::AttemptLost,
+                 Events::CallerLeft, Events::StopNow, Events::Tick>;
 
 // The final word of the router itself.
 enum class RefusalReason {
     NoTarget,
     TargetsFull,
+    NoTimeLeft,
     AttemptsUsedUp,
     RetryBudgetUsedUp,
     TimedOut,
@@ -212,6 +218,7 @@
     enum class State { Waiting, Attempting, Finished };
 
     void on(const Events::NoTarget &, absl::Time now);
+    void on(const Events::NoTimeLeft &, absl::Time now);
     void on(const Events::AttemptNotRun &, absl::Time now);
     void on(const Events::StreamOpened &, absl::Time now);
     void on(const Events::EventsArrived &, absl::Time now);
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -2,6 +2,8 @@
 
 #include <LibForwarding/TargetPool.h>
 
+#include <LibForwarding/DispatchRule.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -9,8 +11,6 @@
 
 namespace detail {
 
-// Prompt tokens that an engine reads in a millisecond. Source: the users' sheets.
-constexpr double prefillTokensPerMs = 8;
 // Delay that one more running generation adds to the others, in ms over its life. Source: step times of the
 // users' sheets (0.09 ms a step and slot, about a thousand steps).
 constexpr double runningCostMs = 90;
@@ -28,6 +28,9 @@
 // Doubtful targets come after all sound ones, and suspects after those.
 constexpr double suspectCostMs = 100000;
 constexpr double suspectDomainCostMs = 20000;
+// A target whose memory is in use frees all of it about once in this time. Source: the length of a mean
+// generation on a busy target.
+constexpr absl::Duration memoryTurnover = absl::Seconds(8);
 // Weight of the latest request in a target's share of failures.
 constexpr double failureGain = 0.15;
 // Cost of a target all of whose recent requests failed. Below it, the cost grows with the square of the
@@ -250,7 +253,7 @@
             cost += detail::otherDomainCostMs;
         return cost;
     }
-    cost += static_cast<double>(load.unreadTokens) / detail::prefillTokensPerMs;
+    cost += static_cast<double>(load.unreadTokens) / DispatchRule::prefillTokensPerMs;
     cost += detail::runningCostMs * load.requests;
     const double used = memoryShare(load, need);
     cost += (need.isCopy ? detail::copyMemoryCostMs : detail::memoryCostMs) * used;
@@ -298,6 +301,22 @@
     return *candidates[m_random.below(candidates.size())].second;
 }
 
+absl::Duration TargetPool::backlog(const TargetNeed &need, absl::Time now)
+{
+    dropSilentReporters(now);
+    auto least = absl::InfiniteDuration();
+    for (const auto &[id, target] : m_targets) {
+        if (target.record.service != need.service || !isSound(id, now))
+            continue;
+        const auto load = loadOf(target);
+        const auto reading =
+            absl::Milliseconds(static_cast<double>(load.unreadTokens) / DispatchRule::prefillTokensPerMs);
+        const double excess = std::max(memoryShare(load, need) - 1, 0.0);
+        least = std::min(least, reading + excess * detail::memoryTurnover);
+    }
+    return least;
+}
+
 std::optional<TargetId> TargetPool::chooseCopyHolder(const TargetNeed &need, const TargetId &primary,
                                                      absl::Time now)
 {
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -149,6 +149,8 @@
     // The target that should keep a copy of a generation that runs at `primary`.
     [[nodiscard]] std::optional<TargetId> chooseCopyHolder(const TargetNeed &, const TargetId &primary,
                                                            absl::Time now);
+    // Until the best sound target would begin to read the need's prompt; infinite when there is none.
+    [[nodiscard]] absl::Duration backlog(const TargetNeed &, absl::Time now);
     // Own and reported work.
     [[nodiscard]] TargetLoad loadOf(const TargetId &, absl::Time now);
 
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/ForwardSession.h>
 
 #include <LibCore/Views.h>
+#include <LibForwarding/DispatchRule.h>
 #include <LibPlatform/MonotonicClock.h>
 
 #include <boost/asio/post.hpp>
@@ -160,6 +161,10 @@
     const auto source = action.fromCopy ? usableCopy() : std::nullopt;
     const auto holder = m_copies.copy();
     releaseLoad();
+    if (!source && !canEnd(action)) {
+        handle(Events::NoTimeLeft{});
+        return;
+    }
     const auto target =
         source ? std::optional(holder->holder) : m_parts.targets.choose(need(), monotonicNow());
     const auto *record = target ? m_parts.targets.find(*target) : nullptr;
@@ -171,6 +176,28 @@
     sendTo(*record, action, source);
 }
 
+bool ForwardSession::canEnd(const Actions::StartAttempt &action)
+{
+    // What the caller holds already says that the answer is shorter than its guess.
+    if (!m_routed.service->isModelService || m_decisions.lastEvent())
+        return true;
+    const auto backlog = m_parts.targets.backlog(need(), monotonicNow());
+    // Without a sound target, the choice falls on a doubtful one, or there is none.
+    if (backlog == absl::InfiniteDuration())
+        return true;
+    const bool canEnd = DispatchRule::canEnd(
+        {.size = m_routed.request.size, .backlog = backlog, .timeLeft = action.timeLeft});
+    if (!canEnd) {
+        log("no_time_left",
+            {{"number", action.number},
+             {"prompt_tokens", m_routed.request.size.promptTokens},
+             {"expected_tokens", m_routed.request.size.expectedOutputTokens},
+             {"backlog_ms", absl::ToInt64Milliseconds(backlog)},
+             {"time_left_ms", absl::ToInt64Milliseconds(action.timeLeft)}});
+    }
+    return canEnd;
+}
+
 void ForwardSession::sendTo(const TargetRecord &record, const Actions::StartAttempt &action,
                             const std::optional<CopySource> &source)
 {
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -69,6 +69,8 @@
     void perform(const Actions::ProbeTarget &);
 
     [[nodiscard]] TargetNeed need() const;
+    // False when a prompt would be read for a caller who will have left by then.
+    [[nodiscard]] bool canEnd(const Actions::StartAttempt &);
     // The copy from which the next attempt can go on.
     [[nodiscard]] std::optional<CopySource> usableCopy() const;
     void sendTo(const TargetRecord &, const Actions::StartAttempt &, const std::optional<CopySource> &);
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(idempotentFailureIsRepeatedThenDelivered);
     CPPUNIT_TEST(silentIdempotentAttemptIsReplaced);
     CPPUNIT_TEST(silentIdempotentAttemptStaysWithoutBudget);
+    CPPUNIT_TEST(requestThatCannotEndIsRefusedAtOnce);
     CPPUNIT_TEST(stalledStreamGoesOnFromItsCopy);
     CPPUNIT_TEST(missingCopyIsReadAnewAfterTheLastEvent);
     CPPUNIT_TEST(streamUsesAtMostItsAttempts);
@@ -182,6 +183,26 @@
         CPPUNIT_ASSERT(detail::findAction<Actions::DeliverAnswer>(actions));
     }
 
+    // Load pattern: callers come back at once after an outage, with little patience left.
+    void requestThatCannotEndIsRefusedAtOnce()
+    {
+        detail::CountedGate gate(10);
+        const auto now = absl::FromUnixSeconds(1000);
+        ForwardedRequest request(detail::streamTerms(), gate, now);
+        (void)request.begin(now);
+        const auto actions = request.handle(Events::NoTimeLeft{}, now);
+        const auto *refusal = detail::findAction<Actions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->isNotRun && refusal->retryAfter);
+        CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+        CPPUNIT_ASSERT(request.isFinished());
+        // After an attempt that may have run, "not run" would be false.
+        ForwardedRequest repeated(detail::streamTerms(), gate, now);
+        (void)repeated.begin(now);
+        (void)repeated.handle(Events::AttemptLost{}, now);
+        const auto last = repeated.handle(Events::NoTimeLeft{}, now);
+        CPPUNIT_ASSERT_EQUAL(502, detail::findAction<Actions::Refuse>(last)->status);
+    }
+
     void stalledStreamGoesOnFromItsCopy()
     {
         detail::CountedGate gate(detail::plentyOfRepeats);
