--- a/Libraries/LibForwarding/DirectoryFollower.cpp
+++ b/Libraries/LibForwarding/DirectoryFollower.cpp
@@ -66,7 +66,7 @@
     }
     // Half of the pause is drawn, so that routers do not come back together.
     const auto pause = m_pause * (1 + m_random.fraction()) / 2;
-    m_pause = std::min(m_pause * 2, longestPause);
+    m_pause = std::min(m_pause * 2, m_hasView ? longestPause : longestPauseWithoutView);
     m_callAt = now + pause;
     setTimer();
 }
--- a/Libraries/LibGateway/Directory.h
+++ b/Libraries/LibGateway/Directory.h
@@ -45,6 +45,7 @@
     void setWatching(bool);
     [[nodiscard]] ObjectVersion changeRevision() const { return m_follower.changeRevision(); }
     [[nodiscard]] bool hasView() const { return m_follower.hasView(); }
+    [[nodiscard]] bool isStoreLost() const { return m_follower.isStoreLost(); }
     [[nodiscard]] bool isTrusted(absl::Time now) const { return m_follower.isTrusted(now); }
     void setOthersTrusted(bool othersTrusted) { m_follower.setOthersTrusted(othersTrusted); }
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -225,8 +225,11 @@
     const auto id = request->id.value();
     const auto patience = request->patience.value_or(detail::defaultPatience);
     if (!m_routes || !m_targetsView.hasView()) {
+        // Targets whose entries lapsed with the store come back only some time after it.
+        const auto lapsed =
+            m_targetsView.isStoreLost() ? DirectoryFollower::lapseGrace : absl::ZeroDuration();
         return refuse(caller, detail::statusUnavailable, "no_configuration", id,
-                      retryAfter(patience, monotonicNow() - m_startedAt));
+                      retryAfter(patience, monotonicNow() - m_startedAt + lapsed));
     }
     RoutedRequest routed{.request = std::move(*request), .table = m_routes};
     const auto host = fieldValue(message, "Host");
--- a/Tests/LibForwarding/TestDirectoryFollower.cpp
+++ b/Tests/LibForwarding/TestDirectoryFollower.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(lapsedEntryThatStaysAwayIsRemovedAfterTheGrace);
     CPPUNIT_TEST(removalIsBelievedWhenOthersHadTheStore);
     CPPUNIT_TEST(relayedRemovalIsBelievedDuringAnOutage);
+    CPPUNIT_TEST(withoutViewTheStoreIsAskedMoreOften);
     CPPUNIT_TEST(olderRelayIsIgnored);
     CPPUNIT_TEST(olderRevisionOfAnObjectIsIgnored);
     CPPUNIT_TEST(relayedChangesMoveTheRevision);
@@ -60,6 +61,28 @@
         CPPUNIT_ASSERT(calls >= 15 && calls <= 45);
     }
 
+    // Load pattern: all routers were ended while the store is away, so that nothing is served until the first
+    // list after its return.
+    void withoutViewTheStoreIsAskedMoreOften()
+    {
+        DirectoryFollower follower(m_random);
+        (void)follower.begin();
+        auto now = m_now;
+        (void)follower.handle(FollowerEvents::CallFailed{}, now);
+        auto lastCall = now;
+        const auto end = m_now + absl::Seconds(20);
+        while (now < end) {
+            now += absl::Milliseconds(10);
+            if (!has<FollowerActions::CallList>(follower.handle(FollowerEvents::Tick{}, now)))
+                continue;
+            CPPUNIT_ASSERT(now - lastCall
+                           <= DirectoryFollower::longestPauseWithoutView + absl::Milliseconds(10));
+            lastCall = now;
+            (void)follower.handle(FollowerEvents::CallFailed{}, now);
+        }
+        CPPUNIT_ASSERT(lastCall > end - absl::Seconds(1));
+    }
+
     void lapsedEntryThatComesBackIsKept()
     {
         start();
