wisteria-explain: Tell the story of a request from the logs of several routers

RequestStory orders the decisions on it over processes (by the wall clock of their started lines), adds what each process believed meanwhile of its targets and of the store, and says the cause. Tests: TestRequestStory (6).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -120,13 +120,16 @@
 
 void Gateway::start()
 {
-    m_log.write("started",
-                {{"domain", m_settings.domain.value()},
-                 {"callers", m_settings.callerListen},
-                 {"store", m_settings.store},
-                 {"incarnation", m_self.incarnation.value()},
-                 {"build", WISTERIA_VERSION}},
-                monotonicNow());
+    m_log.write(
+        "started",
+        {{"domain", m_settings.domain.value()},
+         {"callers", m_settings.callerListen},
+         {"store", m_settings.store},
+         {"incarnation", m_self.incarnation.value()},
+         // Relates the times of the lines, which are since the machine's boot, to those of other machines.
+         {"unix_s", absl::ToDoubleSeconds(absl::Now() - absl::UnixEpoch())},
+         {"build", WISTERIA_VERSION}},
+        monotonicNow());
     m_configurationView.start();
     m_targetsView.start();
     publishSelf();
--- /dev/null
+++ b/Libraries/LibGateway/RequestStory.cpp
@@ -0,0 +1,141 @@
+// Reading and ordering log lines.
+
+#include <LibGateway/RequestStory.h>
+
+#include <LibCore/JsonText.h>
+#include <LibCore/Views.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Wisteria {
+
+namespace detail {
+
+// Lines that concern a process as a whole, and those that concern one target.
+const std::set<std::string> processEvents = {"started",    "stopping",       "stopped",      "reloaded",
+                                             "store_lost", "store_regained", "reload_failed"};
+const std::set<std::string> targetEvents = {"target", "target_removed", "target_verified", "target_fault"};
+
+// What an on-call engineer should know of the final word.
+std::string_view causeOf(const std::string &outcome)
+{
+    static const absl::flat_hash_map<std::string, std::string_view> causes = {
+        {"complete", "the answer was delivered whole"},
+        {"no_target",
+         "every known target of the service had turned it away, or there was none; it did not run"},
+        {"targets_full",
+         "its targets had no room, and the budget of repeats allowed no further one; it did not run"},
+        {"no_time_left", "no target could have ended it before its caller left; it did not run"},
+        {"attempts_used_up", "it was lost at as many targets as its route allows"},
+        {"retry_budget_used_up", "it was lost, and all routers together had used up their repeats"},
+        {"timed_out", "no complete answer came within the route's timeout"},
+        {"answer_lost", "a target may have run it and its answer was lost; it must not be repeated"},
+        {"stopping", "its router was stopped"},
+        {"caller_left", "its caller left first"},
+        {"no_configuration", "its router had not read the configuration and the targets yet; it did not run"},
+        {"no_route", "no route of the configuration in force matches host and path"},
+        {"unknown_key", "no workspace of the configuration in force holds its key"},
+        {"unknown_service", "its route names a service that the configuration does not have; it did not run"},
+    };
+    const auto it = causes.find(outcome);
+    return it == causes.end() ? "see the last line" : it->second;
+}
+
+std::string describeFields(const nlohmann::json &fields)
+{
+    static const std::set<std::string> shownElsewhere = {"event", "process", "request", "t"};
+    std::string out;
+    for (const auto &[key, value] : fields.items()) {
+        if (!shownElsewhere.contains(key))
+            absl::StrAppend(&out, " ", key, "=", value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    return out;
+}
+
+} // namespace detail
+
+void RequestStory::addLine(std::string_view text)
+{
+    const auto begin = text.find('{');
+    const auto json = begin == std::string_view::npos
+        ? ErrorOr<nlohmann::json>(makeError(ErrorCode::InvalidRequest, "no object"))
+        : parseUntrustedJson(text.substr(begin));
+    if (!json || !json->is_object() || !json->contains("t") || !json->at("t").is_number()
+        || !json->contains("event") || !json->at("event").is_string() || !json->contains("process")
+        || !json->at("process").is_string()) {
+        ++m_leftOut;
+        return;
+    }
+    Line line{.process = json->at("process").get<std::string>(),
+              .at = json->at("t").get<double>(),
+              .fields = *json};
+    const auto event = json->at("event").get<std::string>();
+    if (event == "started" && json->contains("unix_s") && json->at("unix_s").is_number())
+        m_bootAt[line.process] = json->at("unix_s").get<double>() - line.at;
+    if (const auto it = m_bootAt.find(line.process); it != m_bootAt.end())
+        line.at += it->second;
+    if (json->value("request", nlohmann::json()) == m_requestId)
+        m_decisions.push_back(std::move(line));
+    else if (detail::processEvents.contains(event) || detail::targetEvents.contains(event))
+        m_beliefs.push_back(std::move(line));
+}
+
+std::vector<RequestStory::Line> RequestStory::relevantLines() const
+{
+    auto out = m_decisions;
+    std::set<std::string> targets;
+    // First and last line of the request at each process.
+    std::map<std::string, std::pair<double, double>> spans;
+    for (const auto &it : m_decisions) {
+        if (it.fields.contains("target") && it.fields["target"].is_string())
+            targets.insert(it.fields["target"].get<std::string>());
+        auto &span = spans.try_emplace(it.process, it.at, it.at).first->second;
+        span = {std::min(span.first, it.at), std::max(span.second, it.at)};
+    }
+    for (const auto &it : m_beliefs) {
+        const auto span = spans.find(it.process);
+        if (span == spans.end() || it.at < span->second.first - beliefsBeforeS || it.at > span->second.second)
+            continue;
+        const auto target = it.fields.value("target", nlohmann::json());
+        if (!target.is_string() || targets.contains(target.get<std::string>()))
+            out.push_back(it);
+    }
+    std::stable_sort(out.begin(), out.end(), [](const Line &a, const Line &b) { return a.at < b.at; });
+    return out;
+}
+
+std::string RequestStory::render() const
+{
+    if (m_decisions.empty())
+        return absl::StrCat("no line of request ", m_requestId, "\n");
+    std::string out;
+    std::string cause;
+    const auto lines = relevantLines();
+    const double begin =
+        std::min_element(m_decisions.begin(), m_decisions.end(), [](const auto &a, const auto &b) {
+            return a.at < b.at;
+        })->at;
+    for (const auto &it : lines) {
+        const auto event = it.fields["event"].get<std::string>();
+        const bool isOwn = it.fields.value("request", nlohmann::json()) == m_requestId;
+        absl::StrAppendFormat(&out, "%+9.3f s  %s %s  %s%s\n", it.at - begin, isOwn ? " " : "~", it.process,
+                              event, detail::describeFields(it.fields));
+        if (!isOwn || (event != "finished" && event != "refused"))
+            continue;
+        const auto outcome = it.fields.value(event == "finished" ? "outcome" : "reason", nlohmann::json());
+        const auto name = outcome.is_string() ? outcome.get<std::string>() : std::string("unknown");
+        cause = absl::StrCat(name, ": ", abslView(detail::causeOf(name)));
+    }
+    absl::StrAppend(
+        &out,
+        "cause: ", cause.empty() ? "no final word: the process ended first, or its line was left out" : cause,
+        "\n");
+    return out;
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Tests/LibGateway/TestRequestStory.cpp
@@ -0,0 +1,99 @@
+// The story of a request from the logs of several processes.
+
+#include <LibGateway/RequestStory.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestRequestStory : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestRequestStory);
+    CPPUNIT_TEST(brokenStreamIsToldInOrder);
+    CPPUNIT_TEST(beliefsOfItsTargetsAreTold);
+    CPPUNIT_TEST(processesAreOrderedByWallClock);
+    CPPUNIT_TEST(refusalNamesItsCause);
+    CPPUNIT_TEST(missingFinalWordIsSaid);
+    CPPUNIT_TEST(otherLinesAreCounted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void brokenStreamIsToldInOrder()
+    {
+        RequestStory story("r1");
+        story.addLine(
+            R"({"event":"attempt","process":"g1","request":"r1","number":1,"target":"e1","t":10.0})");
+        story.addLine(
+            R"({"event":"attempt","process":"g1","request":"r2","number":1,"target":"e1","t":10.1})");
+        story.addLine(
+            R"({"event":"finished","process":"g1","request":"r1","outcome":"attempts_used_up","status":0,"t":12.5})");
+        const auto text = story.render();
+        CPPUNIT_ASSERT(text.find("+0.000 s    g1  attempt number=1 target=e1") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("+2.500 s    g1  finished") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("cause: attempts_used_up: it was lost at as many targets")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(text.find("r2") == std::string::npos);
+    }
+
+    void beliefsOfItsTargetsAreTold()
+    {
+        RequestStory story("r1");
+        story.addLine(R"({"event":"store_lost","process":"g1","kind":"targets","t":7.5})");
+        story.addLine(R"({"event":"store_lost","process":"g2","kind":"targets","t":9.9})");
+        story.addLine(R"({"event":"target_verified","process":"g1","target":"e1","fault":"gone","t":9.5})");
+        story.addLine(R"({"event":"target_verified","process":"g1","target":"e2","fault":"gone","t":9.6})");
+        story.addLine(R"({"event":"store_lost","process":"g1","kind":"routers","t":1.0})");
+        story.addLine(R"({"event":"attempt","process":"g1","request":"r1","target":"e1","t":10.0})");
+        const auto text = story.render();
+        CPPUNIT_ASSERT(text.find("-2.500 s  ~ g1  store_lost kind=targets") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("-0.500 s  ~ g1  target_verified") != std::string::npos);
+        // Another target, another process, long before.
+        CPPUNIT_ASSERT(text.find("e2") == std::string::npos);
+        CPPUNIT_ASSERT(text.find("g2") == std::string::npos);
+        CPPUNIT_ASSERT(text.find("routers") == std::string::npos);
+    }
+
+    void processesAreOrderedByWallClock()
+    {
+        // The caller came back to another router, whose machine has run for longer.
+        RequestStory story("r1");
+        story.addLine(R"({"event":"started","process":"g2","unix_s":1000.0,"t":500.0})");
+        story.addLine(R"({"event":"finished","process":"g2","request":"r1","outcome":"complete","t":507.0})");
+        story.addLine(R"({"event":"started","process":"g1","unix_s":1001.0,"t":3.0})");
+        story.addLine(R"({"event":"refused","process":"g1","request":"r1","reason":"stopping","t":6.0})");
+        const auto text = story.render();
+        CPPUNIT_ASSERT(text.find("refused") < text.find("finished"));
+        CPPUNIT_ASSERT(text.find("+3.000 s    g2  finished") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("cause: complete") != std::string::npos);
+    }
+
+    void refusalNamesItsCause()
+    {
+        RequestStory story("r1");
+        // As the users' bench prints it, with a time and a name in front.
+        story.addLine(
+            R"(  4.1 front-1 {"event":"refused","process":"g1","request":"r1","reason":"no_configuration","t":6.0})");
+        CPPUNIT_ASSERT(story.render().find("it did not run") != std::string::npos);
+    }
+
+    void missingFinalWordIsSaid()
+    {
+        RequestStory story("r1");
+        CPPUNIT_ASSERT(story.isEmpty());
+        story.addLine(R"({"event":"attempt","process":"g1","request":"r1","target":"e1","t":10.0})");
+        CPPUNIT_ASSERT(story.render().find("no final word") != std::string::npos);
+    }
+
+    void otherLinesAreCounted()
+    {
+        RequestStory story("r1");
+        for (const auto *line : {"", "plain text", "{", "[]", R"({"event":1,"process":"g","t":1})",
+                                 R"({"event":"attempt","process":"g","t":"x"})"})
+            story.addLine(line);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, story.leftOut());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRequestStory);
+
+} // namespace Wisteria
--- /dev/null
+++ b/Utilities/wisteria-explain/main.cpp
@@ -0,0 +1,73 @@
+// wisteria-explain: prints the story of one request from the logs of gateways.
+
+#include <LibGateway/RequestStory.h>
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+namespace Wisteria::detail {
+
+constexpr int exitWrongUse = 1;
+constexpr int exitNotFound = 2;
+
+void readLines(std::istream &in, RequestStory &story)
+{
+    std::string line;
+    while (std::getline(in, line))
+        story.addLine(line);
+}
+
+int explain(int argc, char **argv)
+{
+    cxxopts::Options options("wisteria-explain",
+                             "Prints what the logs of gateways say of one request, and why it failed.\n"
+                             "Lines marked with ~ tell what the process believed meanwhile.");
+    auto add = options.add_options();
+    add("request", "id of the request", cxxopts::value<std::string>());
+    add("log", "log files; standard input without any", cxxopts::value<std::vector<std::string>>());
+    add("version", "print the version");
+    add("help", "print this text");
+    options.parse_positional({"request", "log"});
+    options.positional_help("REQUEST [LOG...]");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("version") != 0) {
+        std::cout << "wisteria-explain " << WISTERIA_VERSION << "\n";
+        return EXIT_SUCCESS;
+    }
+    if (arguments.count("help") != 0 || arguments.count("request") == 0) {
+        std::cout << options.help();
+        return arguments.count("help") != 0 ? EXIT_SUCCESS : exitWrongUse;
+    }
+    RequestStory story(arguments["request"].as<std::string>());
+    if (arguments.count("log") == 0) {
+        readLines(std::cin, story);
+    } else {
+        for (const auto &path : arguments["log"].as<std::vector<std::string>>()) {
+            std::ifstream in(path);
+            if (!in) {
+                std::cerr << "wisteria-explain: cannot read " << path << "\n";
+                return exitWrongUse;
+            }
+            readLines(in, story);
+        }
+    }
+    std::cout << story.render();
+    if (story.leftOut() > 0)
+        std::cerr << "wisteria-explain: " << story.leftOut() << " lines are no lines of a gateway's log\n";
+    return story.isEmpty() ? exitNotFound : EXIT_SUCCESS;
+}
+
+} // namespace Wisteria::detail
+
+int main(int argc, char **argv)
+{
+    try {
+        return Wisteria::detail::explain(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "wisteria-explain: " << error.what() << "\n";
+        return Wisteria::detail::exitWrongUse;
+    }
+}
