Forwarding: Try a free target although the caller's guess says that time is short

Change: the guess counts only where prompts wait at every sound target. Test: freeTargetIsTriedDespiteTheGuess.

--- a/Libraries/LibForwarding/DispatchRule.cpp
+++ b/Libraries/LibForwarding/DispatchRule.cpp
@@ -11,7 +11,8 @@
 
 bool DispatchRule::canEnd(const DispatchQuestion &question)
 {
-    const auto writing = leastTokenTime * question.size.expectedOutputTokens;
+    const bool isFree = question.backlog == absl::ZeroDuration();
+    const auto writing = isFree ? absl::ZeroDuration() : leastTokenTime * question.size.expectedOutputTokens;
     return question.backlog + readingTime(question.size) + writing <= question.timeLeft;
 }
 
--- a/Libraries/LibForwarding/DispatchRule.h
+++ b/Libraries/LibForwarding/DispatchRule.h
@@ -32,8 +32,9 @@
 
     // How long a target takes for the prompt alone.
     [[nodiscard]] static absl::Duration readingTime(const GenerationSize &);
-    // False when even an undisturbed run would end too late. The caller's guess of the length counts where
-    // there is one; without one, only the reading of the prompt does.
+    // False when even an undisturbed run would end too late. The caller's guess of the length, which is often
+    // far off, counts only where prompts wait at every target: with a free one, the try takes nothing from
+    // others.
     [[nodiscard]] static bool canEnd(const DispatchQuestion &);
 };
 
--- a/Tests/LibForwarding/TestDispatchRule.cpp
+++ b/Tests/LibForwarding/TestDispatchRule.cpp
@@ -28,7 +28,8 @@
 {
     CPPUNIT_TEST_SUITE(TestDispatchRule);
     CPPUNIT_TEST(promptThatCannotBeReadInTimeCannotEnd);
-    CPPUNIT_TEST(expectedAnswerCounts);
+    CPPUNIT_TEST(expectedAnswerCountsWherePromptsWait);
+    CPPUNIT_TEST(freeTargetIsTriedDespiteTheGuess);
     CPPUNIT_TEST(backlogOfTheBestSoundTargetCounts);
     CPPUNIT_TEST(callersThatComeBackAtOnceAreServedBetter);
     CPPUNIT_TEST(calmLoadIsNeverRefused);
@@ -44,12 +45,21 @@
         CPPUNIT_ASSERT(!canEnd(size, absl::InfiniteDuration(), absl::Seconds(100)));
     }
 
-    void expectedAnswerCounts()
+    void expectedAnswerCountsWherePromptsWait()
     {
         const GenerationSize size{
             .promptTokens = 8000, .maxOutputTokens = 1000, .expectedOutputTokens = 1000};
-        CPPUNIT_ASSERT(canEnd(size, absl::ZeroDuration(), absl::Milliseconds(4500)));
-        CPPUNIT_ASSERT(!canEnd(size, absl::ZeroDuration(), absl::Milliseconds(4499)));
+        CPPUNIT_ASSERT(canEnd(size, absl::Milliseconds(100), absl::Milliseconds(4600)));
+        CPPUNIT_ASSERT(!canEnd(size, absl::Milliseconds(100), absl::Milliseconds(4599)));
+    }
+
+    // Found by inc-2249 and inc-8eba: callers with little patience left were refused while targets were free.
+    void freeTargetIsTriedDespiteTheGuess()
+    {
+        const GenerationSize size{
+            .promptTokens = 8000, .maxOutputTokens = 1000, .expectedOutputTokens = 1000};
+        CPPUNIT_ASSERT(canEnd(size, absl::ZeroDuration(), absl::Seconds(1)));
+        CPPUNIT_ASSERT(!canEnd(size, absl::ZeroDuration(), absl::Milliseconds(999)));
     }
 
     void backlogOfTheBestSoundTargetCounts()
