--- /dev/null
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -0,0 +1,113 @@
+// Performs the decisions on the copies of a running generation.
+
+#include <LibGateway/ForwardSession.h>
+
+#include <LibPlatform/MonotonicClock.h>
+
+#include <boost/asio/post.hpp>
+
+namespace Wisteria {
+
+namespace detail {
+
+// A call for a copy. Source: a whole generation is copied in milliseconds, queued behind a few others.
+constexpr absl::Duration copyTimeout = absl::Milliseconds(1500);
+
+std::string_view copyOutcomeName(CopyOutcome outcome)
+{
+    switch (outcome) {
+    case CopyOutcome::Made:
+        return "made";
+    case CopyOutcome::Refused:
+        return "refused";
+    case CopyOutcome::Impossible:
+        return "impossible";
+    }
+    return "unknown";
+}
+
+} // namespace detail
+
+std::optional<CopySource> ForwardSession::usableCopy() const
+{
+    const auto &copy = m_copies.copy();
+    if (!copy || !m_parts.targets.isSound(copy->holder, monotonicNow()))
+        return std::nullopt;
+    const auto *holder = m_parts.targets.find(copy->holder);
+    return CopySource{copy->handle.empty() ? holder->address : m_targetAddress, copy->handle};
+}
+
+void ForwardSession::placeCopyLoad(const std::optional<TargetId> &holder)
+{
+    if (m_copyHolder)
+        m_parts.targets.subtractLoad(*m_copyHolder, std::exchange(m_copyLoad, {}));
+    m_copyHolder = holder;
+    if (!m_copyHolder)
+        return;
+    m_copyLoad = {.requests = 0, .unreadTokens = 0, .memoryTokens = m_routed.request.size.memoryTokens()};
+    m_parts.targets.addLoad(*m_copyHolder, m_copyLoad);
+}
+
+void ForwardSession::handleCopy(const CopyEvent &event)
+{
+    for (const auto &it : m_copies.handle(event, monotonicNow()))
+        std::visit([this](const auto &action) { perform(action); }, it);
+}
+
+void ForwardSession::perform(const CopyActions::MakeCopy &action)
+{
+    const auto now = monotonicNow();
+    auto holder = action.holder;
+    if (m_target && (!holder || !m_parts.targets.isSound(*holder, now)))
+        holder = m_parts.targets.chooseCopyHolder(need(), *m_target, now);
+    const auto *to = holder ? m_parts.targets.find(*holder) : nullptr;
+    const auto *from = m_target ? m_parts.targets.find(*m_target) : nullptr;
+    if (!to || !from) {
+        boost::asio::post(m_parts.context, [self = shared_from_this(), call = action.call] {
+            self->handleCopy(CopyEvents::CopyRefused{call});
+        });
+        return;
+    }
+    placeCopyLoad(holder);
+    const auto call = m_parts.dialect.makeCopyCall(m_routed.request.id, to->address);
+    m_parts.connections.call(
+        *from, call, detail::copyTimeout,
+        [self = shared_from_this(), holder = *holder, number = action.call](const HttpCallResult &result) {
+            if (self->m_decisions.isFinished())
+                return;
+            const auto answer = result ? self->m_parts.dialect.readCopyAnswer(*result) : CopyAnswer{};
+            self->log("copy",
+                      {{"holder", holder.value()},
+                       {"outcome", detail::copyOutcomeName(answer.outcome)},
+                       {"handle", answer.handle},
+                       {"status", result ? result->head.status : 0}});
+            if (answer.outcome == CopyOutcome::Made)
+                self->handleCopy(CopyEvents::CopyMade{number, holder, answer.handle});
+            else if (answer.outcome == CopyOutcome::Impossible)
+                self->handleCopy(CopyEvents::CopyImpossible{number});
+            else
+                self->handleCopy(CopyEvents::CopyRefused{number});
+        });
+}
+
+void ForwardSession::perform(const CopyActions::DropCopy &action)
+{
+    const auto *from = m_target ? m_parts.targets.find(*m_target) : nullptr;
+    if (!from)
+        return;
+    // NOTE: A copy that is not given back lapses by itself, so the answer does not matter.
+    m_parts.connections.call(*from, m_parts.dialect.dropCopyCall(action.handle), detail::copyTimeout,
+                             [](const HttpCallResult &) {});
+}
+
+void ForwardSession::perform(const CopyActions::SetTimer &action)
+{
+    m_copyTimer.expires_after(
+        absl::ToChronoNanoseconds(std::max(action.at - monotonicNow(), absl::ZeroDuration())));
+    m_copyTimer.async_wait([weak = weak_from_this()](const auto &ec) {
+        if (auto self = weak.lock(); self && !ec)
+            self->handleCopy(CopyEvents::Tick{});
+    });
+}
+
+} // namespace Wisteria
