--- a/Tests/LibForwarding/TestCopyKeeper.cpp
+++ b/Tests/LibForwarding/TestCopyKeeper.cpp
@@ -22,40 +22,40 @@
 public:
     void copyOfTheTargetItselfNeedsNoCall()
     {
-        CPPUNIT_ASSERT(begin(first).empty());
+        CPPUNIT_ASSERT(begin(m_first).empty());
         CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::EventsBegan{}, m_now).empty());
-        CPPUNIT_ASSERT(m_keeper.copy()->holder == first);
+        CPPUNIT_ASSERT(m_keeper.copy()->holder == m_first);
     }
 
     // Load pattern: the holder's domain is lost, then the target's, each within the life of a stream.
     void lostHolderIsReplaced()
     {
-        (void)begin(first);
+        (void)begin(m_first);
         (void)m_keeper.handle(CopyEvents::EventsBegan{}, m_now);
-        const auto actions = m_keeper.handle(CopyEvents::TargetLost{first}, m_now);
+        const auto actions = m_keeper.handle(CopyEvents::TargetLost{m_first}, m_now);
         CPPUNIT_ASSERT(!m_keeper.copy());
         const int call = callOf(actions);
-        (void)m_keeper.handle(CopyEvents::CopyMade{call, second, "h1"}, m_now);
-        CPPUNIT_ASSERT(m_keeper.copy()->holder == second);
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, m_second, "h1"}, m_now);
+        CPPUNIT_ASSERT(m_keeper.copy()->holder == m_second);
         CPPUNIT_ASSERT_EQUAL(std::string("h1"), m_keeper.copy()->handle);
     }
 
     void nothingIsCopiedBeforeTheFirstEvent()
     {
-        (void)begin(first);
-        CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::TargetLost{first}, m_now).empty());
+        (void)begin(m_first);
+        CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::TargetLost{m_first}, m_now).empty());
         callOf(m_keeper.handle(CopyEvents::EventsBegan{}, m_now));
     }
 
     void copyByNameIsRenewedAtItsHolder()
     {
         const int call = beginWithoutHolder();
-        (void)m_keeper.handle(CopyEvents::CopyMade{call, first, "h1"}, m_now);
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, m_first, "h1"}, m_now);
         const auto early = m_now + CopyKeeper::renewInterval - absl::Milliseconds(1);
         CPPUNIT_ASSERT(m_keeper.handle(CopyEvents::Tick{}, early).empty());
         const auto actions = m_keeper.handle(CopyEvents::Tick{}, m_now + CopyKeeper::renewInterval);
         callOf(actions);
-        CPPUNIT_ASSERT(std::get<CopyActions::MakeCopy>(actions.front()).holder == first);
+        CPPUNIT_ASSERT(std::get<CopyActions::MakeCopy>(actions.front()).holder == m_first);
     }
 
     void refusedCopyIsAskedForAgain()
@@ -70,20 +70,20 @@
     void answerToAnEarlierAttemptIsIgnored()
     {
         const int call = beginWithoutHolder();
-        (void)begin(second);
+        (void)begin(m_second);
         (void)m_keeper.handle(CopyEvents::CopyRefused{call}, m_now);
-        CPPUNIT_ASSERT(m_keeper.copy() && m_keeper.copy()->holder == second);
-        (void)m_keeper.handle(CopyEvents::CopyMade{call, first, "h1"}, m_now);
-        CPPUNIT_ASSERT(m_keeper.copy()->holder == second);
+        CPPUNIT_ASSERT(m_keeper.copy() && m_keeper.copy()->holder == m_second);
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, m_first, "h1"}, m_now);
+        CPPUNIT_ASSERT(m_keeper.copy()->holder == m_second);
         (void)m_keeper.handle(CopyEvents::CopyImpossible{call}, m_now);
         (void)m_keeper.handle(CopyEvents::EventsBegan{}, m_now);
-        callOf(m_keeper.handle(CopyEvents::TargetLost{second}, m_now));
+        callOf(m_keeper.handle(CopyEvents::TargetLost{m_second}, m_now));
     }
 
     void copyByNameIsGivenBack()
     {
         const int call = beginWithoutHolder();
-        (void)m_keeper.handle(CopyEvents::CopyMade{call, first, "h1"}, m_now);
+        (void)m_keeper.handle(CopyEvents::CopyMade{call, m_first, "h1"}, m_now);
         const auto actions = m_keeper.handle(CopyEvents::AttemptEnded{}, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
         CPPUNIT_ASSERT_EQUAL(std::string("h1"), std::get<CopyActions::DropCopy>(actions.front()).handle);
@@ -118,8 +118,8 @@
         return action->call;
     }
 
-    const TargetId first{"first"};
-    const TargetId second{"second"};
+    const TargetId m_first{"first"};
+    const TargetId m_second{"second"};
     absl::Time m_now{absl::FromUnixSeconds(1000)};
     CopyKeeper m_keeper;
 };
