--- a/Tests/LibForwarding/TestDispatchRule.cpp
+++ b/Tests/LibForwarding/TestDispatchRule.cpp
@@ -67,7 +67,7 @@
         auto pool = makePool();
         TargetNeed need{.service = ServiceName("s"), .isModelService = true};
         for (int n = 0; n < targets; ++n)
-            pool.addLoad(id(n), {.unreadTokens = 8000 * (n + 1)});
+            pool.addLoad(id(n), {.unreadTokens = std::int64_t{8000} * (n + 1)});
         CPPUNIT_ASSERT(pool.backlog(need, m_start) == absl::Seconds(1));
         pool.noteFault(id(0), TargetFault::Silent, m_start);
         CPPUNIT_ASSERT(pool.backlog(need, m_start) == absl::Seconds(2));
