Directory: A view that has just begun is relayed whole

Targets removed between that revision and the list are in no log of it, so the asker kept them and moved its revision past their removal. Change: the log of changes of a first view begins at that view's revision; who asks from before gets the whole. Ruled out: the relay's calls (none failed), the store. Test: viewThatHasJustBegunIsRelayedWhole failed before the change.

--- a/Libraries/LibGateway/Directory.cpp
+++ b/Libraries/LibGateway/Directory.cpp
@@ -70,9 +70,13 @@
 
 void DirectoryView::handle(const FollowerEvent &event)
 {
+    const bool hadView = m_follower.hasView();
     for (const auto &it : m_follower.handle(event, monotonicNow()))
         perform(it);
     m_staged.clear();
+    // What was removed before the first view is in no log.
+    if (!hadView && m_follower.hasView())
+        m_changesFrom = m_follower.changeRevision();
 }
 
 void DirectoryView::stage(const std::vector<DirectoryObject> &objects)
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(changesAreRelayed);
     CPPUNIT_TEST(removalsAreRelayed);
     CPPUNIT_TEST(longGapIsRelayedWhole);
+    CPPUNIT_TEST(viewThatHasJustBegunIsRelayedWhole);
     CPPUNIT_TEST(damagedRelaysAreErrors);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,20 @@
         CPPUNIT_ASSERT(other.listener.targets.empty());
     }
 
+    // Found by kalpaka-hold-grown trouble-2 --seed 774936032524 (DRAIN): a router that had just started
+    // relayed its first list as changes, without the targets that were removed before it.
+    void viewThatHasJustBegunIsRelayedWhole()
+    {
+        detail::ViewHost fresh(DirectoryKind::Targets);
+        detail::ViewHost other(DirectoryKind::Targets);
+        other.store.answerList(
+            {{detail::object("gone", 1, "1.1.1.1:1"), detail::object("stays", 2, "1.1.1.1:2")},
+             ObjectVersion(3)});
+        fresh.store.answerList({{detail::object("stays", 2, "1.1.1.1:2")}, ObjectVersion(5)});
+        CPPUNIT_ASSERT(other.view.takeRelayed(fresh.view.changesAfter(other.view.changeRevision())));
+        CPPUNIT_ASSERT(other.listener.targets == fresh.listener.targets);
+    }
+
     void longGapIsRelayedWhole()
     {
         detail::ViewHost one(DirectoryKind::Targets);
