--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -37,6 +37,7 @@
     accept();
 }
 
+// NOLINTNEXTLINE(bugprone-exception-escape): sockets are closed with error codes.
 FaultProxy::~FaultProxy()
 {
     resetAll();
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -31,6 +31,7 @@
     static constexpr std::chrono::milliseconds delay{60};
 
     FaultProxy(boost::asio::io_context &, const std::string &listenAddress, const std::string &serverAddress);
+    // NOLINTNEXTLINE(bugprone-exception-escape): sockets are closed with error codes.
     ~FaultProxy();
 
     void setFault(LinkFault);
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -131,7 +131,7 @@
     m_world.after(m_world.drawn(absl::ZeroDuration(), 2 * mean), [this, until] { callNext(until); });
 }
 
-void SoakCaller::callEachRouter(Ended ended)
+void SoakCaller::callEachRouter(const Ended &ended)
 {
     for (auto &router : m_world.routers()) {
         for (const auto kind : {SoakCallKind::Stream, SoakCallKind::Once, SoakCallKind::Idempotent})
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -23,7 +23,7 @@
     // Sends calls of drawn kinds until the time has passed.
     void run(absl::Duration length);
     // Calls to each router that all must be served.
-    void callEachRouter(std::function<void(const SoakCall &)> ended);
+    void callEachRouter(const std::function<void(const SoakCall &)> &ended);
     [[nodiscard]] int open() const { return m_open; }
     // Longest pauses within streams that went on after one, in milliseconds.
     [[nodiscard]] const std::vector<std::int64_t> &pausesMs() const { return m_pausesMs; }
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -107,6 +107,7 @@
 
 } // namespace Wisteria
 
+// NOLINTNEXTLINE(bugprone-exception-escape): what is outside of the try block sets up constant options.
 int main(int argc, char **argv)
 {
     using namespace Wisteria;
