LibForwarding: Estimate service times from forwarded requests; avoid unproven targets for requests that run once

Cause: TargetPool and DeadlineAdmission held figures of the first two deployments (15 ms for a plain request, 8 prompt tokens a millisecond, 3.5 ms a token, 8 s a generation). Others take 30 ms for a plain request and 0.02 to 0.09 ms a running request and step.

Change: ServicePerformance follows quantiles of what the router sees of each service, starting from the old figures; the costs of TargetPool are multiples of these times. A request that runs at most once goes to a target that lost a response only if there is no other, until the target has answered. A process that drains never becomes ready again.

--- a/Libraries/LibForwarding/DeadlineAdmission.cpp
+++ b/Libraries/LibForwarding/DeadlineAdmission.cpp
@@ -4,17 +4,11 @@
 
 namespace Wisteria {
 
-absl::Duration DeadlineAdmission::prefillTime(const GenerationSize &size)
-{
-    return absl::Milliseconds(static_cast<double>(size.promptTokens) / prefillTokensPerMs);
-}
-
 bool DeadlineAdmission::canFinishInTime(const DeadlineAdmissionInput &input)
 {
     const bool hasIdleTarget = input.backlog == absl::ZeroDuration();
-    const auto decodeTime =
-        hasIdleTarget ? absl::ZeroDuration() : minTokenTime * input.size.expectedOutputTokens;
-    return input.backlog + prefillTime(input.size) + decodeTime <= input.timeLeft;
+    const auto decodeTime = hasIdleTarget ? absl::ZeroDuration() : input.decodeTime;
+    return input.backlog + input.prefillTime + decodeTime <= input.timeLeft;
 }
 
 } // namespace Wisteria
--- a/Libraries/LibForwarding/DeadlineAdmission.h
+++ b/Libraries/LibForwarding/DeadlineAdmission.h
@@ -9,30 +9,24 @@
 
 #pragma once
 
-#include <LibForwarding/Request.h>
-
 #include <absl/time/time.h>
 
 namespace Wisteria {
 
 struct DeadlineAdmissionInput
 {
-    GenerationSize size;
     // Time until the least loaded target would start prefilling the prompt.
     absl::Duration backlog;
+    // Time a target needs to prefill the prompt, without queueing.
+    absl::Duration prefillTime;
+    // Time a target needs to generate the output that the caller expects.
+    absl::Duration decodeTime;
     absl::Duration timeLeft;
 };
 
 class DeadlineAdmission
 {
 public:
-    // Prefill speed of a target, in prompt tokens per millisecond.
-    static constexpr double prefillTokensPerMs = 8;
-    // Lower bound of the time per output token; a decode step takes at least 3.5 ms.
-    static constexpr absl::Duration minTokenTime = absl::Microseconds(3500);
-
-    // Time a target needs to prefill the prompt, without queueing.
-    [[nodiscard]] static absl::Duration prefillTime(const GenerationSize &);
     // Returns false if the backlog, the prefill and, with no idle target, the decoding take longer than the
     // time left. The caller's estimate of the output length is often far off, so it only counts if prompts
     // are queued at every target. With an idle target, trying takes no capacity from other requests.
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -2,48 +2,42 @@
 
 #include <LibForwarding/TargetPool.h>
 
-#include <LibForwarding/DeadlineAdmission.h>
-
 #include <algorithm>
-#include <limits>
 
 namespace Wisteria {
 
 namespace detail {
 
-// Total delay in ms that one more running generation causes the others: 0.09 ms per step and slot, over about
-// a thousand steps.
-constexpr double runningRequestCostMs = 90;
-// Cost in ms of a plain request that is already running on the target: the mean service time.
-constexpr double plainRequestCostMs = 15;
+// Costs of model targets are multiples of the prefill time of a typical prompt, those of plain targets
+// multiples of the service time of a plain request.
+
+// Fraction of a generation's duration by which one more running generation delays the others in total.
+constexpr double runningRequestWeight = 0.011;
 // A generation that does not fit into memory waits until another one ends. Below memoryFullThreshold memory
 // use is balanced, so that copies of many streams do not fill up a few targets.
-constexpr double memoryCostMs = 600;
-constexpr double memoryFullCostMs = 3000;
-constexpr double memoryFullSlopeMs = 12000;
+constexpr double memoryWeight = 0.6;
+constexpr double memoryFullWeight = 3;
+constexpr double memoryFullSlope = 12;
 constexpr double memoryFullThreshold = 0.92;
 // Copies use memory only up to this utilization, since room for new prompts matters more.
 constexpr double copyMemoryThreshold = 0.8;
-constexpr double copyMemoryCostMs = 6000;
+constexpr double copyMemoryWeight = 6;
 // Targets in a suspect domain rank after all healthy ones, and suspect targets rank last.
-constexpr double suspectCostMs = 100000;
-constexpr double suspectDomainCostMs = 20000;
-// Time in which a target frees all of its used memory about once: the duration of a mean generation on a busy
-// target.
-constexpr absl::Duration memoryTurnover = absl::Seconds(8);
+constexpr double modelSuspectWeight = 100;
+constexpr double suspectDomainWeight = 20;
+constexpr double avoidedDomainWeight = 10;
+constexpr double plainSuspectWeight = 7000;
 // Smoothing factor of the moving average of a target's failure rate.
 constexpr double failureRateSmoothing = 0.15;
 // Cost of a target with a failure rate of 1. The cost grows with the square of the rate, so that a rare fault
 // does not drive away the load.
-constexpr double failureCostMs = 8000;
+constexpr double modelFailureWeight = 8;
+constexpr double plainFailureWeight = 530;
 // Routers that choose at the same moment, before they receive each other's reports, must not all choose the
-// same target. One of the targets within this margin of the lowest cost is chosen at random. The margin for
-// models is a quarter of the mean prefill time; the one for plain requests is a fraction of their service
-// time.
-constexpr double modelTieMarginMs = 250;
-constexpr double plainTieMarginMs = 4;
-// Plain requests prefer the local domain by the round-trip time to another domain.
-constexpr double otherDomainCostMs = 2;
+// same target. One of the targets within this margin of the lowest cost is chosen at random.
+constexpr double tieMarginWeight = 0.25;
+// Plain requests prefer the local domain, to save the round trip to another one.
+constexpr double otherDomainWeight = 0.13;
 
 } // namespace detail
 
@@ -83,7 +77,11 @@
         // Requests sent to the previous process are still subtracted when they end.
         target.ownLoad = ownLoad;
     }
+    const bool wasDraining = target.record.startedAtMs != 0 && target.record.startedAtMs == record.startedAtMs
+        && target.record.phase == ForwardingTargetPhase::Draining;
     target.record = record;
+    if (wasDraining)
+        target.record.phase = ForwardingTargetPhase::Draining;
     return replaced;
 }
 
@@ -137,6 +135,7 @@
     if (now >= target.suspectUntil)
         ++target.consecutiveFaults;
     target.suspectUntil = std::max(target.suspectUntil, now + std::min(suspicion, maxSuspicion));
+    target.unprovenUntil = std::max(target.unprovenUntil, target.suspectUntil);
 }
 
 void TargetPool::recordSuccess(const TargetId &id)
@@ -146,6 +145,7 @@
         return;
     it->second.consecutiveFaults = 0;
     it->second.suspectUntil = absl::InfinitePast();
+    it->second.unprovenUntil = absl::InfinitePast();
     it->second.failureRate *= 1 - detail::failureRateSmoothing;
 }
 
@@ -157,8 +157,11 @@
 
 void TargetPool::recordPeerFault(const TargetId &id, absl::Time now)
 {
-    if (auto it = m_targets.find(id); it != m_targets.end())
-        it->second.suspectUntil = std::max(it->second.suspectUntil, now + peerSuspicion);
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end())
+        return;
+    it->second.suspectUntil = std::max(it->second.suspectUntil, now + peerSuspicion);
+    it->second.unprovenUntil = std::max(it->second.unprovenUntil, it->second.suspectUntil);
 }
 
 void TargetPool::markGone(const TargetId &id)
@@ -240,28 +243,43 @@
     return suspects >= domainSuspectThreshold;
 }
 
-double TargetPool::cost(const Target &target, const TargetRequirements &requirements, absl::Time now) const
+absl::Duration TargetPool::cost(const Target &target, const TargetRequirements &requirements,
+                                const ServicePerformance &performance, absl::Time now) const
+{
+    return requirements.isModelService ? modelCost(target, requirements, performance, now)
+                                       : plainCost(target, requirements, performance, now);
+}
+
+absl::Duration TargetPool::plainCost(const Target &target, const TargetRequirements &requirements,
+                                     const ServicePerformance &performance, absl::Time now) const
+{
+    const int requests = loadOf(target).requests;
+    const int slots = std::max(target.record.slots, 1);
+    double weight = detail::plainFailureWeight * target.failureRate * target.failureRate;
+    if (now < (requirements.runsAtMostOnce ? target.unprovenUntil : target.suspectUntil))
+        weight += detail::plainSuspectWeight;
+    weight += static_cast<double>(requests) / slots;
+    if (requests >= slots)
+        weight += requests - slots + 1;
+    if (target.record.domain != m_ownDomain)
+        weight += detail::otherDomainWeight;
+    return weight * performance.plainServiceTime();
+}
+
+absl::Duration TargetPool::modelCost(const Target &target, const TargetRequirements &requirements,
+                                     const ServicePerformance &performance, absl::Time now) const
 {
     const auto load = loadOf(target);
-    double cost = detail::failureCostMs * target.failureRate * target.failureRate;
-    if (now < target.suspectUntil)
-        cost += detail::suspectCostMs;
-    if (!requirements.isModelService) {
-        cost += detail::plainRequestCostMs * load.requests / std::max(target.record.slots, 1);
-        if (load.requests >= target.record.slots)
-            cost += detail::plainRequestCostMs * (load.requests - target.record.slots + 1);
-        if (target.record.domain != m_ownDomain)
-            cost += detail::otherDomainCostMs;
-        return cost;
-    }
-    cost += static_cast<double>(load.pendingPrefillTokens) / DeadlineAdmission::prefillTokensPerMs;
-    cost += detail::runningRequestCostMs * load.requests;
+    double weight = detail::modelFailureWeight * target.failureRate * target.failureRate;
+    if (now < (requirements.runsAtMostOnce ? target.unprovenUntil : target.suspectUntil))
+        weight += detail::modelSuspectWeight;
     const double utilization = memoryUtilization(load, requirements);
-    cost += (requirements.isCopy ? detail::copyMemoryCostMs : detail::memoryCostMs) * utilization;
+    weight += (requirements.isCopy ? detail::copyMemoryWeight : detail::memoryWeight) * utilization;
     if (utilization > detail::memoryFullThreshold)
-        cost += detail::memoryFullCostMs
-            + detail::memoryFullSlopeMs * (utilization - detail::memoryFullThreshold);
-    return cost;
+        weight += detail::memoryFullWeight
+            + detail::memoryFullSlope * (utilization - detail::memoryFullThreshold);
+    return weight * performance.typicalPrefillTime() + performance.prefillTime(load.pendingPrefillTokens)
+        + detail::runningRequestWeight * load.requests * performance.generationTime();
 }
 
 double TargetPool::memoryUtilization(const TargetLoad &load, const TargetRequirements &requirements)
@@ -275,9 +293,12 @@
 std::optional<TargetId> TargetPool::choose(const TargetRequirements &requirements, absl::Time now)
 {
     expirePeerLoads(now);
+    const auto &performance = m_performance[requirements.service];
+    const auto unit =
+        requirements.isModelService ? performance.typicalPrefillTime() : performance.plainServiceTime();
     absl::flat_hash_map<FailureDomain, bool> suspectDomains;
-    std::vector<std::pair<double, const TargetId *>> candidates;
-    double bestCost = std::numeric_limits<double>::infinity();
+    std::vector<std::pair<absl::Duration, const TargetId *>> candidates;
+    auto bestCost = absl::InfiniteDuration();
     for (const auto &[id, target] : m_targets) {
         if (target.record.service != requirements.service
             || target.record.phase != ForwardingTargetPhase::Ready || target.isGone)
@@ -285,33 +306,34 @@
         if (std::find(requirements.exclude.begin(), requirements.exclude.end(), id)
             != requirements.exclude.end())
             continue;
-        double candidate = cost(target, requirements, now);
+        auto candidate = cost(target, requirements, performance, now);
         const auto &domain = target.record.domain;
         auto [domainEntry, isNew] = suspectDomains.try_emplace(domain, false);
         if (isNew)
             domainEntry->second =
                 requirements.isModelService && isDomainSuspect(domain, requirements.service, now);
         if (domainEntry->second)
-            candidate += detail::suspectDomainCostMs;
+            candidate += detail::suspectDomainWeight * unit;
         if (requirements.avoidDomain == domain)
-            candidate += detail::suspectDomainCostMs / 2;
+            candidate += detail::avoidedDomainWeight * unit;
         candidates.emplace_back(candidate, &id);
         bestCost = std::min(bestCost, candidate);
     }
-    const double margin = requirements.isModelService ? detail::modelTieMarginMs : detail::plainTieMarginMs;
+    const auto margin = detail::tieMarginWeight * unit;
     std::erase_if(candidates, [&](const auto &it) { return it.first > bestCost + margin; });
     if (candidates.empty())
         return std::nullopt;
     return *candidates[m_random.below(candidates.size())].second;
 }
 
-absl::Duration TargetPool::expectedWait(const Target &target, const TargetRequirements &requirements) const
+absl::Duration TargetPool::expectedWait(const Target &target, const TargetRequirements &requirements,
+                                        const ServicePerformance &performance) const
 {
     const auto load = loadOf(target);
-    const auto prefillDelay = absl::Milliseconds(static_cast<double>(load.pendingPrefillTokens)
-                                                 / DeadlineAdmission::prefillTokensPerMs);
+    // Memory in use becomes free about once per generation time.
     const double excessUtilization = std::max(memoryUtilization(load, requirements) - 1, 0.0);
-    return prefillDelay + excessUtilization * detail::memoryTurnover;
+    return performance.prefillTime(load.pendingPrefillTokens)
+        + excessUtilization * performance.generationTime();
 }
 
 absl::Duration TargetPool::expectedWait(const TargetId &id, const TargetRequirements &requirements,
@@ -319,17 +341,20 @@
 {
     expirePeerLoads(now);
     const auto it = m_targets.find(id);
-    return it == m_targets.end() ? absl::InfiniteDuration() : expectedWait(it->second, requirements);
+    return it == m_targets.end()
+        ? absl::InfiniteDuration()
+        : expectedWait(it->second, requirements, m_performance[requirements.service]);
 }
 
 absl::Duration TargetPool::backlog(const TargetRequirements &requirements, absl::Time now)
 {
     expirePeerLoads(now);
+    const auto &performance = m_performance[requirements.service];
     auto shortest = absl::InfiniteDuration();
     for (const auto &[id, target] : m_targets) {
         if (target.record.service != requirements.service || !isHealthy(id, now))
             continue;
-        shortest = std::min(shortest, expectedWait(target, requirements));
+        shortest = std::min(shortest, expectedWait(target, requirements, performance));
     }
     return shortest;
 }
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -10,9 +10,11 @@
 #include <LibCore/Ids.h>
 #include <LibCore/Random.h>
 #include <LibForwarding/Request.h>
+#include <LibForwarding/ServicePerformance.h>
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -94,6 +96,8 @@
     std::optional<FailureDomain> avoidDomain;
     // The target only has to hold a copy.
     bool isCopy{false};
+    // The request must not be sent a second time if its response is lost.
+    bool runsAtMostOnce{false};
 };
 
 class TargetPool
@@ -119,6 +123,7 @@
     // Targets in the directory.
     //
     // Adds or updates a target. Returns the target that had the same address before, which no longer exists.
+    // A process that drains never becomes ready again, even if a restored store still says that it is.
     std::optional<TargetId> upsert(const ForwardingTarget &);
     void remove(const TargetId &);
     [[nodiscard]] const ForwardingTarget *find(const TargetId &) const;
@@ -155,6 +160,11 @@
     // Time until the least loaded healthy target would start prefilling the prompt; infinite if there is
     // none.
     [[nodiscard]] absl::Duration backlog(const TargetRequirements &, absl::Time now);
+    // Speed of the service's targets; the host reports samples to it.
+    [[nodiscard]] ServicePerformance &performance(const ServiceName &service)
+    {
+        return m_performance[service];
+    }
     // Load of this router plus the loads reported by others.
     [[nodiscard]] TargetLoad loadOf(const TargetId &, absl::Time now);
 
@@ -165,6 +175,9 @@
         TargetLoad ownLoad;
         int consecutiveFaults{0};
         absl::Time suspectUntil{absl::InfinitePast()};
+        // Like suspectUntil, but an accepted connection does not end it, only a response. A target that lost
+        // a response and accepts connections may lose the next one too.
+        absl::Time unprovenUntil{absl::InfinitePast()};
         // The target no longer exists; the entry remains until the directory removes it.
         bool isGone{false};
         // Moving average of failed requests, in [0, 1].
@@ -179,16 +192,23 @@
     // Drops the loads of routers whose reports have expired.
     void expirePeerLoads(absl::Time now);
     [[nodiscard]] TargetLoad loadOf(const Target &) const;
-    [[nodiscard]] absl::Duration expectedWait(const Target &, const TargetRequirements &) const;
+    [[nodiscard]] absl::Duration expectedWait(const Target &, const TargetRequirements &,
+                                              const ServicePerformance &) const;
     [[nodiscard]] bool isDomainSuspect(const FailureDomain &, const ServiceName &, absl::Time now) const;
     // Fraction of the target's memory in use if the request is added.
     [[nodiscard]] static double memoryUtilization(const TargetLoad &, const TargetRequirements &);
-    // Expected delay in milliseconds, plus large penalties for suspect targets. Lower is better.
-    [[nodiscard]] double cost(const Target &, const TargetRequirements &, absl::Time now) const;
+    // Expected delay, plus large penalties for suspect targets. Lower is better.
+    [[nodiscard]] absl::Duration cost(const Target &, const TargetRequirements &, const ServicePerformance &,
+                                      absl::Time now) const;
+    [[nodiscard]] absl::Duration plainCost(const Target &, const TargetRequirements &,
+                                           const ServicePerformance &, absl::Time now) const;
+    [[nodiscard]] absl::Duration modelCost(const Target &, const TargetRequirements &,
+                                           const ServicePerformance &, absl::Time now) const;
 
     FailureDomain m_ownDomain;
     RandomSource &m_random;
     absl::btree_map<TargetId, Target> m_targets;
+    absl::node_hash_map<ServiceName, ServicePerformance> m_performance;
     absl::flat_hash_map<RouterId, PeerLoads> m_peers;
     // Invariant: the sum of the loads in `m_peers`, including targets that the directory does not list yet.
     absl::flat_hash_map<TargetId, TargetLoad> m_peerLoadSums;
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -22,6 +22,7 @@
 constexpr int maxProbeAttempts = 2;
 // Fraction of the prompt that a target still processes when it resumes from a copy.
 constexpr double prefillFractionFromCopy = 0.1;
+constexpr int firstServerError = 500;
 
 std::string_view routeKindName(RouteKind kind)
 {
@@ -131,6 +132,7 @@
     requirements.engine = m_routed.service->engine;
     requirements.size = m_routed.request.size;
     requirements.exclude = m_triedTargets;
+    requirements.runsAtMostOnce = !isRetryable(m_routed.route->kind);
     return requirements;
 }
 
@@ -163,14 +165,21 @@
     // Without a healthy target, the pool chooses a suspect one or none.
     if (backlog == absl::InfiniteDuration())
         return true;
-    const bool canFinishInTime = DeadlineAdmission::canFinishInTime(
-        {.size = m_routed.request.size, .backlog = backlog, .timeLeft = action.timeLeft});
+    const auto &size = m_routed.request.size;
+    const auto prefillTime = performance().prefillTime(size.promptTokens);
+    const auto decodeTime = performance().decodeTime(size.expectedOutputTokens);
+    const bool canFinishInTime = DeadlineAdmission::canFinishInTime({.backlog = backlog,
+                                                                     .prefillTime = prefillTime,
+                                                                     .decodeTime = decodeTime,
+                                                                     .timeLeft = action.timeLeft});
     if (!canFinishInTime) {
         log("no_time_left",
             {{"number", action.number},
-             {"prompt_tokens", m_routed.request.size.promptTokens},
-             {"expected_tokens", m_routed.request.size.expectedOutputTokens},
+             {"prompt_tokens", size.promptTokens},
+             {"expected_tokens", size.expectedOutputTokens},
              {"backlog_ms", absl::ToInt64Milliseconds(backlog)},
+             {"prefill_ms", absl::ToInt64Milliseconds(prefillTime)},
+             {"decode_ms", absl::ToInt64Milliseconds(decodeTime)},
              {"time_left_ms", absl::ToInt64Milliseconds(action.timeLeft)}});
     }
     return canFinishInTime;
@@ -182,7 +191,12 @@
     const auto now = monotonicNow();
     const auto load = m_gatewayContext.targets.loadOf(record.id, now);
     const auto wait = m_gatewayContext.targets.expectedWait(record.id, requirements(), now);
-    handle(ForwardingEvents::AttemptSent{wait + DeadlineAdmission::prefillTime(m_routed.request.size)});
+    handle(ForwardingEvents::AttemptSent{wait
+                                         + performance().prefillTime(m_routed.request.size.promptTokens)});
+    m_attemptSentAt = now;
+    m_firstEventAt.reset();
+    m_eventCount = 0;
+    m_wasTargetIdle = load.pendingPrefillTokens == 0;
     m_target = record.id;
     m_targetAddress = record.address;
     m_isFromCopy = source.has_value();
@@ -248,6 +262,33 @@
     m_gatewayContext.loadChanged();
 }
 
+ServicePerformance &ForwardSession::performance() const
+{
+    return m_gatewayContext.targets.performance(m_routed.service->name);
+}
+
+void ForwardSession::recordFirstEvent(absl::Time now)
+{
+    m_firstEventAt = now;
+    const bool isFirstAttempt = m_triedTargets.size() == 1 && !m_routed.request.lastEvent;
+    if (!isFirstAttempt)
+        return;
+    performance().recordPrompt(m_routed.request.size.promptTokens);
+    if (m_wasTargetIdle)
+        performance().recordPrefill(m_routed.request.size.promptTokens, now - m_attemptSentAt);
+}
+
+void ForwardSession::recordCompletedStream(absl::Time now)
+{
+    const bool isFirstAttempt = m_triedTargets.size() == 1 && !m_routed.request.lastEvent;
+    if (!isFirstAttempt || !m_firstEventAt)
+        return;
+    performance().recordGeneration({.expectedOutputTokens = m_routed.request.size.expectedOutputTokens,
+                                    .events = m_eventCount,
+                                    .total = now - m_attemptSentAt,
+                                    .decoding = now - *m_firstEventAt});
+}
+
 void ForwardSession::markPromptProcessed()
 {
     if (m_load.pendingPrefillTokens == 0 || !m_target)
@@ -322,6 +363,9 @@
     }
     m_interruptedAt.reset();
     const auto now = monotonicNow();
+    if (!m_firstEventAt)
+        recordFirstEvent(now);
+    m_eventCount += static_cast<std::int64_t>(events.size());
     if (m_lastEventAt)
         m_longestGap = std::max(m_longestGap, now - *m_lastEventAt);
     m_lastEventAt = now;
@@ -335,16 +379,20 @@
 
 void ForwardSession::streamEnded()
 {
+    recordCompletedStream(monotonicNow());
     handle(ForwardingEvents::StreamCompleted{});
 }
 
 void ForwardSession::responseReceived(HttpResponse response)
 {
     if (m_target) {
-        if (response.head.status < 500)
+        if (response.head.status < detail::firstServerError) {
             m_gatewayContext.targets.recordSuccess(*m_target);
-        else
+            if (!isStream(m_routed.route->kind))
+                performance().recordPlainResponse(monotonicNow() - m_attemptSentAt);
+        } else {
             m_gatewayContext.targets.recordFault(*m_target, TargetFault::InvalidResponse, monotonicNow());
+        }
     }
     const int status = response.head.status;
     if (!m_forwardedRequest.hasResponseStarted()) {
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -85,6 +85,9 @@
     // Adds the request's load to the target and, if the route uses copies, to a copy holder.
     void reserveLoad(const TargetId &, bool fromCopy);
     void markPromptProcessed();
+    [[nodiscard]] ServicePerformance &performance() const;
+    void recordFirstEvent(absl::Time now);
+    void recordCompletedStream(absl::Time now);
     void releaseLoad();
     void noteFault(TargetFault);
     void finish(std::string_view outcome, int status);
@@ -101,6 +104,12 @@
     std::optional<TargetId> m_target;
     // Address of that target, which identifies the copies that it created.
     std::string m_targetAddress;
+    // The target had no unprocessed prompt of another request when the attempt was sent.
+    bool m_wasTargetIdle{false};
+    absl::Time m_attemptSentAt;
+    // Of the running attempt; unset before its first event.
+    std::optional<absl::Time> m_firstEventAt;
+    std::int64_t m_eventCount{0};
     TargetLoad m_load;
     KvCopyManager m_copies;
     boost::asio::steady_timer m_copyTimer;
--- a/Tests/LibForwarding/TestDeadlineAdmission.cpp
+++ b/Tests/LibForwarding/TestDeadlineAdmission.cpp
@@ -102,9 +102,15 @@
 
     static TargetId id(int n) { return TargetId(absl::StrCat("t", n)); }
 
+    // Eight prompt tokens per millisecond, and half a millisecond less than four per output token.
     static bool canMeetDeadline(const GenerationSize &size, absl::Duration backlog, absl::Duration timeLeft)
     {
-        return DeadlineAdmission::canFinishInTime({.size = size, .backlog = backlog, .timeLeft = timeLeft});
+        const ServicePerformance performance;
+        return DeadlineAdmission::canFinishInTime(
+            {.backlog = backlog,
+             .prefillTime = performance.prefillTime(size.promptTokens),
+             .decodeTime = performance.decodeTime(size.expectedOutputTokens),
+             .timeLeft = timeLeft});
     }
 
     TargetPool makePool()
@@ -124,9 +130,9 @@
     {
         constexpr int callers = 60;
         const GenerationSize size{.promptTokens = 8000, .maxOutputTokens = 300, .expectedOutputTokens = 300};
-        const auto decodeTime = DeadlineAdmission::minTokenTime * size.expectedOutputTokens;
-        const auto prefillTime = absl::Milliseconds(static_cast<double>(size.promptTokens)
-                                                    / DeadlineAdmission::prefillTokensPerMs);
+        const ServicePerformance performance;
+        const auto decodeTime = performance.decodeTime(size.expectedOutputTokens);
+        const auto prefillTime = performance.prefillTime(size.promptTokens);
         m_random = SeededRandom(3);
         std::map<int, absl::Time> availableAt;
         detail::ReplayResult out;
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(copyHolderIsInAnotherDomain);
     CPPUNIT_TEST(targetWithFullMemoryIsAvoided);
     CPPUNIT_TEST(loadOfEarlierProcessIsSubtractedAfterRestart);
+    CPPUNIT_TEST(drainingProcessNeverBecomesReady);
+    CPPUNIT_TEST(atMostOnceRequestAvoidsTargetThatLostResponse);
+    CPPUNIT_TEST(choiceScalesWithMeasuredPerformance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -202,6 +205,68 @@
         CPPUNIT_ASSERT(m_pool.loadOf(id(0), m_now) == TargetLoad{});
     }
 
+    // A store that is restored from an older copy says again that a draining target is ready.
+    void drainingProcessNeverBecomesReady()
+    {
+        for (int n = 1; n < targetCount; ++n)
+            m_pool.remove(id(n));
+        auto draining = record(0);
+        draining.phase = ForwardingTargetPhase::Draining;
+        m_pool.upsert(draining);
+        m_pool.upsert(record(0));
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+        auto restarted = record(0);
+        restarted.startedAtMs += 1;
+        m_pool.upsert(restarted);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
+    }
+
+    // A target loses a connection with a pending request, and a probe finds that it accepts connections. A
+    // booking was sent there 124 ms after the loss and lost its response, too, with other targets idle.
+    void atMostOnceRequestAvoidsTargetThatLostResponse()
+    {
+        auto booking = plainNeed();
+        booking.runsAtMostOnce = true;
+        m_pool.recordFault(id(0), TargetFault::ConnectionLost, m_now);
+        m_pool.markReachable(id(0));
+        for (int n = 1; n < targetCount; ++n)
+            m_pool.addLoad(id(n), {.requests = 100});
+        const auto soon = m_now + absl::Milliseconds(124);
+        CPPUNIT_ASSERT(m_pool.choose(plainNeed(), soon) == id(0));
+        CPPUNIT_ASSERT(m_pool.choose(booking, soon) != id(0));
+        // It is still better than none.
+        for (int n = 1; n < targetCount; ++n)
+            booking.exclude.push_back(id(n));
+        CPPUNIT_ASSERT(m_pool.choose(booking, soon) == id(0));
+        // A response proves that the target works.
+        booking.exclude.clear();
+        m_pool.recordSuccess(id(0));
+        CPPUNIT_ASSERT(m_pool.choose(booking, soon) == id(0));
+    }
+
+    // The difference of loads that counts as a tie depends on the speed of the service's targets. Targets
+    // that prefill ten times as fast are balanced as evenly as slow ones.
+    void choiceScalesWithMeasuredPerformance()
+    {
+        constexpr int samples = 500;
+        auto &performance = m_pool.performance(ServiceName("s"));
+        for (int n = 0; n < samples; ++n) {
+            performance.recordPrompt(800);
+            performance.recordPrefill(800, absl::Milliseconds(10));
+        }
+        auto shortPrompt = need();
+        shortPrompt.size = {.promptTokens = 800, .maxOutputTokens = 100};
+        std::map<TargetId, int> counts;
+        for (int n = 0; n < 2 * targetCount; ++n) {
+            const auto chosen = m_pool.choose(shortPrompt, m_now);
+            m_pool.addLoad(*chosen, {.requests = 1, .pendingPrefillTokens = 800, .memoryTokens = 900});
+            ++counts[*chosen];
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{targetCount}, counts.size());
+        for (const auto &[id, n] : counts)
+            CPPUNIT_ASSERT_EQUAL(2, n);
+    }
+
 private:
     static constexpr int targetCount = 9;
 
@@ -225,6 +290,12 @@
         need.size = {.promptTokens = 8000, .maxOutputTokens = 1000};
         return need;
     }
+    static TargetRequirements plainNeed()
+    {
+        TargetRequirements need;
+        need.service = ServiceName("s");
+        return need;
+    }
     static TargetLoad load() { return {.requests = 1, .pendingPrefillTokens = 8000, .memoryTokens = 9000}; }
 
     absl::Time m_now{absl::FromUnixSeconds(1000)};
