--- a/Libraries/LibForwarding/DirectorySynchronizer.cpp
+++ b/Libraries/LibForwarding/DirectorySynchronizer.cpp
@@ -22,14 +22,16 @@
 
 void DirectorySynchronizer::on(const DirectorySyncEvents::ListCompleted &event, absl::Time now)
 {
+    if (event.position.era < m_position.era) {
+        // A response from before the store was restored says nothing about the store as it is now.
+        on(DirectorySyncEvents::CallFailed{}, now);
+        return;
+    }
     recordStoreSuccess(now);
-    if (event.revision >= m_revision) {
-        for (const auto &it : event.objects)
-            apply(it, now);
-        for (const auto &it : namesMissingFrom(event.objects, event.revision))
-            remove(it, event.revision, now);
-        m_revision = event.revision;
-        m_changeRevision = m_revision;
+    if (event.position >= m_position) {
+        applyList(event.objects, event.position, now);
+        m_position = event.position;
+        m_changePosition = m_position;
         m_hasView = true;
     }
     m_needsList = false;
@@ -38,15 +40,25 @@
 
 void DirectorySynchronizer::on(const DirectorySyncEvents::WatchCompleted &event, absl::Time now)
 {
+    if (event.position.era < m_position.era) {
+        on(DirectorySyncEvents::CallFailed{}, now);
+        return;
+    }
     recordStoreSuccess(now);
+    if (event.position.era != m_watchedFrom.era) {
+        // The watch started from a revision of an earlier era, so changes of this era may be missing.
+        m_needsList = true;
+        startNextCall();
+        return;
+    }
     for (const auto &it : event.objects)
         apply(it, now);
-    m_revision = std::max(m_revision, event.revision);
+    m_position = std::max(m_position, event.position);
     if (event.objects.empty()) {
         startNextCall();
         return;
     }
-    m_changeRevision = m_revision;
+    m_changePosition = m_position;
     m_nextCallAt = now + watchBatchDelay;
     setTimer();
 }
@@ -73,35 +85,41 @@
 
 void DirectorySynchronizer::on(const DirectorySyncEvents::RelayReceived &event, absl::Time now)
 {
-    if (event.revision < m_changeRevision)
+    if (event.position < m_changePosition)
         return;
-    for (const auto &it : event.objects) {
-        if (it.isRemoved && m_objects.contains(it.name))
-            removeObject(it.name);
-        else if (!it.isRemoved)
-            apply(it, now);
-    }
-    if (event.isSnapshot) {
-        // The other router has already accepted these removals.
-        for (const auto &it : namesMissingFrom(event.objects, event.revision))
-            removeObject(it);
-        m_hasView = true;
+    if (m_hasView && event.position.era > m_position.era) {
+        // Changes cannot be applied to a view of another era.
+        if (!event.isSnapshot)
+            return;
+        applyFirstListOfEra(event.objects, event.position, now);
+    } else {
+        for (const auto &it : event.objects) {
+            if (it.isRemoved && m_objects.contains(it.name))
+                removeObject(it.name, now);
+            else if (!it.isRemoved)
+                apply(it, now);
+        }
+        if (event.isSnapshot) {
+            // The other router has already accepted these removals.
+            for (const auto &it : namesMissingFrom(event.objects, event.position))
+                removeObject(it, now);
+            m_hasView = true;
+        }
     }
-    m_revision = std::max(m_revision, event.revision);
-    m_changeRevision = event.revision;
+    m_position = std::max(m_position, event.position);
+    m_changePosition = event.position;
 }
 
 void DirectorySynchronizer::on(const DirectorySyncEvents::Tick &, absl::Time now)
 {
-    for (auto it = m_deferredRemovals.begin(); it != m_deferredRemovals.end();) {
-        if (now < it->second) {
-            ++it;
-            continue;
-        }
-        m_objects.erase(it->first);
-        m_actions.emplace_back(DirectorySyncActions::Remove{it->first});
-        it = m_deferredRemovals.erase(it);
+    std::vector<std::string> dueRemovals;
+    for (const auto &[name, until] : m_deferredRemovals) {
+        if (now >= until)
+            dueRemovals.push_back(name);
     }
+    for (const auto &it : dueRemovals)
+        removeObject(it, now);
+    endHoldBack(now);
     if (m_nextCallAt && now >= *m_nextCallAt) {
         m_nextCallAt.reset();
         startNextCall();
@@ -109,54 +127,119 @@
     setTimer();
 }
 
+void DirectorySynchronizer::applyList(const std::vector<ObjectMetadata> &objects, StorePosition position,
+                                      absl::Time now)
+{
+    if (m_hasView && position.era > m_position.era) {
+        applyFirstListOfEra(objects, position, now);
+        return;
+    }
+    for (const auto &it : objects)
+        apply(it, now);
+    for (const auto &it : namesMissingFrom(objects, position))
+        remove(it, position, now);
+}
+
+void DirectorySynchronizer::applyFirstListOfEra(const std::vector<ObjectMetadata> &objects,
+                                                StorePosition position, absl::Time now)
+{
+    forgetOldRemovals(now);
+    m_acceptRemovalsFrom = std::max(m_acceptRemovalsFrom, now + removalGracePeriod);
+    DirectorySyncActions::EraChanged change{.from = m_position, .to = position};
+    for (const auto &it : objects) {
+        if (m_recentRemovals.contains(it.name))
+            ++change.heldBackObjects;
+        else
+            apply(it, now);
+    }
+    const auto missing = namesMissingFrom(objects, position);
+    for (const auto &it : missing)
+        remove(it, position, now);
+    change.keptObjects = missing.size();
+    if (change.heldBackObjects > 0)
+        m_holdBackUntil = now + restoredEntryHoldBack;
+    m_actions.emplace_back(change);
+    setTimer();
+}
+
 void DirectorySynchronizer::apply(const ObjectMetadata &metadata, absl::Time now)
 {
     if (metadata.isRemoved) {
-        remove(metadata.name, metadata.revision, now);
+        remove(metadata.name, metadata.position, now);
         return;
     }
     m_deferredRemovals.erase(metadata.name);
-    auto &known = m_objects[metadata.name];
-    if (known.value() != 0 && known >= metadata.revision)
+    m_recentRemovals.erase(metadata.name);
+    const auto [known, isNew] = m_objects.try_emplace(metadata.name, metadata.position);
+    if (!isNew && known->second >= metadata.position)
         return;
-    known = metadata.revision;
-    m_actions.emplace_back(DirectorySyncActions::Apply{metadata.name, metadata.revision});
+    known->second = metadata.position;
+    m_actions.emplace_back(DirectorySyncActions::Apply{metadata.name, metadata.position});
 }
 
 std::vector<std::string> DirectorySynchronizer::namesMissingFrom(const std::vector<ObjectMetadata> &present,
-                                                                 ObjectVersion upTo) const
+                                                                 StorePosition upTo) const
 {
     absl::flat_hash_set<std::string> names;
     for (const auto &it : present)
         names.insert(it.name);
     std::vector<std::string> missing;
-    for (const auto &[name, revision] : m_objects) {
-        if (!names.contains(name) && revision <= upTo)
+    for (const auto &[name, position] : m_objects) {
+        if (!names.contains(name) && position <= upTo)
             missing.push_back(name);
     }
     return missing;
 }
 
-void DirectorySynchronizer::remove(const std::string &name, ObjectVersion revision, absl::Time now)
+void DirectorySynchronizer::remove(const std::string &name, StorePosition position, absl::Time now)
 {
     const auto it = m_objects.find(name);
-    if (it == m_objects.end() || it->second > revision)
+    if (it == m_objects.end() || it->second > position)
         return;
     if (now < m_acceptRemovalsFrom) {
-        m_deferredRemovals.try_emplace(name, m_acceptRemovalsFrom);
+        auto &until = m_deferredRemovals.try_emplace(name, m_acceptRemovalsFrom).first->second;
+        until = std::max(until, m_acceptRemovalsFrom);
         setTimer();
         return;
     }
-    removeObject(name);
+    removeObject(name, now);
 }
 
-void DirectorySynchronizer::removeObject(const std::string &name)
+void DirectorySynchronizer::removeObject(const std::string &name, absl::Time now)
 {
     m_objects.erase(name);
     m_deferredRemovals.erase(name);
+    forgetOldRemovals(now);
+    m_recentRemovals[name] = now;
     m_actions.emplace_back(DirectorySyncActions::Remove{name});
 }
 
+void DirectorySynchronizer::forgetOldRemovals(absl::Time now)
+{
+    for (auto it = m_recentRemovals.begin(); it != m_recentRemovals.end();) {
+        if (now - it->second > removalMemory)
+            it = m_recentRemovals.erase(it);
+        else
+            ++it;
+    }
+}
+
+void DirectorySynchronizer::endHoldBack(absl::Time now)
+{
+    if (!m_holdBackUntil || now < *m_holdBackUntil)
+        return;
+    m_holdBackUntil.reset();
+    // Whatever the store still lists now has not expired, so its target is running. The next list applies it.
+    m_recentRemovals.clear();
+    m_needsList = true;
+}
+
+DirectorySyncActions::StartWatch DirectorySynchronizer::resumeWatch()
+{
+    m_watchedFrom = m_position;
+    return {m_position};
+}
+
 void DirectorySynchronizer::recordStoreSuccess(absl::Time now)
 {
     m_backoff = initialBackoff;
@@ -173,12 +256,13 @@
     if (m_needsList)
         m_actions.emplace_back(DirectorySyncActions::StartList{});
     else
-        m_actions.emplace_back(DirectorySyncActions::StartWatch{m_revision});
+        m_actions.emplace_back(resumeWatch());
 }
 
 void DirectorySynchronizer::setTimer()
 {
-    auto at = m_nextCallAt.value_or(absl::InfiniteFuture());
+    auto at = std::min(m_nextCallAt.value_or(absl::InfiniteFuture()),
+                       m_holdBackUntil.value_or(absl::InfiniteFuture()));
     for (const auto &[name, until] : m_deferredRemovals)
         at = std::min(at, until);
     if (at < absl::InfiniteFuture())
--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -1,16 +1,22 @@
 // Keeps the local view of one kind of objects in sync with the platform's store. Decides when to list, when
 // to watch, when to retry, and which removals to accept.
 //
-// A state machine without I/O. Invariant: the revision of the view never decreases.
+// The store may be restored from an older copy. The copy lacks recent objects and still contains removed
+// ones, so the view keeps the former until the removal grace period is over, and holds back the latter until
+// they are written again or have outlived the store's own expiry.
+//
+// A state machine without I/O. Invariant: the position of the view never decreases.
 
 #pragma once
 
 #include <LibCore/Ids.h>
 #include <LibCore/Random.h>
+#include <LibCore/StorePosition.h>
 
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <variant>
@@ -18,11 +24,11 @@
 
 namespace Wisteria {
 
-// Name and revision of an object. The host stores the content.
+// Name and position of the last change of an object. The host stores the content.
 struct ObjectMetadata
 {
     std::string name;
-    ObjectVersion revision;
+    StorePosition position;
     bool isRemoved{false};
 };
 
@@ -31,12 +37,12 @@
 struct ListCompleted
 {
     std::vector<ObjectMetadata> objects;
-    ObjectVersion revision;
+    StorePosition position;
 };
 struct WatchCompleted
 {
     std::vector<ObjectMetadata> objects;
-    ObjectVersion revision;
+    StorePosition position;
 };
 // The store no longer has the changes after the current revision, so a new list is needed.
 struct RevisionExpired
@@ -49,7 +55,7 @@
 struct RelayReceived
 {
     std::vector<ObjectMetadata> objects;
-    ObjectVersion revision;
+    StorePosition position;
     // `objects` is the complete list; known objects missing from it were removed.
     bool isSnapshot{false};
 };
@@ -71,13 +77,13 @@
 };
 struct StartWatch
 {
-    ObjectVersion after;
+    StorePosition after;
 };
-// The host replaces the object's content with this revision.
+// The host replaces the object's content with the one at this position.
 struct Apply
 {
     std::string name;
-    ObjectVersion revision;
+    StorePosition position;
 };
 struct Remove
 {
@@ -95,13 +101,24 @@
 struct StoreLost
 {
 };
+// The store was restored from an older copy, and the view now follows the new era.
+struct EraChanged
+{
+    StorePosition from;
+    StorePosition to;
+    // Objects that the copy lacks; kept for the removal grace period.
+    std::size_t keptObjects{0};
+    // Removed objects that the copy still contains; not applied.
+    std::size_t heldBackObjects{0};
+};
 
 } // namespace DirectorySyncActions
 
 using DirectorySyncAction =
     std::variant<DirectorySyncActions::StartList, DirectorySyncActions::StartWatch,
                  DirectorySyncActions::Apply, DirectorySyncActions::Remove, DirectorySyncActions::SetTimer,
-                 DirectorySyncActions::StoreRecovered, DirectorySyncActions::StoreLost>;
+                 DirectorySyncActions::StoreRecovered, DirectorySyncActions::StoreLost,
+                 DirectorySyncActions::EraChanged>;
 using DirectorySyncActionList = std::vector<DirectorySyncAction>;
 
 class DirectorySynchronizer
@@ -120,6 +137,11 @@
     // Entries that expired during an outage are registered again within about two seconds of its end.
     // Removals are held back for this long.
     static constexpr absl::Duration removalGracePeriod = absl::Milliseconds(2300);
+    // A removed object that a restored copy still contains is held back for this long. The entry of a target
+    // that no longer runs expires in the store after three heartbeats, which takes less than four seconds.
+    static constexpr absl::Duration restoredEntryHoldBack = absl::Seconds(5);
+    // How long removals are remembered. A copy is a few seconds old when the store is restored from it.
+    static constexpr absl::Duration removalMemory = absl::Seconds(60);
 
     explicit DirectorySynchronizer(RandomSource &random) : m_random(random) { }
 
@@ -127,10 +149,12 @@
     [[nodiscard]] DirectorySyncActionList handle(const DirectorySyncEvent &, absl::Time now);
 
     [[nodiscard]] bool hasView() const { return m_hasView; }
-    [[nodiscard]] ObjectVersion revision() const { return m_revision; }
-    // Revision at the last list, non-empty watch result or relay. It may differ between routers that hold the
+    [[nodiscard]] StorePosition position() const { return m_position; }
+    // Position at the last list, non-empty watch result or relay. It may differ between routers that hold the
     // same objects; a larger value means that the view is at least as new.
-    [[nodiscard]] ObjectVersion changeRevision() const { return m_changeRevision; }
+    [[nodiscard]] StorePosition changePosition() const { return m_changePosition; }
+    // Returns the watch that continues from the current position, for a host that deferred the last one.
+    [[nodiscard]] DirectorySyncActions::StartWatch resumeWatch();
     [[nodiscard]] bool isStoreLost() const { return m_storeLostSince.has_value(); }
     // Returns true if the store is reachable and the grace period after its last outage is over, so that
     // objects missing from it were really removed.
@@ -153,11 +177,17 @@
     void on(const DirectorySyncEvents::RelayReceived &, absl::Time now);
     void on(const DirectorySyncEvents::Tick &, absl::Time now);
 
+    // Applies a complete list, from the store or from another router.
+    void applyList(const std::vector<ObjectMetadata> &, StorePosition, absl::Time now);
+    // Applies the first list of a new era and emits EraChanged.
+    void applyFirstListOfEra(const std::vector<ObjectMetadata> &, StorePosition, absl::Time now);
     void apply(const ObjectMetadata &, absl::Time now);
     [[nodiscard]] std::vector<std::string> namesMissingFrom(const std::vector<ObjectMetadata> &,
-                                                            ObjectVersion upTo) const;
-    void remove(const std::string &name, ObjectVersion, absl::Time now);
-    void removeObject(const std::string &name);
+                                                            StorePosition upTo) const;
+    void remove(const std::string &name, StorePosition, absl::Time now);
+    void removeObject(const std::string &name, absl::Time now);
+    void forgetOldRemovals(absl::Time now);
+    void endHoldBack(absl::Time now);
     void recordStoreSuccess(absl::Time now);
     void startNextCall();
     void setTimer();
@@ -165,11 +195,17 @@
     RandomSource &m_random;
     bool m_hasView{false};
     bool m_needsList{true};
-    ObjectVersion m_revision;
-    ObjectVersion m_changeRevision;
-    absl::btree_map<std::string, ObjectVersion> m_objects;
+    StorePosition m_position;
+    StorePosition m_changePosition;
+    // Position that the last watch started from.
+    StorePosition m_watchedFrom;
+    absl::btree_map<std::string, StorePosition> m_objects;
     // Objects whose removal is deferred, and until when.
     absl::btree_map<std::string, absl::Time> m_deferredRemovals;
+    // Objects removed within the last `removalMemory`, and when.
+    absl::btree_map<std::string, absl::Time> m_recentRemovals;
+    // End of the hold-back of removed objects that the current era's copy contained.
+    std::optional<absl::Time> m_holdBackUntil;
     std::optional<absl::Time> m_storeLostSince;
     bool m_isStoreTrustedByOthers{false};
     absl::Time m_acceptRemovalsFrom{absl::InfinitePast()};
--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -18,8 +18,8 @@
     RouterIncarnation,
     Phase,
     Sequence,
-    ConfigurationRevision,
-    TargetsRevision,
+    ConfigurationPosition,
+    TargetsPosition,
     Loads,
     Faults,
     Gone,
@@ -51,6 +51,17 @@
     return out;
 }
 
+nlohmann::json encodePosition(const StorePosition &position)
+{
+    return nlohmann::json::array({position.era.value(), position.revision.value()});
+}
+
+// Throws nlohmann::json::exception if the position is malformed.
+StorePosition decodePosition(const nlohmann::json &json)
+{
+    return {StoreEra(json.at(0).get<std::uint64_t>()), ObjectVersion(json.at(1).get<std::uint64_t>())};
+}
+
 nlohmann::json encodeIds(const std::vector<TargetId> &ids)
 {
     nlohmann::json out = nlohmann::json::array();
@@ -78,9 +89,9 @@
                                  report.router.peerAddress,
                                  report.router.incarnation.value(),
                                  static_cast<int>(report.router.phase),
-                                 report.sequence,
-                                 report.configurationRevision.value(),
-                                 report.targetsRevision.value(),
+                                 report.router.reportSequence,
+                                 detail::encodePosition(report.configurationPosition),
+                                 detail::encodePosition(report.targetsPosition),
                                  detail::encodeLoads(report.loads),
                                  detail::encodeIds(report.faults),
                                  detail::encodeIds(report.gone),
@@ -104,14 +115,13 @@
         report.router.callerAddress = json.at(detail::CallerAddress).get<std::string>();
         report.router.peerAddress = json.at(detail::PeerAddress).get<std::string>();
         report.router.incarnation = Incarnation(json.at(detail::RouterIncarnation).get<std::uint64_t>());
-        report.sequence = json.at(detail::Sequence).get<std::uint64_t>();
+        report.router.reportSequence = json.at(detail::Sequence).get<std::uint64_t>();
         const int phase = json.at(detail::Phase).get<int>();
         if (phase < 0 || phase > static_cast<int>(RouterPhase::Draining))
             return makeError(ErrorCode::InvalidRequest, "peer report contains an unknown router phase");
         report.router.phase = static_cast<RouterPhase>(phase);
-        report.configurationRevision =
-            ObjectVersion(json.at(detail::ConfigurationRevision).get<std::uint64_t>());
-        report.targetsRevision = ObjectVersion(json.at(detail::TargetsRevision).get<std::uint64_t>());
+        report.configurationPosition = detail::decodePosition(json.at(detail::ConfigurationPosition));
+        report.targetsPosition = detail::decodePosition(json.at(detail::TargetsPosition));
         for (const auto &it : json.at(detail::Loads)) {
             report.loads[TargetId(it.at(0).get<std::string>())] = {
                 it.at(1).get<std::int32_t>(), it.at(2).get<std::int64_t>(), it.at(3).get<std::int64_t>()};
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -1,12 +1,13 @@
-// Status that a router reports to its peers. It serves as a heartbeat and contains the revisions of the
-// platform's objects the router holds, its load on each target, and the targets it found faulty.
+// Status that a router reports to its peers. It serves as a heartbeat and contains the positions of the
+// router's views of the platform's store, its load on each target, and the targets it found faulty.
 //
-// Revisions, loads and request counts are absolute, so the next report makes up for a lost one. `faults` and
+// Positions, loads and request counts are absolute, so the next report makes up for a lost one. `faults` and
 // `gone` contain what was found since the previous report and are not sent again.
 
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/StorePosition.h>
 #include <LibForwarding/RouterRegistry.h>
 #include <LibForwarding/ServiceRetryBudget.h>
 #include <LibForwarding/TargetPool.h>
@@ -26,10 +27,8 @@
 
     // The reporting router. `lastReportAt` is not transmitted.
     RouterRegistry::Member router;
-    // Number of the report. FIXME: Receivers do not check it, so a reordered older report is accepted.
-    std::uint64_t sequence{0};
-    ObjectVersion configurationRevision;
-    ObjectVersion targetsRevision;
+    StorePosition configurationPosition;
+    StorePosition targetsPosition;
     TargetLoads loads;
     std::vector<TargetId> faults;
     // Targets that no longer exist at their address.
--- a/Libraries/LibForwarding/RouterRegistry.cpp
+++ b/Libraries/LibForwarding/RouterRegistry.cpp
@@ -16,17 +16,21 @@
     member.peerAddress = record.peerAddress;
 }
 
-bool RouterRegistry::recordReport(const Member &report, absl::Time now)
+ReportOrder RouterRegistry::recordReport(const Member &report, absl::Time now)
 {
     auto &member = m_members[report.id];
+    const bool isKnownAlive = isAlive(report.id, now);
     // A smaller incarnation is accepted once the router has timed out, since the clock that incarnations are
     // derived from may have been set back.
-    if (report.incarnation < member.incarnation && isAlive(report.id, now))
-        return false;
-    const bool wasAlive = isAlive(report.id, now) && report.incarnation == member.incarnation;
+    if (report.incarnation < member.incarnation && isKnownAlive)
+        return ReportOrder::Outdated;
+    const bool isSameIncarnation =
+        report.incarnation == member.incarnation && member.lastReportAt != absl::InfinitePast();
+    if (isSameIncarnation && report.reportSequence <= member.reportSequence)
+        return ReportOrder::Outdated;
     member = report;
     member.lastReportAt = now;
-    return !wasAlive;
+    return isKnownAlive && isSameIncarnation ? ReportOrder::Next : ReportOrder::First;
 }
 
 bool RouterRegistry::isAlive(const RouterId &id, absl::Time now) const
--- a/Libraries/LibForwarding/RouterRegistry.h
+++ b/Libraries/LibForwarding/RouterRegistry.h
@@ -15,6 +15,14 @@
 
 enum class RouterPhase { Starting, Serving, Draining };
 
+enum class ReportOrder {
+    // The router was not alive before, or has restarted.
+    First,
+    Next,
+    // A newer report of the router has already arrived; datagrams may be reordered or duplicated.
+    Outdated,
+};
+
 class RouterRegistry
 {
 public:
@@ -33,14 +41,15 @@
         RouterPhase phase{RouterPhase::Starting};
         // The router can read the platform's store, and its view of it is reliable.
         bool isStoreTrusted{false};
+        // Number of the router's last report within its incarnation.
+        std::uint64_t reportSequence{0};
         absl::Time lastReportAt{absl::InfinitePast()};
     };
 
     // Adds the router's entry from the platform's store. The entry does not show that the router is alive.
     void upsertRecord(const Member &);
-    // Records a report from the router itself. Returns true if the router was not alive before, or has
-    // restarted. Reports of an earlier incarnation are ignored while the router is alive.
-    bool recordReport(const Member &report, absl::Time now);
+    // Records a report from the router itself. An outdated report changes nothing.
+    ReportOrder recordReport(const Member &report, absl::Time now);
 
     [[nodiscard]] bool isAlive(const RouterId &, absl::Time now) const;
     [[nodiscard]] std::vector<Member> members() const;
--- a/Libraries/LibGateway/DirectoryStore.h
+++ b/Libraries/LibGateway/DirectoryStore.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Ids.h>
+#include <LibCore/StorePosition.h>
 #include <LibForwarding/TargetPool.h>
 #include <LibForwarding/TrafficConfiguration.h>
 
@@ -24,8 +25,8 @@
 struct DirectoryObject
 {
     std::string name;
-    // Store revision of the last change to the object.
-    ObjectVersion revision;
+    // Position of the last change to the object.
+    StorePosition position;
     // Content in the store's format; decoded by DirectoryDecoder.
     nlohmann::json content;
     bool isRemoved{false};
@@ -34,12 +35,12 @@
 struct DirectoryBatch
 {
     std::vector<DirectoryObject> objects;
-    // Store revision up to which the batch is complete.
-    ObjectVersion revision;
+    // Position up to which the batch is complete.
+    StorePosition position;
 };
 
-// Errors of list and watch: StoreUnavailable, or Conflict when the store no longer has the history after the
-// revision.
+// Errors of list and watch: StoreUnavailable, or Conflict when the store does not have the history after the
+// revision: it was discarded, or the store was restored from a copy that is older than the revision.
 using DirectoryHandler = std::function<void(ErrorOr<DirectoryBatch>)>;
 
 struct RouterRecord
@@ -57,10 +58,12 @@
 
     // Lists all current objects of the kind.
     virtual void list(DirectoryKind, DirectoryHandler) = 0;
-    // Waits up to `wait` for changes after the revision; returns an empty batch on timeout.
-    virtual void watch(DirectoryKind, ObjectVersion after, absl::Duration wait, DirectoryHandler) = 0;
-    // Creates or replaces the router's own record. Errors: StoreUnavailable, StoreOutcomeUnknown.
-    virtual void publish(const RouterRecord &, std::function<void(ErrorOr<void>)>) = 0;
+    // Waits up to `wait` for changes after the position; returns an empty batch on timeout. The batch may be
+    // of a later era than the position; it is then incomplete.
+    virtual void watch(DirectoryKind, StorePosition after, absl::Duration wait, DirectoryHandler) = 0;
+    // Creates or replaces the router's own record. Returns the era that the record was written in; a later
+    // era may lack it. Errors: StoreUnavailable, StoreOutcomeUnknown.
+    virtual void publish(const RouterRecord &, std::function<void(ErrorOr<StoreEra>)>) = 0;
 };
 
 // Decodes objects of the store. Errors: InvalidRequest when the content is unusable.
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -20,7 +20,7 @@
 
 ObjectMetadata metadataOf(const DirectoryObject &object)
 {
-    return {object.name, object.revision, object.isRemoved};
+    return {object.name, object.position, object.isRemoved};
 }
 
 std::vector<ObjectMetadata> metadataOfAll(const std::vector<DirectoryObject> &objects)
@@ -32,6 +32,16 @@
     return out;
 }
 
+// Reads the position of a view or of an object in it. Empty if it is malformed.
+std::optional<StorePosition> positionOf(const nlohmann::json &json)
+{
+    if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_unsigned()
+        || !json.contains("era") || !json["era"].is_number_unsigned())
+        return std::nullopt;
+    return StorePosition{StoreEra(json["era"].get<std::uint64_t>()),
+                         ObjectVersion(json["revision"].get<std::uint64_t>())};
+}
+
 } // namespace detail
 
 DirectoryView::DirectoryView(DirectoryKind kind, boost::asio::io_context &context, DirectoryStore &store,
@@ -65,18 +75,23 @@
 {
     m_isWatching = isWatching;
     if (m_isWatching && std::exchange(m_isWatchDeferred, false))
-        perform(DirectorySyncActions::StartWatch{m_synchronizer.revision()});
+        perform(m_synchronizer.resumeWatch());
 }
 
 void DirectoryView::handle(const DirectorySyncEvent &event)
 {
     const bool hadView = m_synchronizer.hasView();
+    const auto eraBefore = m_synchronizer.changePosition().era;
     for (const auto &it : m_synchronizer.handle(event, monotonicNow()))
         perform(it);
     m_staged.clear();
-    // Removals before the first complete view are not in the change log.
-    if (!hadView && m_synchronizer.hasView())
-        m_changeLogStart = m_synchronizer.changeRevision();
+    const auto position = m_synchronizer.changePosition();
+    // Removals before the first complete view are not in the change log, and changes of an earlier era cannot
+    // be relayed as changes of this one.
+    if ((!hadView && m_synchronizer.hasView()) || position.era != eraBefore) {
+        m_changeLog.clear();
+        m_changeLogStart = position;
+    }
 }
 
 void DirectoryView::stage(const std::vector<DirectoryObject> &objects)
@@ -97,7 +112,7 @@
             }
             stage(result->objects);
             handle(
-                DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->revision});
+                DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
         });
     } else if (const auto *watch = std::get_if<DirectorySyncActions::StartWatch>(&action)) {
         if (!m_isWatching) {
@@ -115,7 +130,7 @@
                           } else {
                               stage(result->objects);
                               handle(DirectorySyncEvents::WatchCompleted{
-                                  detail::metadataOfAll(result->objects), result->revision});
+                                  detail::metadataOfAll(result->objects), result->position});
                           }
                       });
     } else if (const auto *it = std::get_if<DirectorySyncActions::Apply>(&action)) {
@@ -133,10 +148,25 @@
         m_log.write("store_regained",
                     {{"kind", kindLabel()},
                      {"outage_ms", absl::ToInt64Milliseconds(it->outage)},
-                     {"revision", m_synchronizer.revision().value()}},
+                     {"era", m_synchronizer.position().era.value()},
+                     {"revision", m_synchronizer.position().revision.value()}},
+                    monotonicNow());
+    } else if (const auto *it = std::get_if<DirectorySyncActions::EraChanged>(&action)) {
+        m_log.write("store_restored",
+                    {{"kind", kindLabel()},
+                     {"from_era", it->from.era.value()},
+                     {"from_revision", it->from.revision.value()},
+                     {"to_era", it->to.era.value()},
+                     {"to_revision", it->to.revision.value()},
+                     {"kept_objects", it->keptObjects},
+                     {"held_back_objects", it->heldBackObjects}},
                     monotonicNow());
+        m_listener.storeRestored(it->from, it->to);
     } else {
-        m_log.write("store_lost", {{"kind", kindLabel()}, {"revision", m_synchronizer.revision().value()}},
+        m_log.write("store_lost",
+                    {{"kind", kindLabel()},
+                     {"era", m_synchronizer.position().era.value()},
+                     {"revision", m_synchronizer.position().revision.value()}},
                     monotonicNow());
     }
 }
@@ -148,34 +178,58 @@
     if (!staged)
         return;
     recordChange(name);
+    if (m_kind == DirectoryKind::Configuration) {
+        applyConfiguration(std::move(staged.mapped()));
+        return;
+    }
     auto &object = m_objects[name];
     object = std::move(staged.mapped());
-    const auto logUnusable = [&](const Error &error) {
-        m_log.write("unusable_object", {{"kind", kindLabel()}, {"name", name}, {"reason", error.detail}},
-                    monotonicNow());
-    };
-    if (m_kind == DirectoryKind::Configuration) {
-        auto configuration = m_decoder.configuration(object);
-        if (!configuration)
-            return logUnusable(configuration.error());
-        // Within one process lifetime the configuration version only increases.
-        if (configuration->version <= m_configVersion)
-            return;
-        m_configVersion = configuration->version;
-        m_listener.configurationChanged(RouteTable::create(std::move(*configuration)));
-    } else if (m_kind == DirectoryKind::Targets) {
+    if (m_kind == DirectoryKind::Targets) {
         if (auto record = m_decoder.target(object)) {
             m_listener.targetChanged(*record);
         } else {
-            logUnusable(record.error());
+            logUnusable(name, record.error());
             m_listener.targetRemoved(TargetId(name));
         }
     } else {
         if (auto record = m_decoder.router(object))
             m_listener.routerChanged(*record);
         else
-            logUnusable(record.error());
+            logUnusable(name, record.error());
+    }
+}
+
+void DirectoryView::applyConfiguration(DirectoryObject object)
+{
+    auto configuration = m_decoder.configuration(object);
+    if (!configuration) {
+        logUnusable(object.name, configuration.error());
+        m_objects[object.name] = std::move(object);
+        return;
+    }
+    // Within one process lifetime the configuration version only increases. A restored store may return an
+    // older one; the newer content stays the one that other routers receive from this view.
+    if (configuration->version < m_configVersion) {
+        m_log.write("older_configuration_ignored",
+                    {{"name", object.name},
+                     {"version", configuration->version.value()},
+                     {"in_force", m_configVersion.value()}},
+                    monotonicNow());
+        if (const auto it = m_objects.find(object.name); it != m_objects.end())
+            it->second.position = object.position;
+        return;
     }
+    m_objects[object.name] = std::move(object);
+    if (configuration->version == m_configVersion)
+        return;
+    m_configVersion = configuration->version;
+    m_listener.configurationChanged(RouteTable::create(std::move(*configuration)));
+}
+
+void DirectoryView::logUnusable(const std::string &name, const Error &error)
+{
+    m_log.write("unusable_object", {{"kind", kindLabel()}, {"name", name}, {"reason", error.detail}},
+                monotonicNow());
 }
 
 void DirectoryView::applyRemoval(const std::string &name)
@@ -188,23 +242,26 @@
 
 void DirectoryView::recordChange(const std::string &name)
 {
-    m_changeLog.push_back({m_synchronizer.changeRevision(), name});
+    ++m_changeCount;
+    m_changeLog.push_back({m_synchronizer.changePosition(), name});
     if (m_changeLog.size() > changeLogCapacity) {
-        m_changeLogStart = m_changeLog.front().revision;
+        m_changeLogStart = m_changeLog.front().position;
         m_changeLog.pop_front();
     }
 }
 
-nlohmann::json DirectoryView::changesAfter(ObjectVersion after) const
+nlohmann::json DirectoryView::changesAfter(StorePosition after) const
 {
-    const bool isComplete = after.value() == 0 || after < m_changeLogStart;
+    const auto position = m_synchronizer.changePosition();
+    const bool isComplete =
+        after.revision.value() == 0 || after.era != position.era || after < m_changeLogStart;
     std::set<std::string> names;
     if (isComplete) {
         for (const auto &[name, object] : m_objects)
             names.insert(name);
     } else {
         for (const auto &it : m_changeLog) {
-            if (it.revision > after)
+            if (it.position > after)
                 names.insert(it.name);
         }
     }
@@ -214,10 +271,13 @@
         if (it == m_objects.end())
             objects.push_back({{"name", name}, {"removed", true}});
         else
-            objects.push_back(
-                {{"name", name}, {"revision", it->second.revision.value()}, {"content", it->second.content}});
+            objects.push_back({{"name", name},
+                               {"era", it->second.position.era.value()},
+                               {"revision", it->second.position.revision.value()},
+                               {"content", it->second.content}});
     }
-    return {{"revision", m_synchronizer.changeRevision().value()},
+    return {{"era", position.era.value()},
+            {"revision", position.revision.value()},
             {"complete", isComplete},
             {"objects", std::move(objects)}};
 }
@@ -227,26 +287,25 @@
     const auto malformed = [] {
         return makeError(ErrorCode::InvalidRequest, "malformed view from another router");
     };
-    if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_unsigned()
-        || !json.contains("objects") || !json["objects"].is_array() || !json.contains("complete")
+    const auto position = detail::positionOf(json);
+    if (!position || !json.contains("objects") || !json["objects"].is_array() || !json.contains("complete")
         || !json["complete"].is_boolean())
         return malformed();
-    const ObjectVersion revision(json["revision"].get<std::uint64_t>());
     std::vector<DirectoryObject> objects;
     for (const auto &it : json["objects"]) {
         if (!it.is_object() || !it.contains("name") || !it["name"].is_string())
             return malformed();
         if (it.value("removed", nlohmann::json()) == true) {
-            objects.push_back({it["name"].get<std::string>(), revision, {}, true});
+            objects.push_back({it["name"].get<std::string>(), *position, {}, true});
             continue;
         }
-        if (!it.contains("revision") || !it["revision"].is_number_unsigned() || !it.contains("content"))
+        const auto objectPosition = detail::positionOf(it);
+        if (!objectPosition || !it.contains("content"))
             return malformed();
-        objects.push_back({it["name"].get<std::string>(), ObjectVersion(it["revision"].get<std::uint64_t>()),
-                           it["content"], false});
+        objects.push_back({it["name"].get<std::string>(), *objectPosition, it["content"], false});
     }
     stage(objects);
-    handle(DirectorySyncEvents::RelayReceived{detail::metadataOfAll(objects), revision,
+    handle(DirectorySyncEvents::RelayReceived{detail::metadataOfAll(objects), *position,
                                               json["complete"].get<bool>()});
     return {};
 }
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -27,6 +27,8 @@
     virtual void targetChanged(const ForwardingTarget &) = 0;
     virtual void targetRemoved(const TargetId &) = 0;
     virtual void routerChanged(const RouterRecord &) = 0;
+    // The store was restored from an older copy. Records that this process wrote there may be lost.
+    virtual void storeRestored(StorePosition from, StorePosition to) = 0;
 };
 
 // View of all objects of one kind.
@@ -43,7 +45,9 @@
     void start();
     // While false, the store is not watched and changes come from other routers.
     void setWatching(bool);
-    [[nodiscard]] ObjectVersion changeRevision() const { return m_synchronizer.changeRevision(); }
+    [[nodiscard]] StorePosition changePosition() const { return m_synchronizer.changePosition(); }
+    // Number of changes of the view. It also counts deferred removals, which do not advance the position.
+    [[nodiscard]] std::uint64_t changeCount() const { return m_changeCount; }
     [[nodiscard]] bool hasView() const { return m_synchronizer.hasView(); }
     [[nodiscard]] bool isStoreLost() const { return m_synchronizer.isStoreLost(); }
     [[nodiscard]] bool isTrusted(absl::Time now) const { return m_synchronizer.isTrusted(now); }
@@ -52,9 +56,9 @@
         m_synchronizer.setStoreTrustedByOthers(othersTrusted);
     }
 
-    // Returns the changes after the revision for another router, or the complete view if the change log does
-    // not reach back that far.
-    [[nodiscard]] nlohmann::json changesAfter(ObjectVersion) const;
+    // Returns the changes after the position for another router, or the complete view if the change log does
+    // not reach back that far or the position belongs to another era.
+    [[nodiscard]] nlohmann::json changesAfter(StorePosition) const;
     // Merges another router's view where it is newer. Errors: InvalidRequest.
     [[nodiscard]] ErrorOr<void> mergePeerView(const nlohmann::json &);
 
@@ -63,6 +67,8 @@
     void perform(const DirectorySyncAction &);
     void stage(const std::vector<DirectoryObject> &);
     void apply(const std::string &name);
+    void applyConfiguration(DirectoryObject);
+    void logUnusable(const std::string &name, const Error &);
     void applyRemoval(const std::string &name);
     void recordChange(const std::string &name);
     [[nodiscard]] std::string kindLabel() const;
@@ -78,16 +84,17 @@
     // Applied objects, and objects of the current batch that are not applied yet.
     std::map<std::string, DirectoryObject> m_objects;
     std::map<std::string, DirectoryObject> m_staged;
-    // The latest changes with the revision of the view that each one produced. Invariant: ordered by
-    // revision.
+    // The latest changes with the position of the view that each one produced. Invariant: ordered by
+    // position, and all of the current era.
     struct Change
     {
-        ObjectVersion revision;
+        StorePosition position;
         std::string name;
     };
     std::deque<Change> m_changeLog;
-    // Changes up to and including this revision are not in the log.
-    ObjectVersion m_changeLogStart;
+    std::uint64_t m_changeCount{0};
+    // Changes up to and including this position are not in the log.
+    StorePosition m_changeLogStart;
     ConfigVersion m_configVersion;
     bool m_isWatching{true};
     bool m_isWatchDeferred{false};
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -83,7 +83,7 @@
       m_configurationRelay(context, m_configurationView, "configuration", detail::configurationCallTimeout,
                            m_log, m_random),
       m_targetsRelay(context, m_targetsView, "targets", detail::targetsCallTimeout, m_log, m_random),
-      m_periodicTimer(context), m_shutdownTimer(context)
+      m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context)
 {
     m_self.id = settings.id;
     m_self.domain = settings.domain;
@@ -133,25 +133,49 @@
 
 void Gateway::publishOwnRecord()
 {
+    if (m_shutdownStartedAt || std::exchange(m_isPublishing, true))
+        return;
     const RouterRecord record{m_self.id, m_self.domain, m_self.callerAddress, m_self.peerAddress};
-    m_site.store.publish(record, [this](const ErrorOr<void> &result) {
-        if (result) {
-            // Routers are listed only after the own record is written, so that of two routers starting
-            // together at least one sees the other.
-            m_routersView.start();
+    m_site.store.publish(record, [this](const ErrorOr<StoreEra> &era) {
+        m_isPublishing = false;
+        if (era) {
+            ownRecordPublished(*era);
             return;
         }
         m_log.write("publish_failed",
-                    {{"error", errorName(result.error().code)}, {"detail", result.error().detail}},
-                    monotonicNow());
-        m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(detail::publishRetryInterval));
-        m_shutdownTimer.async_wait([this](const auto &ec) {
-            if (!ec && !m_shutdownStartedAt)
-                publishOwnRecord();
-        });
+                    {{"error", errorName(era.error().code)}, {"detail", era.error().detail}}, monotonicNow());
+        retryPublishing();
+    });
+}
+
+void Gateway::ownRecordPublished(StoreEra era)
+{
+    // Routers are listed only after the own record is written, so that of two routers starting together at
+    // least one sees the other.
+    if (!std::exchange(m_publishedEra, era))
+        m_routersView.start();
+    // The store was restored while the write was on its way.
+    if (era < m_targetsView.changePosition().era)
+        retryPublishing();
+}
+
+void Gateway::retryPublishing()
+{
+    m_publishTimer.expires_after(absl::ToChronoNanoseconds(detail::publishRetryInterval));
+    m_publishTimer.async_wait([this](const auto &ec) {
+        if (!ec)
+            publishOwnRecord();
     });
 }
 
+void Gateway::storeRestored(StorePosition from, StorePosition to)
+{
+    m_metrics.increment("store_restorations_total", "");
+    // The copy may lack the record. The views notice the restoration one after the other.
+    if (from.era < to.era && m_publishedEra && *m_publishedEra < to.era)
+        publishOwnRecord();
+}
+
 bool Gateway::isReady() const
 {
     return m_routes && m_targetsView.hasView() && !m_shutdownStartedAt;
@@ -284,18 +308,21 @@
 void Gateway::targetChanged(const ForwardingTarget &record)
 {
     const auto *known = m_targets.find(record.id);
-    if (!known || known->phase != record.phase || known->address != record.address
-        || known->startedAtMs != record.startedAtMs) {
+    const auto before = known ? std::optional(*known) : std::nullopt;
+    const auto replacedTarget = m_targets.upsert(record);
+    const auto &now = *m_targets.find(record.id);
+    if (!before || before->phase != now.phase || before->address != now.address
+        || before->startedAtMs != now.startedAtMs) {
         m_log.write("target",
-                    {{"target", record.id.value()},
-                     {"service", record.service.value()},
-                     {"domain", record.domain.value()},
-                     {"address", record.address},
-                     {"phase", record.phase == ForwardingTargetPhase::Ready ? "ready" : "leaving"},
-                     {"started_at_ms", record.startedAtMs}},
+                    {{"target", now.id.value()},
+                     {"service", now.service.value()},
+                     {"domain", now.domain.value()},
+                     {"address", now.address},
+                     {"phase", now.phase == ForwardingTargetPhase::Ready ? "ready" : "leaving"},
+                     {"started_at_ms", now.startedAtMs}},
                     monotonicNow());
     }
-    if (const auto replacedTarget = m_targets.upsert(record))
+    if (replacedTarget)
         notifySessions(*replacedTarget, TargetFault::Gone);
 }
 
@@ -327,9 +354,9 @@
     report.router.phase = m_shutdownStartedAt ? RouterPhase::Draining
         : isReady()                           ? RouterPhase::Serving
                                               : RouterPhase::Starting;
-    report.sequence = ++m_reportSequence;
-    report.configurationRevision = m_configurationView.changeRevision();
-    report.targetsRevision = m_targetsView.changeRevision();
+    report.router.reportSequence = ++m_reportSequence;
+    report.configurationPosition = m_configurationView.changePosition();
+    report.targetsPosition = m_targetsView.changePosition();
     report.loads = m_targets.ownLoads();
     report.faults = std::exchange(m_unreportedFaults, {});
     report.gone = std::exchange(m_unreportedGone, {});
@@ -344,7 +371,8 @@
     if (report.router.id == m_self.id)
         return;
     const auto now = monotonicNow();
-    if (m_routerRegistry.recordReport(report.router, now)) {
+    const auto order = m_routerRegistry.recordReport(report.router, now);
+    if (order == ReportOrder::First) {
         m_log.write("router_found",
                     {{"router", report.router.id.value()},
                      {"incarnation", report.router.incarnation.value()},
@@ -352,7 +380,7 @@
                     now);
         m_peerLink->scheduleReport();
     }
-    m_targets.setPeerLoads(report.router.id, report.loads, now);
+    // These are not repeated in later reports.
     for (const auto &it : report.faults) {
         m_targets.recordPeerFault(it, now);
         notifySessions(it, TargetFault::Unresponsive);
@@ -361,9 +389,12 @@
         m_targets.markGone(it);
         notifySessions(it, TargetFault::Gone);
     }
+    if (order == ReportOrder::Outdated)
+        return;
+    m_targets.setPeerLoads(report.router.id, report.loads, now);
     addReportedCounts(report, now);
-    m_configurationRelay.noteRevision(report.router, report.configurationRevision);
-    m_targetsRelay.noteRevision(report.router, report.targetsRevision);
+    m_configurationRelay.notePosition(report.router, report.configurationPosition);
+    m_targetsRelay.notePosition(report.router, report.targetsPosition);
 }
 
 void Gateway::addReportedCounts(const PeerReport &report, absl::Time now)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -66,6 +66,7 @@
     void targetChanged(const ForwardingTarget &) override;
     void targetRemoved(const TargetId &) override;
     void routerChanged(const RouterRecord &) override;
+    void storeRestored(StorePosition from, StorePosition to) override;
     [[nodiscard]] PeerReport makeReport() override;
     void handleReport(const PeerReport &) override;
     [[nodiscard]] std::vector<RouterRegistry::Member> peers() const override
@@ -87,7 +88,10 @@
     void verifyTarget(const TargetId &);
     void addReportedCounts(const PeerReport &, absl::Time now);
 
+    // Writes the router's own record to the store, and again while it fails or a later era lacks it.
     void publishOwnRecord();
+    void ownRecordPublished(StoreEra);
+    void retryPublishing();
     // Requests the full view of targets from another router.
     void reconcile(absl::Time now);
     void runPeriodicTasks();
@@ -117,8 +121,11 @@
     std::unique_ptr<PeerLink> m_peerLink;
     boost::asio::steady_timer m_periodicTimer;
     std::uint64_t m_periodicRuns{0};
-    // Also delays retries of publishing the router's own record until the shutdown starts.
     boost::asio::steady_timer m_shutdownTimer;
+    boost::asio::steady_timer m_publishTimer;
+    bool m_isPublishing{false};
+    // Era that the router's own record was last written in.
+    std::optional<StoreEra> m_publishedEra;
     absl::Time m_startedAt;
     std::optional<absl::Time> m_shutdownStartedAt;
     std::uint64_t m_reportSequence{0};
--- a/Libraries/LibGateway/RequestTimeline.cpp
+++ b/Libraries/LibGateway/RequestTimeline.cpp
@@ -18,7 +18,8 @@
 
 // Events that concern a whole process, and events that concern one target.
 const std::set<std::string> processEvents = {"started",    "stopping",       "stopped",      "reloaded",
-                                             "store_lost", "store_regained", "reload_failed"};
+                                             "store_lost", "store_regained", "store_restored",
+                                             "reload_failed"};
 const std::set<std::string> targetEvents = {"target", "target_removed", "target_verified", "target_fault"};
 
 // Explanations of the outcomes for on-call engineers.
@@ -119,6 +120,7 @@
         return absl::StrCat("no log lines for request ", m_requestId, "\n");
     std::string out;
     std::string cause;
+    bool wasStoreRestored = false;
     const auto lines = relevantLines();
     const double begin =
         std::min_element(m_requestLines.begin(), m_requestLines.end(), [](const auto &a, const auto &b) {
@@ -127,6 +129,7 @@
     for (const auto &it : lines) {
         const auto event = it.fields["event"].get<std::string>();
         const bool isOfRequest = it.fields.value("request", nlohmann::json()) == m_requestId;
+        wasStoreRestored = wasStoreRestored || event == "store_restored";
         absl::StrAppendFormat(&out, "%+9.3f s  %s %s  %s%s\n", it.at - begin, isOfRequest ? " " : "~",
                               it.process, event, detail::describeFields(it.fields));
         if (!isOfRequest || (event != "finished" && event != "refused"))
@@ -138,6 +141,10 @@
     absl::StrAppend(
         &out, "cause: ",
         cause.empty() ? "no final word: the process ended first, or the log line was dropped" : cause, "\n");
+    if (wasStoreRestored)
+        absl::StrAppend(&out,
+                        "note: the store was restored from an older copy shortly before or during the request; "
+                        "objects written after the copy were missing until they were written again\n");
     return out;
 }
 
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -12,6 +12,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <vector>
+
 namespace Wisteria {
 
 namespace detail {
@@ -53,22 +55,27 @@
 {
     if (!absl::StartsWith(abslView(path), abslView(detail::viewsPath)))
         return std::nullopt;
-    const std::pair<std::string, absl::string_view> parts =
-        absl::StrSplit(abslView(path.substr(detail::viewsPath.size())), absl::MaxSplits('/', 1));
-    std::uint64_t after = 0;
-    if (!absl::SimpleAtoi(parts.second, &after))
+    const std::vector<absl::string_view> parts =
+        absl::StrSplit(abslView(path.substr(detail::viewsPath.size())), '/');
+    constexpr std::size_t partCount = 3;
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    if (parts.size() != partCount || !absl::SimpleAtoi(parts[1], &era)
+        || !absl::SimpleAtoi(parts[2], &revision))
         return std::nullopt;
-    return ViewRequest{parts.first, ObjectVersion(after)};
+    return ViewRequest{std::string(parts[0]), {StoreEra(era), ObjectVersion(revision)}};
 }
 
-HttpResponse ViewRelay::responseFor(ObjectVersion after)
+HttpResponse ViewRelay::responseFor(StorePosition after)
 {
-    const auto revision = m_view.changeRevision();
-    if (after.value() != 0 && after >= revision)
+    const auto position = m_view.changePosition();
+    if (after.revision.value() != 0 && after >= position)
         return makeResponse(detail::statusNoContent, "", "");
-    if (m_encodedRevision != revision || m_encodedResponses.size() >= detail::maxEncodedResponses)
+    if (m_encodedPosition != position || m_encodedChangeCount != m_view.changeCount()
+        || m_encodedResponses.size() >= detail::maxEncodedResponses)
         m_encodedResponses.clear();
-    m_encodedRevision = revision;
+    m_encodedPosition = position;
+    m_encodedChangeCount = m_view.changeCount();
     auto &encoded = m_encodedResponses[after];
     if (encoded.empty())
         encoded = compressBytes(m_view.changesAfter(after).dump());
@@ -77,9 +84,9 @@
     return response;
 }
 
-void ViewRelay::noteRevision(const RouterRegistry::Member &peer, ObjectVersion revision)
+void ViewRelay::notePosition(const RouterRegistry::Member &peer, StorePosition position)
 {
-    if (revision <= m_view.changeRevision())
+    if (position <= m_view.changePosition())
         return;
     m_newerPeer = peer;
     if (std::exchange(m_isPulling, true))
@@ -87,17 +94,17 @@
     m_timer.expires_after(absl::ToChronoNanoseconds(pullDelay * (1 + m_random.fraction())));
     m_timer.async_wait([this](const auto &ec) {
         if (!ec)
-            pull(m_newerPeer, m_view.changeRevision());
+            pull(m_newerPeer, m_view.changePosition());
     });
 }
 
 void ViewRelay::pullFullView(const RouterRegistry::Member &peer)
 {
     if (!std::exchange(m_isPulling, true))
-        pull(peer, ObjectVersion());
+        pull(peer, StorePosition());
 }
 
-void ViewRelay::pull(const RouterRegistry::Member &peer, ObjectVersion after)
+void ViewRelay::pull(const RouterRegistry::Member &peer, StorePosition after)
 {
     const auto endpoint = parseEndpoint(peer.peerAddress);
     if (!endpoint) {
@@ -108,7 +115,8 @@
     HttpFields fields;
     fields.set("Host", peer.peerAddress);
     fields.set("Connection", "close");
-    const auto path = absl::StrCat(abslView(detail::viewsPath), m_name, "/", after.value());
+    const auto path = absl::StrCat(abslView(detail::viewsPath), m_name, "/", after.era.value(), "/",
+                                   after.revision.value());
     callHttp(m_context, std::make_shared<HttpClientConnection>(m_context, *endpoint, SocketLimits{}),
              serializeRequest("GET", path, fields, ""), m_callTimeout, maxViewBytes,
              [this, id = peer.id](const HttpCallResult &result) {
@@ -131,16 +139,17 @@
     const auto json = parseUntrustedJson(*text);
     if (!json)
         return logFailure(id, json.error().detail);
-    const auto before = m_view.changeRevision();
+    const auto before = m_view.changePosition();
     if (const auto merged = m_view.mergePeerView(*json); !merged)
         return logFailure(id, merged.error().detail);
-    if (m_view.changeRevision() > before) {
+    if (const auto after = m_view.changePosition(); after > before) {
         m_log.write("relayed",
                     {{"router", id.value()},
                      {"view", m_name},
                      {"bytes", result->body.size()},
-                     {"from", before.value()},
-                     {"to", m_view.changeRevision().value()}},
+                     {"era", after.era.value()},
+                     {"from", before.revision.value()},
+                     {"to", after.revision.value()}},
                     monotonicNow());
     }
 }
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -1,5 +1,5 @@
-// Replicates one view of the store between routers: serves the changes after a revision, compressed, and
-// pulls newer changes from other routers.
+// Replicates one view of the store between routers: serves the changes after a position, compressed, and
+// pulls newer changes from other routers. Requests are `GET /v1/peer/views/NAME/ERA/REVISION`.
 //
 // All routers but a few watchers request the same change at the same moment, so responses are encoded once
 // and cached. Each view has its own relay, so that updates of targets never wait for a configuration of
@@ -25,8 +25,8 @@
 struct ViewRequest
 {
     std::string view;
-    // Zero requests all objects.
-    ObjectVersion after;
+    // Revision zero requests all objects.
+    StorePosition after;
 };
 
 class ViewRelay
@@ -46,16 +46,16 @@
     // Empty when the path is not a request for a view.
     [[nodiscard]] static std::optional<ViewRequest> readRequest(std::string_view path);
     [[nodiscard]] const std::string &name() const { return m_name; }
-    // The status is 204 when nothing changed after the revision.
-    [[nodiscard]] HttpResponse responseFor(ObjectVersion after);
+    // The status is 204 when nothing changed after the position.
+    [[nodiscard]] HttpResponse responseFor(StorePosition after);
 
-    // The router reported this revision of its view.
-    void noteRevision(const RouterRegistry::Member &, ObjectVersion);
+    // The router reported this position of its view.
+    void notePosition(const RouterRegistry::Member &, StorePosition);
     // Pulls the other router's full view and merges it.
     void pullFullView(const RouterRegistry::Member &);
 
 private:
-    void pull(const RouterRegistry::Member &, ObjectVersion after);
+    void pull(const RouterRegistry::Member &, StorePosition after);
     void handlePullResult(const RouterId &, const HttpCallResult &);
     void logFailure(const RouterId &, std::string_view detail);
 
@@ -70,9 +70,11 @@
     RouterRegistry::Member m_newerPeer;
     // A pull is in progress or scheduled.
     bool m_isPulling{false};
-    // Encoded responses by the requested revision. Invariant: encoded at m_encodedRevision.
-    std::map<ObjectVersion, std::string> m_encodedResponses;
-    ObjectVersion m_encodedRevision;
+    // Encoded responses by the requested position. Invariant: encoded when the view had changed
+    // m_encodedChangeCount times and was at m_encodedPosition.
+    std::map<StorePosition, std::string> m_encodedResponses;
+    StorePosition m_encodedPosition;
+    std::uint64_t m_encodedChangeCount{0};
 };
 
 } // namespace Wisteria
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -4,6 +4,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <map>
+
 namespace Wisteria {
 
 class TestDirectorySynchronizer : public CppUnit::TestFixture
@@ -20,6 +23,19 @@
     CPPUNIT_TEST(staleRelayIsIgnored);
     CPPUNIT_TEST(staleObjectRevisionIsIgnored);
     CPPUNIT_TEST(relayedChangesAdvanceRevision);
+    CPPUNIT_TEST(watchResponseOfNewEraTriggersList);
+    CPPUNIT_TEST(objectsOfNewEraReplaceThoseWithGreaterRevision);
+    CPPUNIT_TEST(lateResponsesOfEarlierEraChangeNothing);
+    CPPUNIT_TEST(objectsMissingFromCopyAreKeptUntilWrittenAgain);
+    CPPUNIT_TEST(objectsMissingFromCopyAreRemovedAfterGrace);
+    CPPUNIT_TEST(removedObjectInCopyIsHeldBackUntilWrittenAgain);
+    CPPUNIT_TEST(removedObjectThatOutlivesHoldBackIsListed);
+    CPPUNIT_TEST(secondRestorationIsFollowed);
+    CPPUNIT_TEST(relayedChangesOfNewEraNeedSnapshot);
+    CPPUNIT_TEST(relayOfEarlierEraIsIgnored);
+    CPPUNIT_TEST(watchThatSpansRelayedRestorationTriggersList);
+    CPPUNIT_TEST(snapshotOfRestartedRouterRemovesNothingAtOnce);
+    CPPUNIT_TEST(reportsAndRelaysOfOldAndNewEraConverge);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,11 +105,11 @@
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         const auto storeReturn = m_now + absl::Seconds(5);
         auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", ObjectVersion(11), true}}, ObjectVersion(11)},
+            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
             storeReturn);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
         actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", ObjectVersion(12), false}}, ObjectVersion(12)},
+            DirectorySyncEvents::WatchCompleted{{{"a", at(12), false}}, at(12)},
             storeReturn + absl::Seconds(1));
         actions = m_synchronizer.handle(DirectorySyncEvents::Tick{}, storeReturn + absl::Seconds(10));
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
@@ -105,7 +121,7 @@
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         const auto storeReturn = m_now + absl::Seconds(5);
         (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", ObjectVersion(11), true}}, ObjectVersion(11)},
+            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
             storeReturn);
         const auto before = storeReturn + DirectorySynchronizer::removalGracePeriod - absl::Milliseconds(1);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(
@@ -123,7 +139,7 @@
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         m_synchronizer.setStoreTrustedByOthers(true);
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", ObjectVersion(11), true}}, ObjectVersion(11)},
+            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
             m_now + absl::Seconds(5));
         CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(actions));
     }
@@ -133,7 +149,7 @@
         loadInitialList();
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::RelayReceived{{{"a", ObjectVersion(11), true}}, ObjectVersion(11), false},
+            DirectorySyncEvents::RelayReceived{{{"a", at(11), true}}, at(11), false},
             m_now);
         CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(actions));
     }
@@ -142,7 +158,7 @@
     {
         loadInitialList();
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::RelayReceived{{{"a", ObjectVersion(3), true}}, ObjectVersion(9), true},
+            DirectorySyncEvents::RelayReceived{{{"a", at(3), true}}, at(9), true},
             m_now);
         CPPUNIT_ASSERT(actions.empty());
     }
@@ -151,10 +167,10 @@
     {
         loadInitialList();
         (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", ObjectVersion(15), false}}, ObjectVersion(15)}, m_now);
+            DirectorySyncEvents::WatchCompleted{{{"a", at(15), false}}, at(15)}, m_now);
         const auto actions = m_synchronizer.handle(
             DirectorySyncEvents::WatchCompleted{
-                {{"a", ObjectVersion(14), false}, {"a", ObjectVersion(14), true}}, ObjectVersion(16)},
+                {{"a", at(14), false}, {"a", at(14), true}}, at(16)},
             m_now);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Apply>(actions));
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
@@ -164,20 +180,246 @@
     {
         loadInitialList();
         (void)m_synchronizer.handle(
-            DirectorySyncEvents::RelayReceived{{{"c", ObjectVersion(30), false}}, ObjectVersion(30), false},
+            DirectorySyncEvents::RelayReceived{{{"c", at(30), false}}, at(30), false},
             m_now);
-        CPPUNIT_ASSERT(m_synchronizer.changeRevision() == ObjectVersion(30));
-        CPPUNIT_ASSERT(m_synchronizer.revision() == ObjectVersion(30));
+        CPPUNIT_ASSERT(m_synchronizer.changePosition() == at(30));
+        CPPUNIT_ASSERT(m_synchronizer.position() == at(30));
+    }
+
+    // Revisions are assigned again after a restoration, so that a watch may succeed although the changes
+    // between the copy and its starting point are missing from its result.
+    void watchResponseOfNewEraTriggersList()
+    {
+        loadInitialList();
+        const auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"c", at(12, 2), false}}, at(12, 2)}, m_now);
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::StartList>(actions));
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Apply>(actions));
+        CPPUNIT_ASSERT(m_synchronizer.position() == at(10));
+    }
+
+    void objectsOfNewEraReplaceThoseWithGreaterRevision()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"a", at(15), false}}, at(15)}, m_now);
+        const auto actions = restore({{"a", at(4, 2), false}, {"b", at(1, 2), false}}, at(6, 2));
+        CPPUNIT_ASSERT_EQUAL(2, countActions<DirectorySyncActions::Apply>(actions));
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::EraChanged>(actions));
+        CPPUNIT_ASSERT(m_synchronizer.position() == at(6, 2));
+        CPPUNIT_ASSERT(m_synchronizer.changePosition() == at(6, 2));
+    }
+
+    void lateResponsesOfEarlierEraChangeNothing()
+    {
+        loadInitialList();
+        (void)restore({{"a", at(4, 2), false}, {"b", at(1, 2), false}}, at(6, 2));
+        auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"a", at(90), true}}, at(90)}, m_now);
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+        actions = m_synchronizer.handle(listResult({"x"}, 99), m_now);
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Apply>(actions));
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+        CPPUNIT_ASSERT(m_synchronizer.position() == at(6, 2));
+    }
+
+    void objectsMissingFromCopyAreKeptUntilWrittenAgain()
+    {
+        loadInitialList();
+        auto actions = restore({{"a", at(1, 2), false}}, at(5, 2));
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+        CPPUNIT_ASSERT(!m_synchronizer.isTrusted(m_now));
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"b", at(6, 2), false}}, at(6, 2)},
+            m_now + absl::Seconds(1));
+        actions = m_synchronizer.handle(DirectorySyncEvents::Tick{}, m_now + absl::Seconds(10));
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+    }
+
+    void objectsMissingFromCopyAreRemovedAfterGrace()
+    {
+        loadInitialList();
+        // Other routers had access to the store all the time, but it was restored for them, too.
+        m_synchronizer.setStoreTrustedByOthers(true);
+        (void)restore({{"a", at(1, 2), false}}, at(5, 2));
+        const auto graceEnd = m_now + DirectorySynchronizer::removalGracePeriod;
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(
+            m_synchronizer.handle(DirectorySyncEvents::Tick{}, graceEnd - absl::Milliseconds(1))));
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(
+            m_synchronizer.handle(DirectorySyncEvents::Tick{}, graceEnd)));
+    }
+
+    // A target is removed because it left. The copy is older and still lists it as ready.
+    void removedObjectInCopyIsHeldBackUntilWrittenAgain()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        auto actions = restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
+        CPPUNIT_ASSERT(!appliesObject(actions, "b"));
+        CPPUNIT_ASSERT(appliesObject(actions, "a"));
+        actions = m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"b", at(6, 2), false}}, at(6, 2)},
+            m_now + absl::Seconds(1));
+        CPPUNIT_ASSERT(appliesObject(actions, "b"));
+    }
+
+    // A running target whose entry had expired writes the same content again, which is not a change.
+    void removedObjectThatOutlivesHoldBackIsListed()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
+        const auto end = m_now + DirectorySynchronizer::restoredEntryHoldBack;
+        (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, end);
+        auto actions = m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{}, at(5, 2)}, end);
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::StartList>(actions));
+        actions = m_synchronizer.handle(
+            DirectorySyncEvents::ListCompleted{{{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2)},
+            end);
+        CPPUNIT_ASSERT(appliesObject(actions, "b"));
+    }
+
+    void secondRestorationIsFollowed()
+    {
+        loadInitialList();
+        (void)restore({{"a", at(3, 2), false}}, at(5, 2));
+        m_now += absl::Seconds(1);
+        const auto actions = restore({{"a", at(2, 3), false}}, at(4, 3));
+        CPPUNIT_ASSERT(appliesObject(actions, "a"));
+        CPPUNIT_ASSERT(m_synchronizer.position() == at(4, 3));
+        // The grace period of "b" starts again.
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(m_synchronizer.handle(
+            DirectorySyncEvents::Tick{}, m_now + absl::Seconds(2))));
+    }
+
+    void relayedChangesOfNewEraNeedSnapshot()
+    {
+        loadInitialList();
+        auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{{{"c", at(7, 2), false}}, at(7, 2), false}, m_now);
+        CPPUNIT_ASSERT(actions.empty());
+        actions = m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{
+                {{"a", at(1, 2), false}, {"b", at(10), false}, {"c", at(7, 2), false}}, at(7, 2), true},
+            m_now);
+        CPPUNIT_ASSERT(appliesObject(actions, "c"));
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::EraChanged>(actions));
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+    }
+
+    void relayOfEarlierEraIsIgnored()
+    {
+        loadInitialList();
+        (void)restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
+        const auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{{{"a", at(99), false}}, at(99), true}, m_now);
+        CPPUNIT_ASSERT(actions.empty());
+    }
+
+    // The router learns of the new era from another router while its own watch is still open.
+    void watchThatSpansRelayedRestorationTriggersList()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{
+                {{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2), true},
+            m_now);
+        const auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"c", at(12, 2), false}}, at(12, 2)}, m_now);
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::StartList>(actions));
+        CPPUNIT_ASSERT(m_synchronizer.position() == at(5, 2));
+    }
+
+    // A router that started after the restoration knows only the copy.
+    void snapshotOfRestartedRouterRemovesNothingAtOnce()
+    {
+        loadInitialList();
+        auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{{{"a", at(1, 2), false}}, at(5, 2), true}, m_now);
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+        actions = m_synchronizer.handle(DirectorySyncEvents::Tick{},
+                                        m_now + DirectorySynchronizer::removalGracePeriod);
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(actions));
+    }
+
+    // Lists, watches, relays and late responses of three eras in drawn order. Whatever the order, the view
+    // must end with the content of the last era, and its position must never go back.
+    void reportsAndRelaysOfOldAndNewEraConverge()
+    {
+        constexpr int runs = 200;
+        for (int run = 0; run < runs; ++run) {
+            SeededRandom random(static_cast<std::uint64_t>(run) + 1);
+            DirectorySynchronizer synchronizer(random);
+            (void)synchronizer.begin();
+            auto now = m_now;
+            std::map<std::string, StorePosition> view;
+            auto last = synchronizer.position();
+            const auto deliver = [&](const DirectorySyncEvent &event) {
+                for (const auto &it : synchronizer.handle(event, now)) {
+                    if (const auto *change = std::get_if<DirectorySyncActions::Apply>(&it))
+                        view[change->name] = change->position;
+                    else if (const auto *removal = std::get_if<DirectorySyncActions::Remove>(&it))
+                        view.erase(removal->name);
+                }
+                CPPUNIT_ASSERT(synchronizer.position() >= last);
+                last = synchronizer.position();
+            };
+            constexpr int steps = 30;
+            for (int step = 0; step < steps; ++step) {
+                now += absl::Milliseconds(static_cast<std::int64_t>(random.below(500)));
+                const std::uint64_t era = 1 + random.below(3);
+                // Later eras have smaller revisions.
+                const std::uint64_t revision = 100 - 30 * era + random.below(20);
+                const std::vector<ObjectMetadata> objects = {{"o", at(revision, era), false}};
+                switch (random.below(4)) {
+                case 0:
+                    deliver(DirectorySyncEvents::ListCompleted{objects, at(revision, era)});
+                    break;
+                case 1:
+                    deliver(DirectorySyncEvents::WatchCompleted{objects, at(revision, era)});
+                    break;
+                case 2:
+                    deliver(DirectorySyncEvents::RelayReceived{objects, at(revision, era), true});
+                    break;
+                default:
+                    deliver(DirectorySyncEvents::Tick{});
+                }
+            }
+            deliver(DirectorySyncEvents::ListCompleted{{{"o", at(99, 3), false}}, at(99, 3)});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.size());
+            CPPUNIT_ASSERT(view["o"] == at(99, 3));
+        }
     }
 
 private:
+    // Position in the era of a store that was never restored, unless another era is given.
+    static StorePosition at(std::uint64_t revision, std::uint64_t era = 1)
+    {
+        return {StoreEra(era), ObjectVersion(revision)};
+    }
+    // The history is lost with the restoration, so the store is listed anew.
+    DirectorySyncActionList restore(std::vector<ObjectMetadata> objects, StorePosition position)
+    {
+        (void)m_synchronizer.handle(DirectorySyncEvents::RevisionExpired{}, m_now);
+        return m_synchronizer.handle(
+            DirectorySyncEvents::ListCompleted{std::move(objects), position}, m_now);
+    }
+    static bool appliesObject(const DirectorySyncActionList &actions, const std::string &name)
+    {
+        return std::any_of(actions.begin(), actions.end(), [&](const DirectorySyncAction &it) {
+            const auto *change = std::get_if<DirectorySyncActions::Apply>(&it);
+            return change && change->name == name;
+        });
+    }
     static DirectorySyncEvents::ListCompleted listResult(const std::vector<std::string> &names,
                                                          std::uint64_t revision)
     {
         DirectorySyncEvents::ListCompleted out;
         for (const auto &it : names)
-            out.objects.push_back({it, ObjectVersion(1), false});
-        out.revision = ObjectVersion(revision);
+            out.objects.push_back({it, at(1), false});
+        out.position = at(revision);
         return out;
     }
     void loadInitialList()
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(silentRouterIsRemovedFromEntryPoints);
     CPPUNIT_TEST(drainingRouterIsRemovedFromEntryPointsAtOnce);
     CPPUNIT_TEST(earlierIncarnationIsIgnored);
+    CPPUNIT_TEST(reorderedReportIsOutdated);
     CPPUNIT_TEST(routersWithoutStoreAccessAreNotWatchers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,7 +150,8 @@
         CPPUNIT_ASSERT(decoded->loads == report.loads);
         CPPUNIT_ASSERT(decoded->faults == report.faults);
         CPPUNIT_ASSERT(decoded->gone == report.gone);
-        CPPUNIT_ASSERT(decoded->targetsRevision == report.targetsRevision);
+        CPPUNIT_ASSERT(decoded->targetsPosition == report.targetsPosition);
+        CPPUNIT_ASSERT_EQUAL(report.router.reportSequence, decoded->router.reportSequence);
     }
 
     void corruptedReportsAreRejected()
@@ -179,20 +181,42 @@
     {
         RouterRegistry registry;
         registry.recordReport(member("r1", 1, RouterPhase::Serving), m_now);
-        registry.recordReport(member("r1", 1, RouterPhase::Draining), m_now);
+        registry.recordReport(member("r1", 1, RouterPhase::Draining, 2), m_now);
         CPPUNIT_ASSERT(registry.entryPoints(FailureDomain("d"), m_now).empty());
     }
 
+    // Datagrams overtake each other; a router that has reported its shutdown must not become an entry point
+    // again when its previous report arrives.
+    void reorderedReportIsOutdated()
+    {
+        RouterRegistry registry;
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Serving, 4), m_now)
+                       == ReportOrder::First);
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Draining, 6), m_now)
+                       == ReportOrder::Next);
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Serving, 5), m_now)
+                       == ReportOrder::Outdated);
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Draining, 6), m_now)
+                       == ReportOrder::Outdated);
+        CPPUNIT_ASSERT(registry.entryPoints(FailureDomain("d"), m_now).empty());
+        // A new incarnation counts from the beginning.
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 2, RouterPhase::Serving, 1), m_now)
+                       == ReportOrder::First);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.entryPoints(FailureDomain("d"), m_now).size());
+    }
+
     void earlierIncarnationIsIgnored()
     {
         RouterRegistry registry;
         registry.recordReport(member("r1", 2, RouterPhase::Serving), m_now);
-        registry.recordReport(member("r1", 1, RouterPhase::Draining), m_now);
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Draining, 2), m_now)
+                       == ReportOrder::Outdated);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.entryPoints(FailureDomain("d"), m_now).size());
         // It is accepted once the later one has gone silent, since the clock that numbers incarnations may
         // have been set back.
         const auto later = m_now + absl::Seconds(10);
-        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Serving), later));
+        CPPUNIT_ASSERT(registry.recordReport(member("r1", 1, RouterPhase::Serving), later)
+                       == ReportOrder::First);
     }
 
     void routersWithoutStoreAccessAreNotWatchers()
@@ -204,6 +228,7 @@
         registry.recordReport(other, m_now);
         CPPUNIT_ASSERT(!registry.shouldWatchStore(self, 1, m_now));
         other.isStoreTrusted = false;
+        ++other.reportSequence;
         registry.recordReport(other, m_now);
         CPPUNIT_ASSERT(registry.shouldWatchStore(self, 1, m_now));
     }
@@ -224,7 +249,8 @@
         out.workspaces.push_back({.name = WorkspaceName("w"), .apiKeys = {"k1", "k2"}});
         return out;
     }
-    static RouterRegistry::Member member(const std::string &id, std::uint64_t incarnation, RouterPhase phase)
+    static RouterRegistry::Member member(const std::string &id, std::uint64_t incarnation, RouterPhase phase,
+                                         std::uint64_t sequence = 1)
     {
         return {.id = RouterId(id),
                 .domain = FailureDomain("d"),
@@ -232,13 +258,14 @@
                 .peerAddress = "127.0.0.1:2",
                 .incarnation = Incarnation(incarnation),
                 .phase = phase,
-                .isStoreTrusted = true};
+                .isStoreTrusted = true,
+                .reportSequence = sequence};
     }
     static PeerReport sampleReport()
     {
         PeerReport report;
         report.router = member("r1", 17, RouterPhase::Draining);
-        report.targetsRevision = ObjectVersion(99);
+        report.targetsPosition = {StoreEra(3), ObjectVersion(99)};
         report.loads[TargetId("t1")] = {.requests = 2, .pendingPrefillTokens = 8000, .memoryTokens = 18000};
         report.faults = {TargetId("t2")};
         report.gone = {TargetId("t3")};
--- a/Tests/LibGateway/FakeDirectory.h
+++ b/Tests/LibGateway/FakeDirectory.h
@@ -15,14 +15,19 @@
 {
 public:
     void list(DirectoryKind, DirectoryHandler handler) override { m_list = std::move(handler); }
-    void watch(DirectoryKind, ObjectVersion, absl::Duration, DirectoryHandler handler) override
+    void watch(DirectoryKind, StorePosition, absl::Duration, DirectoryHandler handler) override
     {
         m_watch = std::move(handler);
     }
-    void publish(const RouterRecord &, std::function<void(ErrorOr<void>)>) override { }
+    void publish(const RouterRecord &, std::function<void(ErrorOr<StoreEra>)>) override { }
 
     void completeList(DirectoryBatch batch) { std::exchange(m_list, nullptr)(std::move(batch)); }
     void completeWatch(DirectoryBatch batch) { std::exchange(m_watch, nullptr)(std::move(batch)); }
+    void failWatch(ErrorCode code)
+    {
+        std::exchange(m_watch, nullptr)(makeError(code, "the test made the call fail"));
+    }
+    [[nodiscard]] bool hasPendingList() const { return m_list != nullptr; }
 
 private:
     DirectoryHandler m_list;
@@ -69,14 +74,23 @@
     }
     void targetRemoved(const TargetId &id) override { targets.erase(id.value()); }
     void routerChanged(const RouterRecord &) override { }
+    void storeRestored(StorePosition from, StorePosition to) override { restorations.emplace_back(from, to); }
 
     std::vector<std::uint64_t> versions;
     std::map<std::string, std::string> targets;
+    std::vector<std::pair<StorePosition, StorePosition>> restorations;
 };
 
-inline DirectoryObject makeObject(const std::string &name, std::uint64_t revision, nlohmann::json content)
+// Position in the era of a store that was never restored, unless another era is given.
+inline StorePosition makePosition(std::uint64_t revision, std::uint64_t era = 1)
+{
+    return {StoreEra(era), ObjectVersion(revision)};
+}
+
+inline DirectoryObject makeObject(const std::string &name, std::uint64_t revision, nlohmann::json content,
+                                  std::uint64_t era = 1)
 {
-    return {name, ObjectVersion(revision), std::move(content), false};
+    return {name, makePosition(revision, era), std::move(content), false};
 }
 
 struct DirectoryViewFixture
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(fullViewIsRelayedAfterLongGap);
     CPPUNIT_TEST(fullViewIsRelayedAfterStart);
     CPPUNIT_TEST(malformedRelaysAreRejected);
+    CPPUNIT_TEST(configurationOfRestoredCopyIsIgnored);
+    CPPUNIT_TEST(restoredStoreIsRelayedAsFullView);
+    CPPUNIT_TEST(deferredRemovalIsRelayed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -25,21 +28,21 @@
     void repeatedChangesInBatchApplyOnlyLatest()
     {
         detail::DirectoryViewFixture first(DirectoryKind::Configuration);
-        first.store.completeList({{detail::makeObject("main", 1, 1U)}, ObjectVersion(1)});
+        first.store.completeList({{detail::makeObject("main", 1, 1U)}, detail::makePosition(1)});
         first.store.completeWatch({{detail::makeObject("main", 2, 2U), detail::makeObject("main", 3, 3U),
                                     detail::makeObject("main", 4, 4U)},
-                                   ObjectVersion(4)});
+                                   detail::makePosition(4)});
         CPPUNIT_ASSERT((first.listener.versions == std::vector<std::uint64_t>{1, 4}));
         detail::DirectoryViewFixture second(DirectoryKind::Configuration);
-        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(ObjectVersion(0))));
+        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(StorePosition())));
         CPPUNIT_ASSERT((second.listener.versions == std::vector<std::uint64_t>{4}));
     }
 
     void olderConfigurationVersionIsIgnored()
     {
         detail::DirectoryViewFixture first(DirectoryKind::Configuration);
-        first.store.completeList({{detail::makeObject("main", 1, 7U)}, ObjectVersion(1)});
-        first.store.completeWatch({{detail::makeObject("main", 2, 6U)}, ObjectVersion(2)});
+        first.store.completeList({{detail::makeObject("main", 1, 7U)}, detail::makePosition(1)});
+        first.store.completeWatch({{detail::makeObject("main", 2, 6U)}, detail::makePosition(2)});
         CPPUNIT_ASSERT((first.listener.versions == std::vector<std::uint64_t>{7}));
     }
 
@@ -47,10 +50,10 @@
     {
         detail::DirectoryViewFixture first(DirectoryKind::Targets);
         first.store.completeList(
-            {{detail::makeObject("a", 1, "1.1.1.1:1"), detail::makeObject("b", 1, 5)}, ObjectVersion(1)});
+            {{detail::makeObject("a", 1, "1.1.1.1:1"), detail::makeObject("b", 1, 5)}, detail::makePosition(1)});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.listener.targets.size());
         // A target is removed when its object can no longer be decoded.
-        first.store.completeWatch({{detail::makeObject("a", 2, nullptr)}, ObjectVersion(2)});
+        first.store.completeWatch({{detail::makeObject("a", 2, nullptr)}, detail::makePosition(2)});
         CPPUNIT_ASSERT(first.listener.targets.empty());
     }
 
@@ -58,26 +61,26 @@
     {
         detail::DirectoryViewFixture first(DirectoryKind::Targets);
         detail::DirectoryViewFixture second(DirectoryKind::Targets);
-        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
-        second.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
-        first.store.completeWatch({{detail::makeObject("b", 2, "1.1.1.1:2")}, ObjectVersion(2)});
-        const auto changes = first.view.changesAfter(second.view.changeRevision());
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        second.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        first.store.completeWatch({{detail::makeObject("b", 2, "1.1.1.1:2")}, detail::makePosition(2)});
+        const auto changes = first.view.changesAfter(second.view.changePosition());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes["objects"].size());
         CPPUNIT_ASSERT(second.view.mergePeerView(changes));
         CPPUNIT_ASSERT(second.listener.targets == first.listener.targets);
-        CPPUNIT_ASSERT(second.view.changeRevision() == first.view.changeRevision());
+        CPPUNIT_ASSERT(second.view.changePosition() == first.view.changePosition());
     }
 
     void removalsAreRelayed()
     {
         detail::DirectoryViewFixture first(DirectoryKind::Targets);
         detail::DirectoryViewFixture second(DirectoryKind::Targets);
-        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
-        second.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        second.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         DirectoryObject removal = detail::makeObject("a", 2, nullptr);
         removal.isRemoved = true;
-        first.store.completeWatch({{removal}, ObjectVersion(2)});
-        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(second.view.changeRevision())));
+        first.store.completeWatch({{removal}, detail::makePosition(2)});
+        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(second.view.changePosition())));
         CPPUNIT_ASSERT(second.listener.targets.empty());
     }
 
@@ -89,9 +92,9 @@
         detail::DirectoryViewFixture second(DirectoryKind::Targets);
         second.store.completeList(
             {{detail::makeObject("gone", 1, "1.1.1.1:1"), detail::makeObject("stays", 2, "1.1.1.1:2")},
-             ObjectVersion(3)});
-        fresh.store.completeList({{detail::makeObject("stays", 2, "1.1.1.1:2")}, ObjectVersion(5)});
-        CPPUNIT_ASSERT(second.view.mergePeerView(fresh.view.changesAfter(second.view.changeRevision())));
+             detail::makePosition(3)});
+        fresh.store.completeList({{detail::makeObject("stays", 2, "1.1.1.1:2")}, detail::makePosition(5)});
+        CPPUNIT_ASSERT(second.view.mergePeerView(fresh.view.changesAfter(second.view.changePosition())));
         CPPUNIT_ASSERT(second.listener.targets == fresh.listener.targets);
     }
 
@@ -99,30 +102,97 @@
     {
         detail::DirectoryViewFixture first(DirectoryKind::Targets);
         detail::DirectoryViewFixture second(DirectoryKind::Targets);
-        first.store.completeList({{detail::makeObject("keep", 1, "1.1.1.1:1")}, ObjectVersion(1)});
-        second.store.completeList({{detail::makeObject("old", 1, "1.1.1.1:9")}, ObjectVersion(1)});
+        first.store.completeList({{detail::makeObject("keep", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        second.store.completeList({{detail::makeObject("old", 1, "1.1.1.1:9")}, detail::makePosition(1)});
         DirectoryBatch batch;
         constexpr std::uint64_t changeCount = 2 * DirectoryView::changeLogCapacity;
         for (std::uint64_t n = 0; n < changeCount; ++n)
             batch.objects.push_back(detail::makeObject("t" + std::to_string(n), 2 + n, "1.1.1.1:2"));
-        batch.revision = ObjectVersion(2 + changeCount);
+        batch.position = detail::makePosition(2 + changeCount);
         first.store.completeWatch(std::move(batch));
-        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(second.view.changeRevision())));
+        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(second.view.changePosition())));
         CPPUNIT_ASSERT(second.listener.targets == first.listener.targets);
     }
 
     void malformedRelaysAreRejected()
     {
         detail::DirectoryViewFixture first(DirectoryKind::Targets);
-        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
-        for (const auto *text : {"[]", "{}", R"({"revision":9,"objects":[],"complete":1})",
-                                 R"({"revision":-9,"objects":[],"complete":true})",
-                                 R"({"revision":9,"objects":[{"name":4}],"complete":true})",
-                                 R"({"revision":9,"objects":[{"name":"x"}],"complete":true})"}) {
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        for (const auto *text : {"[]", "{}", R"({"era":1,"revision":9,"objects":[],"complete":1})",
+                                 R"({"era":1,"revision":-9,"objects":[],"complete":true})",
+                                 R"({"revision":9,"objects":[],"complete":true})",
+                                 R"({"era":1,"revision":9,"objects":[{"name":4}],"complete":true})",
+                                 R"({"era":1,"revision":9,"objects":[{"name":"x"}],"complete":true})"}) {
             CPPUNIT_ASSERT(!first.view.mergePeerView(nlohmann::json::parse(text)));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.listener.targets.size());
     }
+
+    // The copy that a store is restored from may hold an older configuration at a new position. It must not
+    // take effect, here or at a router that has just started and receives this view.
+    void configurationOfRestoredCopyIsIgnored()
+    {
+        detail::DirectoryViewFixture first(DirectoryKind::Configuration);
+        first.store.completeList({{detail::makeObject("main", 9, 7U)}, detail::makePosition(9)});
+        first.store.failWatch(ErrorCode::Conflict);
+        first.store.completeList({{detail::makeObject("main", 3, 5U, 2)}, detail::makePosition(4, 2)});
+        CPPUNIT_ASSERT((first.listener.versions == std::vector<std::uint64_t>{7}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.listener.restorations.size());
+        detail::DirectoryViewFixture fresh(DirectoryKind::Configuration);
+        CPPUNIT_ASSERT(fresh.view.mergePeerView(first.view.changesAfter(StorePosition())));
+        CPPUNIT_ASSERT((fresh.listener.versions == std::vector<std::uint64_t>{7}));
+        // The operator writes a newer one.
+        first.store.completeWatch({{detail::makeObject("main", 5, 8U, 2)}, detail::makePosition(5, 2)});
+        CPPUNIT_ASSERT((first.listener.versions == std::vector<std::uint64_t>{7, 8}));
+    }
+
+    // A router that is cut off from the store holds a greater revision of the earlier era. The changes of the
+    // new era cannot be applied to it one by one.
+    void restoredStoreIsRelayedAsFullView()
+    {
+        detail::DirectoryViewFixture first(DirectoryKind::Targets);
+        detail::DirectoryViewFixture cutOff(DirectoryKind::Targets);
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(20)});
+        cutOff.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(20)});
+        first.store.failWatch(ErrorCode::Conflict);
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1", 2),
+                                   detail::makeObject("b", 6, "1.1.1.1:2", 2)},
+                                  detail::makePosition(6, 2)});
+        CPPUNIT_ASSERT(first.view.changePosition() > cutOff.view.changePosition());
+        const auto changes = first.view.changesAfter(cutOff.view.changePosition());
+        CPPUNIT_ASSERT(changes["complete"].get<bool>());
+        CPPUNIT_ASSERT(cutOff.view.mergePeerView(changes));
+        CPPUNIT_ASSERT(cutOff.listener.targets == first.listener.targets);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cutOff.listener.restorations.size());
+        // What the cut-off router knows is older, whatever its revision.
+        const auto stale = nlohmann::json{{"era", 1U},
+                                          {"revision", 99U},
+                                          {"complete", true},
+                                          {"objects", nlohmann::json::array()}};
+        CPPUNIT_ASSERT(first.view.mergePeerView(stale));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.listener.targets.size());
+    }
+
+    // Removals that were held back during an outage are applied without a new revision of the store. A
+    // response that was encoded before must not be reused after them.
+    void deferredRemovalIsRelayed()
+    {
+        detail::DirectoryViewFixture first(DirectoryKind::Targets);
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        const auto before = first.view.changeCount();
+        first.store.failWatch(ErrorCode::StoreUnavailable);
+        DirectoryObject removal = detail::makeObject("a", 2, nullptr);
+        removal.isRemoved = true;
+        first.context.run_for(std::chrono::milliseconds(400));
+        first.store.completeWatch({{removal}, detail::makePosition(2)});
+        CPPUNIT_ASSERT_EQUAL(before, first.view.changeCount());
+        // It stopped when the first timer had expired.
+        first.context.restart();
+        first.context.run_for(
+            absl::ToChronoMilliseconds(DirectorySynchronizer::removalGracePeriod + absl::Milliseconds(300)));
+        CPPUNIT_ASSERT(first.listener.targets.empty());
+        CPPUNIT_ASSERT(first.view.changeCount() > before);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestDirectoryView);
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -76,10 +76,10 @@
     void changesAreFetchedFromPeer()
     {
         detail::FakePeerRouter peer(m_context, DirectoryKind::Targets, "targets");
-        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
+        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         detail::DirectoryViewFixture local(DirectoryKind::Targets);
         ViewRelay relay(m_context, local.view, "targets", absl::Seconds(1), local.log, local.random);
-        relay.noteRevision(peer.member(), ObjectVersion(1));
+        relay.notePosition(peer.member(), detail::makePosition(1));
         CPPUNIT_ASSERT(runUntil([&] { return local.listener.targets.contains("a"); }));
     }
 
@@ -88,18 +88,18 @@
     void configurationRelayDoesNotDelayTargetRelay()
     {
         detail::FakePeerRouter slow(m_context, DirectoryKind::Configuration, "configuration");
-        slow.fixture().store.completeList({{detail::makeObject("main", 1, 1U)}, ObjectVersion(1)});
+        slow.fixture().store.completeList({{detail::makeObject("main", 1, 1U)}, detail::makePosition(1)});
         slow.setUnresponsive(true);
         detail::FakePeerRouter peer(m_context, DirectoryKind::Targets, "targets");
-        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
+        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         detail::DirectoryViewFixture configuration(DirectoryKind::Configuration);
         detail::DirectoryViewFixture targets(DirectoryKind::Targets);
         ViewRelay large(m_context, configuration.view, "configuration", absl::Seconds(5), configuration.log,
                         configuration.random);
         ViewRelay small(m_context, targets.view, "targets", absl::Seconds(1), targets.log, targets.random);
-        large.noteRevision(slow.member(), ObjectVersion(1));
+        large.notePosition(slow.member(), detail::makePosition(1));
         CPPUNIT_ASSERT(runUntil([&] { return slow.calls() == 1; }));
-        small.noteRevision(peer.member(), ObjectVersion(1));
+        small.notePosition(peer.member(), detail::makePosition(1));
         CPPUNIT_ASSERT(runUntil([&] { return targets.listener.targets.contains("a"); }));
         CPPUNIT_ASSERT(configuration.listener.versions.empty());
     }
@@ -118,12 +118,12 @@
                                {"service", "jera89b"}});
         }
         detail::DirectoryViewFixture local(DirectoryKind::Targets);
-        local.store.completeList({{detail::makeObject("large", 1, content)}, ObjectVersion(1)});
+        local.store.completeList({{detail::makeObject("large", 1, content)}, detail::makePosition(1)});
         ViewRelay relay(m_context, local.view, "targets", absl::Seconds(1), local.log, local.random);
-        const auto answer = relay.responseFor(ObjectVersion());
+        const auto answer = relay.responseFor(StorePosition());
         CPPUNIT_ASSERT(answer.body.size() * minCompressionRatio < content.dump().size());
         CPPUNIT_ASSERT(expandBytes(answer.body, ViewRelay::maxViewBytes)
-                       == local.view.changesAfter(ObjectVersion()).dump());
+                       == local.view.changesAfter(StorePosition()).dump());
     }
 
     void failedCallIsLoggedAndRetried()
@@ -131,11 +131,11 @@
         int pipeEnds[2];
         CPPUNIT_ASSERT_EQUAL(0, pipe(pipeEnds));
         detail::FakePeerRouter peer(m_context, DirectoryKind::Targets, "targets");
-        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, ObjectVersion(1)});
+        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         peer.setUnresponsive(true);
         detail::DirectoryViewFixture local(DirectoryKind::Targets, pipeEnds[1]);
         ViewRelay relay(m_context, local.view, "targets", absl::Milliseconds(100), local.log, local.random);
-        relay.noteRevision(peer.member(), ObjectVersion(1));
+        relay.notePosition(peer.member(), detail::makePosition(1));
         m_context.run_for(std::chrono::milliseconds(400));
         local.log.flush();
         char buf[4096];
@@ -145,7 +145,7 @@
         CPPUNIT_ASSERT(lines.find("relay_failed") != std::string::npos);
         CPPUNIT_ASSERT(lines.find("no answer in time") != std::string::npos);
         peer.setUnresponsive(false);
-        relay.noteRevision(peer.member(), ObjectVersion(1));
+        relay.notePosition(peer.member(), detail::makePosition(1));
         CPPUNIT_ASSERT(runUntil([&] { return local.listener.targets.contains("a"); }));
         close(pipeEnds[0]);
         close(pipeEnds[1]);
@@ -154,19 +154,20 @@
     void unchangedViewYieldsNoContent()
     {
         detail::DirectoryViewFixture local(DirectoryKind::Targets);
-        local.store.completeList({{detail::makeObject("a", 5, "1.1.1.1:1")}, ObjectVersion(5)});
+        local.store.completeList({{detail::makeObject("a", 5, "1.1.1.1:1")}, detail::makePosition(5)});
         ViewRelay relay(m_context, local.view, "targets", absl::Seconds(1), local.log, local.random);
-        CPPUNIT_ASSERT_EQUAL(204, relay.responseFor(ObjectVersion(5)).head.status);
-        CPPUNIT_ASSERT_EQUAL(200, relay.responseFor(ObjectVersion(4)).head.status);
+        CPPUNIT_ASSERT_EQUAL(204, relay.responseFor(detail::makePosition(5)).head.status);
+        CPPUNIT_ASSERT_EQUAL(200, relay.responseFor(detail::makePosition(4)).head.status);
     }
 
     void invalidPathsAreRejected()
     {
-        for (const auto *path : {"/v1/peer/views/", "/v1/peer/views/targets", "/v1/peer/views/targets/x",
-                                 "/v1/peer/views/targets/-1", "/book/x"})
+        for (const auto *path : {"/v1/peer/views/", "/v1/peer/views/targets", "/v1/peer/views/targets/1/x",
+                                 "/v1/peer/views/targets/1/-1", "/v1/peer/views/targets/17",
+                                 "/v1/peer/views/targets/x/17", "/v1/peer/views/targets/1/2/3", "/book/x"})
             CPPUNIT_ASSERT(!ViewRelay::readRequest(path));
-        const auto request = ViewRelay::readRequest("/v1/peer/views/targets/17");
-        CPPUNIT_ASSERT(request && request->view == "targets" && request->after == ObjectVersion(17));
+        const auto request = ViewRelay::readRequest("/v1/peer/views/targets/2/17");
+        CPPUNIT_ASSERT(request && request->view == "targets" && request->after == detail::makePosition(17, 2));
     }
 
     void corruptedDataFailsToDecompress()
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -86,6 +86,39 @@
         respond(it.connection, 410, nlohmann::json::object());
 }
 
+void FakeStore::takeCopy()
+{
+    m_copy = {m_objects, m_revision};
+}
+
+void FakeStore::restoreFromCopy()
+{
+    ++m_era;
+    m_objects = m_copy.objects;
+    m_revision = m_copy.revision;
+    std::erase_if(m_history, [this](const Change &it) { return it.revision > m_revision; });
+    for (const auto &it : std::exchange(m_pendingWatches, {})) {
+        it.timer->cancel();
+        it.connection->abort();
+    }
+}
+
+bool FakeStore::contains(const std::string &kind, const std::string &name) const
+{
+    const auto it = m_objects.find(kind);
+    return it != m_objects.end() && it->second.contains(name);
+}
+
+std::vector<std::string> FakeStore::names(const std::string &kind) const
+{
+    std::vector<std::string> out;
+    if (const auto it = m_objects.find(kind); it != m_objects.end()) {
+        for (const auto &[name, object] : it->second)
+            out.push_back(name);
+    }
+    return out;
+}
+
 bool FakeStore::tryCompleteWatch(const PendingWatch &watch)
 {
     nlohmann::json events = nlohmann::json::array();
@@ -105,7 +138,7 @@
 {
     const PendingWatch watch{connection, kind, detail::parseNumber(detail::queryParameter(target, "watch")),
                              std::make_shared<boost::asio::steady_timer>(m_context)};
-    if (watch.after < m_oldestWatchableRevision) {
+    if (watch.after < m_oldestWatchableRevision || watch.after > m_revision) {
         respond(connection, 410, nlohmann::json::object());
         return;
     }
@@ -127,8 +160,11 @@
 void FakeStore::respond(const std::shared_ptr<HttpServerConnection> &connection, int status,
                         const nlohmann::json &body)
 {
-    if (m_mode != FakeStoreMode::Unresponsive)
-        connection->respond(makeResponse(status, "application/json", body.dump()));
+    if (m_mode == FakeStoreMode::Unresponsive)
+        return;
+    auto response = makeResponse(status, "application/json", body.dump());
+    response.head.fields.set("Store-Era", std::to_string(m_era));
+    connection->respond(response);
 }
 
 void FakeStore::handleWrite(const std::shared_ptr<HttpServerConnection> &connection,
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -41,6 +41,13 @@
     void setMode(FakeStoreMode mode) { m_mode = mode; }
     // Pending watches, and later ones from an earlier revision, get 410.
     void compactHistory();
+    // Keeps a copy of all objects for restoreFromCopy().
+    void takeCopy();
+    // Replaces all objects and the revision by those of the copy, starts the next era and cuts connections
+    // with pending watches. Watches from a revision that the copy has not reached get 410.
+    void restoreFromCopy();
+    [[nodiscard]] bool contains(const std::string &kind, const std::string &name) const;
+    [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
     [[nodiscard]] int calls() const { return m_calls; }
 
 private:
@@ -70,9 +77,18 @@
 
     boost::asio::io_context &m_context;
     std::string m_address;
-    std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    using Objects = std::map<std::string, std::map<std::string, nlohmann::json>>;
+    struct Copy
+    {
+        Objects objects;
+        std::uint64_t revision{10};
+    };
+
+    Objects m_objects;
+    Copy m_copy;
     std::vector<Change> m_history;
     std::uint64_t m_revision{10};
+    std::uint64_t m_era{1};
     std::uint64_t m_oldestWatchableRevision{0};
     std::vector<PendingWatch> m_pendingWatches;
     FakeStoreMode m_mode{FakeStoreMode::Healthy};
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -6,6 +6,7 @@
 #include <LibPlatform/MonotonicClock.h>
 
 #include <ObjectDecoder.h>
+#include <ObjectNames.h>
 #include <PlatformDialect.h>
 #include <StoreClient.h>
 
@@ -62,6 +63,11 @@
     CPPUNIT_TEST(missingConfigurationYields503UntilStoreRecovers);
     CPPUNIT_TEST(drainingEngineReceivesNoRequests);
     CPPUNIT_TEST(gracefulStopLetsRunningStreamFinish);
+    CPPUNIT_TEST(newConfigurationTakesEffectAfterStoreIsRestored);
+    CPPUNIT_TEST(ownRecordIsWrittenAgainAfterStoreIsRestored);
+    CPPUNIT_TEST(restoredStoreDoesNotReviveDrainingEngine);
+    CPPUNIT_TEST(restoredStoreDoesNotReviveRemovedKey);
+    CPPUNIT_TEST(requestsAreServedWhileCopyLacksEngines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,9 +214,99 @@
         CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r3").head.status);
     }
 
+    // The revisions of the copy are smaller than those that the gateway has seen.
+    void newConfigurationTakesEffectAfterStoreIsRestored()
+    {
+        m_store->takeCopy();
+        startGateway();
+        constexpr int laterChanges = 20;
+        for (int n = 0; n < laterChanges; ++n)
+            m_store->put("other", "x", n);
+        m_store->put("config", "main", detail::configuration(2));
+        CPPUNIT_ASSERT(runUntil([&] { return configurationVersion() == 2; }));
+        m_store->restoreFromCopy();
+        auto updated = detail::configuration(3);
+        updated["tenants"][0]["apiKeys"] = {"key3"};
+        m_store->put("config", "main", updated);
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r", "key3").head.status == 200; }));
+        CPPUNIT_ASSERT_EQUAL(401, call("POST", "/book/x", "r2").head.status);
+    }
+
+    void ownRecordIsWrittenAgainAfterStoreIsRestored()
+    {
+        m_store->takeCopy();
+        startGateway();
+        const std::string kind(Platform::kindName(DirectoryKind::Routers));
+        CPPUNIT_ASSERT(runUntil([&] { return m_store->contains(kind, "g1"); }));
+        m_store->restoreFromCopy();
+        CPPUNIT_ASSERT(!m_store->contains(kind, "g1"));
+        CPPUNIT_ASSERT(runUntil([&] { return m_store->contains(kind, "g1"); }));
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r").head.status);
+    }
+
+    void restoredStoreDoesNotReviveDrainingEngine()
+    {
+        m_store->takeCopy();
+        startGateway();
+        m_store->put("servers", "app-0", m_engines.at("app-0")->storeRecord("draining"));
+        m_store->remove("servers", "app-1");
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r").head.status == 503; }));
+        const int before = m_engines.at("app-0")->requestCount() + m_engines.at("app-1")->requestCount();
+        m_store->restoreFromCopy();
+        const std::string kind(Platform::kindName(DirectoryKind::Routers));
+        CPPUNIT_ASSERT(runUntil([&] { return m_store->contains(kind, "g1"); }));
+        CPPUNIT_ASSERT_EQUAL(503, call("POST", "/book/x", "r2").head.status);
+        CPPUNIT_ASSERT_EQUAL(
+            before, m_engines.at("app-0")->requestCount() + m_engines.at("app-1")->requestCount());
+    }
+
+    void restoredStoreDoesNotReviveRemovedKey()
+    {
+        m_store->takeCopy();
+        startGateway();
+        auto updated = detail::configuration(2);
+        updated["tenants"][0]["apiKeys"] = {"key2"};
+        m_store->put("config", "main", updated);
+        CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r").head.status == 401; }));
+        m_store->restoreFromCopy();
+        const std::string kind(Platform::kindName(DirectoryKind::Routers));
+        CPPUNIT_ASSERT(runUntil([&] { return m_store->contains(kind, "g1"); }));
+        CPPUNIT_ASSERT_EQUAL(401, call("POST", "/book/x", "r2").head.status);
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r3", "key2").head.status);
+    }
+
+    // Engines that registered after the copy was taken write their entries again within two seconds.
+    void requestsAreServedWhileCopyLacksEngines()
+    {
+        const auto withEngines = m_store->names("servers");
+        for (const auto &it : withEngines)
+            m_store->remove("servers", it);
+        m_store->takeCopy();
+        for (const auto &it : withEngines)
+            m_store->put("servers", it, m_engines.at(it)->storeRecord());
+        startGateway();
+        m_store->restoreFromCopy();
+        const std::string kind(Platform::kindName(DirectoryKind::Routers));
+        CPPUNIT_ASSERT(runUntil([&] { return m_store->contains(kind, "g1"); }));
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r1").head.status);
+        CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), call("POST", "/stream/x", "r2").body);
+    }
+
 private:
     enum class Readiness { Wait, DontWait };
 
+    int configurationVersion()
+    {
+        constexpr std::string_view gauge = "\nwisteria_configuration_version ";
+        const auto text = call("GET", "/metrics", "").body;
+        const auto at = text.find(gauge);
+        int version = 0;
+        if (at != std::string::npos)
+            (void)absl::SimpleAtoi(text.substr(at + gauge.size(), text.find('\n', at + 1) - at - gauge.size()),
+                                   &version);
+        return version;
+    }
+
     void addEngine(const std::string &id, const std::string &service, const std::string &zone)
     {
         m_engines[id] = std::make_unique<FakeEngine>(*m_context, m_engineState, id, service, zone);
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -43,6 +43,7 @@
         {"store busy", [this] { return harmStore(FakeStoreMode::Unavailable); }},
         {"store mute", [this] { return harmStore(FakeStoreMode::Unresponsive); }},
         {"store history dropped", [this] { return dropHistory(); }},
+        {"store restored from a copy", [this] { return restoreStore(); }},
         {"configuration changed", [this] { return changeConfiguration(); }},
     };
 }
@@ -269,6 +270,22 @@
     return true;
 }
 
+bool FaultPlan::restoreStore()
+{
+    if (std::exchange(m_isStoreHarmed, true))
+        return false;
+    m_world.store().setMode(FakeStoreMode::Unavailable);
+    m_world.after(m_world.drawn(shortestFault, longestFault),
+                  [this, end = m_world.disturb(DisturbanceKind::Store, "")] {
+                      m_world.store().setMode(FakeStoreMode::Healthy);
+                      m_world.restoreStore([this, end] {
+                          m_isStoreHarmed = false;
+                          end();
+                      });
+                  });
+    return true;
+}
+
 bool FaultPlan::changeConfiguration()
 {
     m_world.rotateKeys();
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -57,6 +57,7 @@
     bool resetRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link);
     bool harmStore(FakeStoreMode);
     bool dropHistory();
+    bool restoreStore();
     bool changeConfiguration();
 
     SoakWorld &m_world;
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -25,6 +25,10 @@
 // Time between the end of an engine and the change of its entry. Source: the users' sheets (three intervals
 // of 1.2 s at the most).
 constexpr absl::Duration entryLag = absl::Milliseconds(1200);
+// Age of the copy that the store may be restored from, and the time within which its writers write again.
+constexpr absl::Duration leastCopyAge = absl::Seconds(1);
+constexpr absl::Duration mostCopyAge = absl::Seconds(5);
+constexpr absl::Duration longestRewrite = absl::Milliseconds(1800);
 constexpr absl::Duration processCheck = absl::Milliseconds(50);
 constexpr absl::Duration delayCheck = absl::Milliseconds(20);
 // What this process sees is late beyond this.
@@ -115,6 +119,7 @@
 {
     for (auto &it : m_routers)
         it.process->start();
+    copyStore();
     watchProcesses();
     m_delayDue = monotonicNow();
     watchOwnDelay();
@@ -154,8 +159,9 @@
     });
 }
 
-void SoakWorld::publish(const SoakEngine &it, const std::string &state)
+void SoakWorld::publish(SoakEngine &it, const std::string &state)
 {
+    it.state = state;
     m_store.put("servers", it.engine->id(), it.engine->storeRecord(state));
 }
 
@@ -166,15 +172,44 @@
 
 void SoakWorld::publishConfiguration()
 {
-    m_store.put("config", "main",
-                {{"version", ++m_version},
+    m_configuration = {{"version", ++m_version},
                  {"routes",
                   {detail::route("stream", "stream", "llm"), detail::route("book", "unsafe", "app"),
                    detail::route("look", "safe", "app")}},
                  {"services",
                   {{{"name", "llm"}, {"engine", {{"kvTokens", 88000}, {"slots", 64}, {"backups", true}}}},
                    {{"name", "app"}}}},
-                 {"tenants", {{{"name", "w"}, {"apiKeys", {"key", absl::StrCat("key-", m_keys)}}}}}});
+                 {"tenants", {{{"name", "w"}, {"apiKeys", {"key", absl::StrCat("key-", m_keys)}}}}}};
+    m_store.put("config", "main", m_configuration);
+}
+
+void SoakWorld::copyStore()
+{
+    m_store.takeCopy();
+    after(drawn(detail::leastCopyAge, detail::mostCopyAge), [this] { copyStore(); });
+}
+
+void SoakWorld::restoreStore(std::function<void()> end)
+{
+    m_store.restoreFromCopy();
+    // Each writer notices by itself within two seconds.
+    for (auto &it : m_engines) {
+        after(drawn(absl::ZeroDuration(), detail::longestRewrite),
+              [this, &it] { publish(it, it.state); });
+    }
+    after(drawn(absl::ZeroDuration(), detail::longestRewrite),
+          [this] { m_store.put("config", "main", m_configuration); });
+    after(detail::longestRewrite + detail::entryLag, [this, end = std::move(end)] {
+        // Entries of engines that no longer run expire.
+        for (const auto &name : m_store.names("servers")) {
+            const bool isRunning = std::any_of(m_engines.begin(), m_engines.end(), [&](const SoakEngine &it) {
+                return it.engine->id() == name;
+            });
+            if (!isRunning)
+                m_store.remove("servers", name);
+        }
+        end();
+    });
 }
 
 void SoakWorld::rotateKeys()
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -51,6 +51,8 @@
 {
     std::unique_ptr<FakeEngine> engine;
     std::unique_ptr<FaultProxy> link;
+    // As the engine last wrote it to the store.
+    std::string state;
     bool isDisturbed{false};
 };
 
@@ -82,7 +84,9 @@
 
     // The engine's process ends and starts again under another id; its entry follows later, as a lapsed one.
     void restartEngine(SoakEngine &);
-    void publish(const SoakEngine &, const std::string &state);
+    void publish(SoakEngine &, const std::string &state);
+    // The store comes back from its last copy. Engines and the operator write again what they had written.
+    void restoreStore(std::function<void()> end);
     void noteLeaving(const std::string &engine);
     // Takes the newest key away and adds another one, in a new version of the configuration.
     void rotateKeys();
@@ -97,6 +101,8 @@
     void addRouter(int number);
     void addEngine(int number, const std::string &service);
     void publishConfiguration();
+    // Takes copies of the store a few seconds apart.
+    void copyStore();
     void watchProcesses();
     void watchOwnDelay();
     [[nodiscard]] std::string nextAddress();
@@ -116,6 +122,7 @@
     int m_keys{0};
     int m_engineLives{0};
     std::optional<RevokedKey> m_revokedKey;
+    nlohmann::json m_configuration;
     boost::asio::steady_timer m_processTimer;
     boost::asio::steady_timer m_delayTimer;
     absl::Time m_delayDue;
