--- a/Libraries/LibForwarding/DirectorySynchronizer.cpp
+++ b/Libraries/LibForwarding/DirectorySynchronizer.cpp
@@ -95,14 +95,14 @@
     } else {
         for (const auto &it : event.objects) {
             if (it.isRemoved && m_objects.contains(it.name))
-                removeObject(it.name, now);
+                removeObject(it.name, event.position, now);
             else if (!it.isRemoved)
                 apply(it, now);
         }
         if (event.isSnapshot) {
             // The other router has already accepted these removals.
             for (const auto &it : namesMissingFrom(event.objects, event.position))
-                removeObject(it, now);
+                removeObject(it, event.position, now);
             m_hasView = true;
         }
     }
@@ -118,7 +118,7 @@
             dueRemovals.push_back(name);
     }
     for (const auto &it : dueRemovals)
-        removeObject(it, now);
+        removeObject(it, m_position, now);
     endHoldBack(now);
     if (m_nextCallAt && now >= *m_nextCallAt) {
         m_nextCallAt.reset();
@@ -145,29 +145,47 @@
 {
     forgetOldRemovals(now);
     m_acceptRemovalsFrom = std::max(m_acceptRemovalsFrom, now + removalGracePeriod);
+    m_eraStart = position;
+    m_heldBack.clear();
+    for (const auto &[name, removal] : m_recentRemovals)
+        m_heldBack.insert(name);
+    if (!m_heldBack.empty())
+        m_holdBackUntil = now + restoredEntryHoldBack;
     DirectorySyncActions::EraChanged change{.from = m_position, .to = position};
     for (const auto &it : objects) {
-        if (m_recentRemovals.contains(it.name))
-            ++change.heldBackObjects;
-        else
-            apply(it, now);
+        change.heldBackObjects += isHeldBack(it) ? 1 : 0;
+        apply(it, now);
     }
     const auto missing = namesMissingFrom(objects, position);
     for (const auto &it : missing)
         remove(it, position, now);
     change.keptObjects = missing.size();
-    if (change.heldBackObjects > 0)
-        m_holdBackUntil = now + restoredEntryHoldBack;
     m_actions.emplace_back(change);
     setTimer();
 }
 
+bool DirectorySynchronizer::isObsolete(const ObjectMetadata &metadata) const
+{
+    const auto removal = m_recentRemovals.find(metadata.name);
+    if (removal == m_recentRemovals.end())
+        return false;
+    return metadata.position <= removal->second.position || metadata.position.era < m_position.era;
+}
+
+bool DirectorySynchronizer::isHeldBack(const ObjectMetadata &metadata) const
+{
+    return m_heldBack.contains(metadata.name) && metadata.position <= m_eraStart;
+}
+
 void DirectorySynchronizer::apply(const ObjectMetadata &metadata, absl::Time now)
 {
     if (metadata.isRemoved) {
         remove(metadata.name, metadata.position, now);
         return;
     }
+    if (isObsolete(metadata) || isHeldBack(metadata))
+        return;
+    m_heldBack.erase(metadata.name);
     m_deferredRemovals.erase(metadata.name);
     m_recentRemovals.erase(metadata.name);
     const auto [known, isNew] = m_objects.try_emplace(metadata.name, metadata.position);
@@ -202,22 +220,22 @@
         setTimer();
         return;
     }
-    removeObject(name, now);
+    removeObject(name, position, now);
 }
 
-void DirectorySynchronizer::removeObject(const std::string &name, absl::Time now)
+void DirectorySynchronizer::removeObject(const std::string &name, StorePosition position, absl::Time now)
 {
     m_objects.erase(name);
     m_deferredRemovals.erase(name);
     forgetOldRemovals(now);
-    m_recentRemovals[name] = now;
+    m_recentRemovals[name] = {position, now};
     m_actions.emplace_back(DirectorySyncActions::Remove{name});
 }
 
 void DirectorySynchronizer::forgetOldRemovals(absl::Time now)
 {
     for (auto it = m_recentRemovals.begin(); it != m_recentRemovals.end();) {
-        if (now - it->second > removalMemory)
+        if (now - it->second.at > removalMemory)
             it = m_recentRemovals.erase(it);
         else
             ++it;
@@ -230,7 +248,7 @@
         return;
     m_holdBackUntil.reset();
     // Whatever the store still lists now has not expired, so its target is running. The next list applies it.
-    m_recentRemovals.clear();
+    m_heldBack.clear();
     m_needsList = true;
 }
 
--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -14,6 +14,7 @@
 #include <LibCore/StorePosition.h>
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
@@ -181,11 +182,15 @@
     void applyList(const std::vector<ObjectMetadata> &, StorePosition, absl::Time now);
     // Applies the first list of a new era and emits EraChanged.
     void applyFirstListOfEra(const std::vector<ObjectMetadata> &, StorePosition, absl::Time now);
+    // Returns true for a removed object that a router relays which has not noticed the removal, or which keeps
+    // the object only because a restored copy lacks it.
+    [[nodiscard]] bool isObsolete(const ObjectMetadata &) const;
+    [[nodiscard]] bool isHeldBack(const ObjectMetadata &) const;
     void apply(const ObjectMetadata &, absl::Time now);
     [[nodiscard]] std::vector<std::string> namesMissingFrom(const std::vector<ObjectMetadata> &,
                                                             StorePosition upTo) const;
     void remove(const std::string &name, StorePosition, absl::Time now);
-    void removeObject(const std::string &name, absl::Time now);
+    void removeObject(const std::string &name, StorePosition, absl::Time now);
     void forgetOldRemovals(absl::Time now);
     void endHoldBack(absl::Time now);
     void recordStoreSuccess(absl::Time now);
@@ -202,9 +207,20 @@
     absl::btree_map<std::string, StorePosition> m_objects;
     // Objects whose removal is deferred, and until when.
     absl::btree_map<std::string, absl::Time> m_deferredRemovals;
-    // Objects removed within the last `removalMemory`, and when.
-    absl::btree_map<std::string, absl::Time> m_recentRemovals;
-    // End of the hold-back of removed objects that the current era's copy contained.
+    struct Removal
+    {
+        // Position of the view that lacked the object. Later writes of the object have greater ones.
+        StorePosition position;
+        absl::Time at;
+    };
+
+    // Objects removed within the last `removalMemory`.
+    absl::btree_map<std::string, Removal> m_recentRemovals;
+    // Objects that had been removed when the current era began. They are not applied unless they were written
+    // after m_eraStart, the position at which this router noticed the era.
+    absl::btree_set<std::string> m_heldBack;
+    StorePosition m_eraStart;
+    // End of the hold-back.
     std::optional<absl::Time> m_holdBackUntil;
     std::optional<absl::Time> m_storeLostSince;
     bool m_isStoreTrustedByOthers{false};
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(objectsMissingFromCopyAreRemovedAfterGrace);
     CPPUNIT_TEST(removedObjectInCopyIsHeldBackUntilWrittenAgain);
     CPPUNIT_TEST(removedObjectThatOutlivesHoldBackIsListed);
+    CPPUNIT_TEST(holdBackCoversListsAfterRelayedRestoration);
+    CPPUNIT_TEST(relayOfKeptObjectDoesNotUndoItsRemoval);
     CPPUNIT_TEST(secondRestorationIsFollowed);
     CPPUNIT_TEST(relayedChangesOfNewEraNeedSnapshot);
     CPPUNIT_TEST(relayOfEarlierEraIsIgnored);
@@ -281,6 +283,50 @@
         CPPUNIT_ASSERT(appliesObject(actions, "b"));
     }
 
+    // Another router relays the new era without an entry that it holds back. The store still lists the entry
+    // when this router lists it itself. Found by the model (Specs/StoreRestoration.pml).
+    void holdBackCoversListsAfterRelayedRestoration()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{{{"a", at(1, 2), false}}, at(5, 2), true}, m_now);
+        auto actions = restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
+        CPPUNIT_ASSERT(!appliesObject(actions, "b"));
+        // The same holds for another list within the era.
+        actions = restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(6, 2));
+        CPPUNIT_ASSERT(!appliesObject(actions, "b"));
+        actions = restore({{"a", at(1, 2), false}, {"b", at(7, 2), false}}, at(7, 2));
+        CPPUNIT_ASSERT(appliesObject(actions, "b"));
+    }
+
+    // A router that noticed neither the removal nor the restoration keeps the object for the grace period and
+    // relays it. Found by the model (Specs/StoreRestoration.pml).
+    void relayOfKeptObjectDoesNotUndoItsRemoval()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)restore({{"a", at(1, 2), false}}, at(6, 2));
+        const auto later = m_now + DirectorySynchronizer::restoredEntryHoldBack;
+        (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, later);
+        const auto actions = m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{
+                {{"a", at(1, 2), false}, {"b", at(10), false}}, at(6, 2), true},
+            later);
+        CPPUNIT_ASSERT(!appliesObject(actions, "b"));
+        // The other router may have listed the object in an era in between.
+        (void)restore({{"a", at(1, 3), false}}, at(6, 3));
+        const auto muchLater = later + DirectorySynchronizer::restoredEntryHoldBack;
+        (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, muchLater);
+        const auto laterActions = m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{
+                {{"a", at(1, 3), false}, {"b", at(1, 2), false}}, at(6, 3), true},
+            muchLater);
+        CPPUNIT_ASSERT(!appliesObject(laterActions, "b"));
+    }
+
     void secondRestorationIsFollowed()
     {
         loadInitialList();
