Gateway: Share loads within groups of routers and slices of targets

Cause: every router reported each change of its load to every other one, and chose among all targets.

Change: PeerTopology divides a fleet of more than 100 routers into groups of about 32 within a failure domain. Members send each other full reports, loads at most about twice a second; one random member of every other group gets a brief report (liveness, positions of views) each half second. TargetSlices gives each group its part of the targets of a large service, from all domains; targets outside of it cost one typical prefill more, so that they are used when the slice is busy or lost. Retry budget, watchers of the store and liveness for both count within the group. While no router has a reliable view, at most four times the usual number of watchers call the store. A stopping router tells all others.

--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -81,6 +81,15 @@
 
 } // namespace detail
 
+PeerReport PeerReport::brief() const
+{
+    PeerReport out;
+    out.router = router;
+    out.configurationPosition = configurationPosition;
+    out.targetsPosition = targetsPosition;
+    return out;
+}
+
 std::string encodePeerReport(const PeerReport &report)
 {
     const nlohmann::json json = {report.router.id.value(),
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -35,6 +35,9 @@
     std::vector<TargetId> gone;
     // Requests and retries per service since the process started.
     ServiceCounts counts;
+
+    // The part that concerns routers of other groups: liveness and positions.
+    [[nodiscard]] PeerReport brief() const;
 };
 
 // Encodes the report as CBOR.
--- a/Libraries/LibForwarding/RouterRegistry.cpp
+++ b/Libraries/LibForwarding/RouterRegistry.cpp
@@ -2,11 +2,21 @@
 
 #include <LibForwarding/RouterRegistry.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
+RouterRegistry::Member &RouterRegistry::memberFor(const RouterId &id, const FailureDomain &domain)
+{
+    const auto [it, isNew] = m_members.try_emplace(id);
+    if (isNew || it->second.domain != domain)
+        ++m_membershipVersion;
+    return it->second;
+}
+
 void RouterRegistry::upsertRecord(const Member &record)
 {
-    auto &member = m_members[record.id];
+    auto &member = memberFor(record.id, record.domain);
     // The router's own reports are newer than its entry in the store.
     if (member.lastReportAt != absl::InfinitePast())
         return;
@@ -18,7 +28,7 @@
 
 ReportOrder RouterRegistry::recordReport(const Member &report, absl::Time now)
 {
-    auto &member = m_members[report.id];
+    auto &member = memberFor(report.id, report.domain);
     const bool isKnownAlive = isAlive(report.id, now);
     // A smaller incarnation is accepted once the router has timed out, since the clock that incarnations are
     // derived from may have been set back.
@@ -47,6 +57,18 @@
     return out;
 }
 
+const RouterRegistry::Member *RouterRegistry::find(const RouterId &id) const
+{
+    const auto it = m_members.find(id);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+std::size_t RouterRegistry::aliveCountAmong(const std::vector<RouterId> &ids, absl::Time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(ids.begin(), ids.end(), [&](const RouterId &it) { return isAlive(it, now); }));
+}
+
 std::size_t RouterRegistry::aliveCount(absl::Time now) const
 {
     std::size_t n = 0;
@@ -64,16 +86,20 @@
     return false;
 }
 
-bool RouterRegistry::shouldWatchStore(const Member &self, std::size_t perDomain, absl::Time now) const
+bool RouterRegistry::shouldWatchStore(const Member &self, const std::vector<RouterId> &group,
+                                      std::size_t perDomain, absl::Time now) const
 {
-    std::size_t earlierCandidates = 0;
-    for (const auto &[id, member] : m_members) {
-        const bool isCandidate =
-            member.isStoreTrusted && member.phase == RouterPhase::Serving && isAlive(id, now);
-        if (isCandidate && member.domain == self.domain && id < self.id)
-            ++earlierCandidates;
+    std::size_t earlierServing = 0;
+    std::size_t earlierTrusted = 0;
+    for (const auto &id : group) {
+        const auto *member = find(id);
+        if (!member || member->domain != self.domain || !(id < self.id)
+            || member->phase != RouterPhase::Serving || !isAlive(id, now))
+            continue;
+        ++earlierServing;
+        earlierTrusted += member->isStoreTrusted ? 1 : 0;
     }
-    return earlierCandidates < perDomain;
+    return earlierTrusted < perDomain && earlierServing < maxWatcherFactor * perDomain;
 }
 
 std::vector<std::string> RouterRegistry::entryPoints(const FailureDomain &domain, absl::Time now) const
--- a/Libraries/LibForwarding/RouterRegistry.h
+++ b/Libraries/LibForwarding/RouterRegistry.h
@@ -53,18 +53,32 @@
 
     [[nodiscard]] bool isAlive(const RouterId &, absl::Time now) const;
     [[nodiscard]] std::vector<Member> members() const;
+    [[nodiscard]] const Member *find(const RouterId &) const;
+    // Number of known routers, alive or not.
+    [[nodiscard]] std::size_t size() const { return m_members.size(); }
+    // Changes whenever a router is added or moves to another failure domain.
+    [[nodiscard]] std::uint64_t membershipVersion() const { return m_membershipVersion; }
     [[nodiscard]] std::size_t aliveCount(absl::Time now) const;
+    [[nodiscard]] std::size_t aliveCountAmong(const std::vector<RouterId> &, absl::Time now) const;
     // Returns true if another live router reports reliable access to the store.
     [[nodiscard]] bool isStoreTrustedByOthers(absl::Time now) const;
-    // Returns true if fewer than `perDomain` live, serving routers of the domain with a reliable view of the
-    // store have a smaller id. Only these watch the store; the others receive the changes from them. A router
-    // that receives no reports watches the store itself.
-    [[nodiscard]] bool shouldWatchStore(const Member &self, std::size_t perDomain, absl::Time now) const;
+    // Returns true if fewer than `perDomain` live, serving routers of the group and domain with a reliable
+    // view of the store have a smaller id. Only these watch the store; the others receive the changes from
+    // them. A router that receives no reports watches the store itself. While the store is away, no router
+    // has a reliable view; then only the first few try, because the store is called by all of them.
+    [[nodiscard]] bool shouldWatchStore(const Member &self, const std::vector<RouterId> &group,
+                                        std::size_t perDomain, absl::Time now) const;
     // Caller addresses of the other serving routers; those in the given domain come first.
     [[nodiscard]] std::vector<std::string> entryPoints(const FailureDomain &, absl::Time now) const;
 
 private:
+    // Routers that try to reach the store while none has a reliable view, as a multiple of the watchers.
+    static constexpr std::size_t maxWatcherFactor = 4;
+
+    Member &memberFor(const RouterId &, const FailureDomain &);
+
     absl::btree_map<RouterId, Member> m_members;
+    std::uint64_t m_membershipVersion{0};
 };
 
 } // namespace Wisteria
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -2,6 +2,8 @@
 
 #include <LibForwarding/TargetPool.h>
 
+#include <LibForwarding/TargetSlices.h>
+
 #include <algorithm>
 
 namespace Wisteria {
@@ -27,6 +29,9 @@
 constexpr double suspectDomainWeight = 20;
 constexpr double avoidedDomainWeight = 10;
 constexpr double plainSuspectWeight = 7000;
+// The load of targets outside of the own slice is unknown. They are used when the least loaded target of the
+// slice is this much more expensive than an idle one.
+constexpr double outsideSliceWeight = 1;
 // Smoothing factor of the moving average of a target's failure rate.
 constexpr double failureRateSmoothing = 0.15;
 // Cost of a target with a failure rate of 1. The cost grows with the square of the rate, so that a rare fault
@@ -77,6 +82,10 @@
         // Requests sent to the previous process are still subtracted when they end.
         target.ownLoad = ownLoad;
     }
+    const bool isSliceUnchanged = target.record.id == record.id && target.record.phase == record.phase
+        && target.record.domain == record.domain && target.record.service == record.service;
+    if (!isSliceUnchanged)
+        m_slices.clear();
     const bool wasDraining = target.record.startedAtMs != 0 && target.record.startedAtMs == record.startedAtMs
         && target.record.phase == ForwardingTargetPhase::Draining;
     target.record = record;
@@ -88,6 +97,30 @@
 void TargetPool::remove(const TargetId &id)
 {
     m_targets.erase(id);
+    m_slices.clear();
+}
+
+void TargetPool::setGroup(std::size_t index, std::size_t count)
+{
+    if (index == m_groupIndex && count == m_groupCount)
+        return;
+    m_groupIndex = index;
+    m_groupCount = count;
+    m_slices.clear();
+}
+
+const TargetPool::Slice &TargetPool::sliceOf(const ServiceName &service)
+{
+    const auto [it, isNew] = m_slices.try_emplace(service);
+    if (!isNew || m_groupCount < 2)
+        return it->second;
+    std::vector<TargetSlices::Target> targets;
+    for (const auto &[id, target] : m_targets) {
+        if (target.record.service == service && target.record.phase == ForwardingTargetPhase::Ready)
+            targets.push_back({id, target.record.domain});
+    }
+    it->second.targets = TargetSlices::select(m_groupIndex, m_groupCount, targets);
+    return it->second;
 }
 
 const ForwardingTarget *TargetPool::find(const TargetId &id) const
@@ -294,6 +327,7 @@
 {
     expirePeerLoads(now);
     const auto &performance = m_performance[requirements.service];
+    const auto &slice = sliceOf(requirements.service);
     const auto unit =
         requirements.isModelService ? performance.typicalPrefillTime() : performance.plainServiceTime();
     absl::flat_hash_map<FailureDomain, bool> suspectDomains;
@@ -314,6 +348,8 @@
                 requirements.isModelService && isDomainSuspect(domain, requirements.service, now);
         if (domainEntry->second)
             candidate += detail::suspectDomainWeight * unit;
+        if (!slice.contains(id))
+            candidate += detail::outsideSliceWeight * unit;
         if (requirements.avoidDomain == domain)
             candidate += detail::avoidedDomainWeight * unit;
         candidates.emplace_back(candidate, &id);
@@ -350,13 +386,17 @@
 {
     expirePeerLoads(now);
     const auto &performance = m_performance[requirements.service];
+    const auto &slice = sliceOf(requirements.service);
     auto shortest = absl::InfiniteDuration();
+    auto shortestOutside = absl::InfiniteDuration();
     for (const auto &[id, target] : m_targets) {
         if (target.record.service != requirements.service || !isHealthy(id, now))
             continue;
-        shortest = std::min(shortest, expectedWait(target, requirements, performance));
+        auto &best = slice.contains(id) ? shortest : shortestOutside;
+        best = std::min(best, expectedWait(target, requirements, performance));
     }
-    return shortest;
+    // Other routers' loads outside of the slice are unknown.
+    return shortest == absl::InfiniteDuration() ? shortestOutside : shortest;
 }
 
 std::optional<TargetId> TargetPool::chooseCopyHolder(const TargetRequirements &requirements,
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -14,6 +14,7 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/container/node_hash_map.h>
 #include <absl/time/time.h>
 
@@ -160,6 +161,9 @@
     // Time until the least loaded healthy target would start prefilling the prompt; infinite if there is
     // none.
     [[nodiscard]] absl::Duration backlog(const TargetRequirements &, absl::Time now);
+    // Sets the group of routers that share their loads. The group prefers its slice of the targets of each
+    // large service.
+    void setGroup(std::size_t index, std::size_t count);
     // Speed of the service's targets; the host reports samples to it.
     [[nodiscard]] ServicePerformance &performance(const ServiceName &service)
     {
@@ -189,6 +193,18 @@
         absl::Time lastReportAt;
     };
 
+    // Targets of one service that the own group prefers.
+    struct Slice
+    {
+        // Empty if the service is not divided.
+        absl::flat_hash_set<TargetId> targets;
+        [[nodiscard]] bool contains(const TargetId &id) const
+        {
+            return targets.empty() || targets.contains(id);
+        }
+    };
+
+    [[nodiscard]] const Slice &sliceOf(const ServiceName &);
     // Drops the loads of routers whose reports have expired.
     void expirePeerLoads(absl::Time now);
     [[nodiscard]] TargetLoad loadOf(const Target &) const;
@@ -209,6 +225,10 @@
     RandomSource &m_random;
     absl::btree_map<TargetId, Target> m_targets;
     absl::node_hash_map<ServiceName, ServicePerformance> m_performance;
+    std::size_t m_groupIndex{0};
+    std::size_t m_groupCount{1};
+    // Computed on demand; cleared when targets or groups change.
+    absl::node_hash_map<ServiceName, Slice> m_slices;
     absl::flat_hash_map<RouterId, PeerLoads> m_peers;
     // Invariant: the sum of the loads in `m_peers`, including targets that the directory does not list yet.
     absl::flat_hash_map<TargetId, TargetLoad> m_peerLoadSums;
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -35,9 +35,9 @@
 class DirectoryView
 {
 public:
-    // Number of changes kept for other routers. Twice the number of targets of the largest site, so
+    // Number of changes kept for other routers: twice the number of targets of the size to design for, so
     // that the loss and recovery of a whole failure domain fits.
-    static constexpr std::size_t changeLogCapacity = 400;
+    static constexpr std::size_t changeLogCapacity = 1200;
 
     DirectoryView(DirectoryKind, boost::asio::io_context &, DirectoryStore &, const DirectoryDecoder &,
                   DirectoryListener &, StructuredLog &, RandomSource &);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -70,12 +70,13 @@
                        .loadChanged =
                            [this] {
                                if (m_peerLink)
-                                   m_peerLink->scheduleReport();
+                                   m_peerLink->scheduleReport(ReportUrgency::Load);
                            },
                        .sessionEnded =
                            [this](const auto &session) {
                                boost::asio::post(m_context, [this, session] { m_sessions.erase(session); });
                            }},
+      m_topology({.maxSingleGroup = settings.maxSingleGroup, .maxGroupSize = settings.maxGroupSize}),
       m_configurationView(DirectoryKind::Configuration, context, site.store, site.decoder, *this, m_log,
                           m_random),
       m_targetsView(DirectoryKind::Targets, context, site.store, site.decoder, *this, m_log, m_random),
@@ -302,7 +303,7 @@
                        .idleTimeout = limits.idleTimeout});
     }
     m_routes = std::move(routes);
-    m_peerLink->scheduleReport();
+    m_peerLink->scheduleReport(ReportUrgency::Urgent);
 }
 
 void Gateway::targetChanged(const ForwardingTarget &record)
@@ -344,7 +345,45 @@
                                    .domain = record.domain,
                                    .callerAddress = record.callerAddress,
                                    .peerAddress = record.peerAddress});
-    m_peerLink->scheduleReport();
+    m_peerLink->scheduleReport(ReportUrgency::Urgent);
+}
+
+void Gateway::updateTopology()
+{
+    if (m_topologyVersion == m_routerRegistry.membershipVersion())
+        return;
+    m_topologyVersion = m_routerRegistry.membershipVersion();
+    std::vector<PeerTopology::Router> others;
+    for (const auto &it : m_routerRegistry.members())
+        others.push_back({it.id, it.domain});
+    m_topology.update({m_self.id, m_self.domain}, others);
+    m_targets.setGroup(m_topology.ownGroupIndex(), m_topology.groupCount());
+}
+
+void Gateway::addReportDestination(const RouterId &id, bool isInOwnGroup,
+                                   std::vector<ReportDestination> &out) const
+{
+    if (const auto *it = m_routerRegistry.find(id))
+        out.push_back(
+            {.address = it->peerAddress, .isInOwnGroup = isInOwnGroup, .lastReportAt = it->lastReportAt});
+}
+
+std::vector<ReportDestination> Gateway::reportDestinations(ReportAudience audience)
+{
+    updateTopology();
+    std::vector<ReportDestination> out;
+    for (const auto &it : m_topology.ownGroup())
+        addReportDestination(it, true, out);
+    if (audience == ReportAudience::GroupAndOthers) {
+        for (const auto &it : m_topology.selectBriefPeers(m_random))
+            addReportDestination(it, false, out);
+    } else if (audience == ReportAudience::Everyone) {
+        for (const auto &it : m_routerRegistry.members()) {
+            if (!m_topology.isInOwnGroup(it.id))
+                addReportDestination(it.id, false, out);
+        }
+    }
+    return out;
 }
 
 PeerReport Gateway::makeReport()
@@ -372,13 +411,16 @@
         return;
     const auto now = monotonicNow();
     const auto order = m_routerRegistry.recordReport(report.router, now);
-    if (order == ReportOrder::First) {
+    updateTopology();
+    const bool isInOwnGroup = m_topology.isInOwnGroup(report.router.id);
+    // Routers of other groups report rarely, so they are often silent for a while.
+    if (order == ReportOrder::First && isInOwnGroup) {
         m_log.write("router_found",
                     {{"router", report.router.id.value()},
                      {"incarnation", report.router.incarnation.value()},
                      {"phase", static_cast<int>(report.router.phase)}},
                     now);
-        m_peerLink->scheduleReport();
+        m_peerLink->scheduleReport(ReportUrgency::Urgent);
     }
     // These are not repeated in later reports.
     for (const auto &it : report.faults) {
@@ -391,8 +433,10 @@
     }
     if (order == ReportOrder::Outdated)
         return;
-    m_targets.setPeerLoads(report.router.id, report.loads, now);
-    addReportedCounts(report, now);
+    if (isInOwnGroup) {
+        m_targets.setPeerLoads(report.router.id, report.loads, now);
+        addReportedCounts(report, now);
+    }
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
 }
@@ -416,7 +460,7 @@
     if (fault == TargetFault::InvalidResponse)
         return;
     (fault == TargetFault::Gone ? m_unreportedGone : m_unreportedFaults).push_back(id);
-    m_peerLink->scheduleReport();
+    m_peerLink->scheduleReport(ReportUrgency::Urgent);
     notifySessions(id, fault);
     if (fault == TargetFault::ConnectionLost)
         verifyTarget(id);
@@ -466,19 +510,24 @@
 {
     const auto now = monotonicNow();
     m_connections.dropOld(now);
-    const auto routers = m_routerRegistry.aliveCount(now) + 1;
+    updateTopology();
+    const auto groupRouters = m_routerRegistry.aliveCountAmong(m_topology.ownGroup(), now) + 1;
     const bool othersTrusted = m_routerRegistry.isStoreTrustedByOthers(now);
-    const bool shouldWatchStore =
-        m_routerRegistry.shouldWatchStore(m_self, m_settings.watchersPerDomain, now);
+    const bool shouldWatchStore = m_routerRegistry.shouldWatchStore(m_self, m_topology.ownGroup(),
+                                                                    m_settings.watchersPerDomain, now);
     for (auto *it : {&m_configurationView, &m_targetsView}) {
         it->setStoreTrustedByOthers(othersTrusted);
         it->setWatching(shouldWatchStore);
     }
     for (auto &[service, budget] : m_budgets)
-        budget.setRouterCounts(routers, m_routerRegistry.members().size() + 1);
+        budget.setRouterCounts(groupRouters, m_routerRegistry.size() + 1);
     if (++m_periodicRuns % detail::reconcileIntervalSeconds == 0 && !shouldWatchStore)
         reconcile(now);
-    m_metrics.setGauge("routers_alive", static_cast<double>(routers));
+    m_metrics.setGauge("routers_alive", static_cast<double>(m_routerRegistry.aliveCount(now) + 1));
+    m_metrics.setGauge("routers_known", static_cast<double>(m_routerRegistry.size() + 1));
+    m_metrics.setGauge("router_group_alive", static_cast<double>(groupRouters));
+    m_metrics.setGauge("router_groups", static_cast<double>(m_topology.groupCount()));
+    m_metrics.setGauge("report_bytes_sent", static_cast<double>(m_peerLink->sentBytes()));
     m_metrics.setGauge("targets", static_cast<double>(m_targets.size()));
     m_metrics.setGauge("requests_open", static_cast<double>(m_sessions.size()));
     m_metrics.setGauge("configuration_version",
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <LibForwarding/PeerTopology.h>
 #include <LibForwarding/RouterRegistry.h>
 #include <LibForwarding/ServiceRetryBudget.h>
 #include <LibGateway/DirectoryView.h>
@@ -69,10 +70,14 @@
     void storeRestored(StorePosition from, StorePosition to) override;
     [[nodiscard]] PeerReport makeReport() override;
     void handleReport(const PeerReport &) override;
-    [[nodiscard]] std::vector<RouterRegistry::Member> peers() const override
+    [[nodiscard]] std::vector<ReportDestination> reportDestinations(ReportAudience) override;
+    [[nodiscard]] absl::Duration loadReportInterval(absl::Duration minInterval) const override
     {
-        return m_routerRegistry.members();
+        return m_topology.loadReportInterval(minInterval);
     }
+    // Recomputes the groups if the known routers have changed.
+    void updateTopology();
+    void addReportDestination(const RouterId &, bool isInOwnGroup, std::vector<ReportDestination> &) const;
 
     // Handles requests addressed to the gateway itself; false if the request must be forwarded.
     bool tryHandleLocally(const std::shared_ptr<HttpServerConnection> &, const HttpRequest &);
@@ -108,6 +113,9 @@
     GatewayContext m_gatewayContext;
     RouterRegistry m_routerRegistry;
     RouterRegistry::Member m_self;
+    PeerTopology m_topology;
+    // Version of the registry's membership that the topology was computed from.
+    std::uint64_t m_topologyVersion{0};
     DirectoryView m_configurationView;
     DirectoryView m_targetsView;
     DirectoryView m_routersView;
--- a/Libraries/LibGateway/GatewayLifecycle.cpp
+++ b/Libraries/LibGateway/GatewayLifecycle.cpp
@@ -47,7 +47,8 @@
         return;
     m_shutdownStartedAt = monotonicNow();
     m_log.write("stopping", {{"open_requests", m_sessions.size()}}, *m_shutdownStartedAt);
-    m_peerLink->sendReport();
+    // Routers of other groups would otherwise announce this one until its last report has expired.
+    m_peerLink->sendReport(ReportAudience::Everyone);
     for (const auto &it : m_servers)
         it->startClosing();
     continueShutdown();
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -36,6 +36,13 @@
     return reader.finish();
 }
 
+ErrorOr<void> readPeers(SettingsReader reader, GatewaySettings &settings)
+{
+    reader.count("max_single_group", 1, 100000, settings.maxSingleGroup);
+    reader.count("max_group_size", 2, 100000, settings.maxGroupSize);
+    return reader.finish();
+}
+
 } // namespace detail
 
 ErrorOr<GatewaySettings> gatewaySettingsFromToml(std::string_view text, const std::string &file)
@@ -50,9 +57,11 @@
     const auto listen = root.section("listen");
     const auto store = root.section("store");
     const auto retryLimits = root.section("repeats");
+    const auto peers = root.section("peers");
     TRY_VOID(root.finish());
     TRY_VOID(detail::readListen(listen, settings));
     TRY_VOID(detail::readStore(store, settings));
+    TRY_VOID(detail::readPeers(peers, settings));
     settings.retryLimits = TRY(detail::readRetryLimits(retryLimits));
     return settings;
 }
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -30,8 +30,12 @@
     absl::Duration stopGrace{absl::Seconds(8)};
     RetryLimits retryLimits;
     LogSettings log;
-    // Number of routers in each failure domain that watch the store; the others get changes from them.
+    // Number of routers in each failure domain, and in each group of a large fleet, that watch the store; the
+    // others get changes from them.
     std::uint32_t watchersPerDomain{2};
+    // Sizes of the groups of routers that share their loads.
+    std::uint32_t maxSingleGroup{100};
+    std::uint32_t maxGroupSize{32};
 };
 
 // Errors: InvalidSettings, with file, line and key.
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -33,44 +33,58 @@
 void PeerLink::start()
 {
     receive();
-    sendReport();
+    sendReport(ReportAudience::GroupAndOthers);
 }
 
-void PeerLink::startTimer(absl::Duration delay)
+void PeerLink::startTimer(absl::Time dueAt)
 {
-    m_timer.expires_after(absl::ToChronoNanoseconds(delay));
+    m_dueAt = dueAt;
+    m_timer.expires_after(
+        absl::ToChronoNanoseconds(std::max(dueAt - monotonicNow(), absl::ZeroDuration())));
     m_timer.async_wait([this](const auto &ec) {
-        if (!ec)
-            sendReport();
+        if (ec)
+            return;
+        const bool areOthersDue = monotonicNow() - m_sentToOthersAt >= maxReportInterval;
+        sendReport(areOthersDue ? ReportAudience::GroupAndOthers : ReportAudience::Group);
     });
 }
 
-void PeerLink::scheduleReport()
+void PeerLink::scheduleReport(ReportUrgency urgency)
 {
-    if (std::exchange(m_isReportScheduled, true))
-        return;
-    startTimer(std::max(m_sentAt + minReportInterval - monotonicNow(), absl::ZeroDuration()));
+    const auto interval = urgency == ReportUrgency::Urgent ? minReportInterval
+                                                           : m_delegate.loadReportInterval(minReportInterval);
+    if (const auto dueAt = m_sentAt + interval; dueAt < m_dueAt)
+        startTimer(dueAt);
 }
 
-void PeerLink::sendReport()
+void PeerLink::sendReport(ReportAudience audience)
 {
     const auto now = monotonicNow();
-    m_isReportScheduled = false;
     m_sentAt = now;
+    if (audience != ReportAudience::Group)
+        m_sentToOthersAt = now;
     ++m_reportRounds;
-    const auto bytes = encodePeerReport(m_delegate.makeReport());
-    for (const auto &it : m_delegate.peers()) {
+    const auto report = m_delegate.makeReport();
+    const auto full = encodePeerReport(report);
+    const auto brief = audience == ReportAudience::Group ? std::string() : encodePeerReport(report.brief());
+    for (const auto &it : m_delegate.reportDestinations(audience)) {
         const bool isSilent = now - it.lastReportAt > RouterRegistry::livenessTimeout;
-        if (isSilent && m_reportRounds % silentPeerReportStride != 0)
-            continue;
-        const auto endpoint = parseEndpoint(it.peerAddress);
-        if (!endpoint)
+        if (it.isInOwnGroup && isSilent && m_reportRounds % silentPeerReportStride != 0)
             continue;
-        boost::system::error_code ec;
-        // NOTE: A send error is treated like a lost datagram; the next report replaces it.
-        m_socket.send_to(boost::asio::buffer(bytes), {endpoint->address(), endpoint->port()}, 0, ec);
+        send(it.isInOwnGroup ? full : brief, it.address);
     }
-    startTimer(maxReportInterval);
+    startTimer(now + maxReportInterval);
+}
+
+void PeerLink::send(const std::string &bytes, const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        return;
+    boost::system::error_code ec;
+    // NOTE: A send error is treated like a lost datagram; the next report replaces it.
+    m_socket.send_to(boost::asio::buffer(bytes), {endpoint->address(), endpoint->port()}, 0, ec);
+    m_sentBytes += bytes.size();
 }
 
 void PeerLink::receive()
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -14,6 +14,33 @@
 
 namespace Wisteria {
 
+// Whom a report is sent to.
+enum class ReportAudience {
+    // The routers of the own group.
+    Group,
+    // Also one router of every other group.
+    GroupAndOthers,
+    // All known routers.
+    Everyone,
+};
+
+enum class ReportUrgency {
+    // Loads have changed.
+    Load,
+    // Something has changed that other routers must act on: faults, phases, positions of views.
+    Urgent,
+};
+
+struct ReportDestination
+{
+    // "IP:port".
+    std::string address;
+    // Routers of other groups get brief reports.
+    bool isInOwnGroup{true};
+    // Time of the last report from that router.
+    absl::Time lastReportAt;
+};
+
 // Provides this router's report and handles the reports of the others.
 class PeerLinkDelegate
 {
@@ -21,7 +48,9 @@
     virtual ~PeerLinkDelegate() = default;
     [[nodiscard]] virtual PeerReport makeReport() = 0;
     virtual void handleReport(const PeerReport &) = 0;
-    [[nodiscard]] virtual std::vector<RouterRegistry::Member> peers() const = 0;
+    [[nodiscard]] virtual std::vector<ReportDestination> reportDestinations(ReportAudience) = 0;
+    // Minimum interval between reports that only contain changed loads.
+    [[nodiscard]] virtual absl::Duration loadReportInterval(absl::Duration minInterval) const = 0;
 };
 
 class PeerLink
@@ -30,8 +59,7 @@
     // Reports are sent at least this often, because a lost router must disappear from the entry points within
     // about two seconds, the time for which callers cache them.
     static constexpr absl::Duration maxReportInterval = absl::Milliseconds(500);
-    // After changes, reports are sent at most this often: a small fraction of the mean prefill time,
-    // which is about a second.
+    // Reports are sent at most this often: a small fraction of the time that a prompt takes.
     static constexpr absl::Duration minReportInterval = absl::Milliseconds(60);
     // Silent routers are sent only every n-th report.
     static constexpr std::uint64_t silentPeerReportStride = 2;
@@ -42,15 +70,18 @@
 
     void start();
     // Schedules a report because its content changed.
-    void scheduleReport();
+    void scheduleReport(ReportUrgency);
     // Sends a report at once and restarts the report timer.
-    void sendReport();
+    void sendReport(ReportAudience);
+    // Bytes of all reports sent so far.
+    [[nodiscard]] std::uint64_t sentBytes() const { return m_sentBytes; }
 
 private:
     PeerLink(boost::asio::io_context &, PeerLinkDelegate &);
 
     void receive();
-    void startTimer(absl::Duration);
+    void startTimer(absl::Time dueAt);
+    void send(const std::string &bytes, const std::string &address);
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
@@ -58,8 +89,11 @@
     std::array<char, 16384> m_receiveBuffer;
     boost::asio::ip::udp::endpoint m_senderEndpoint;
     absl::Time m_sentAt{absl::InfinitePast()};
+    // Time of the last report to routers of other groups.
+    absl::Time m_sentToOthersAt{absl::InfinitePast()};
+    absl::Time m_dueAt{absl::InfiniteFuture()};
     std::uint64_t m_reportRounds{0};
-    bool m_isReportScheduled{false};
+    std::uint64_t m_sentBytes{0};
 };
 
 } // namespace Wisteria
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -223,14 +223,15 @@
     {
         RouterRegistry registry;
         const auto self = member("r3", 1, RouterPhase::Serving);
-        CPPUNIT_ASSERT(registry.shouldWatchStore(self, 1, m_now));
+        const std::vector<RouterId> group = {RouterId("r1")};
+        CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, m_now));
         auto other = member("r1", 1, RouterPhase::Serving);
         registry.recordReport(other, m_now);
-        CPPUNIT_ASSERT(!registry.shouldWatchStore(self, 1, m_now));
+        CPPUNIT_ASSERT(!registry.shouldWatchStore(self, group, 1, m_now));
         other.isStoreTrusted = false;
         ++other.reportSequence;
         registry.recordReport(other, m_now);
-        CPPUNIT_ASSERT(registry.shouldWatchStore(self, 1, m_now));
+        CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, m_now));
     }
 
 private:
