Gateway: Call the store less often

Twenty routers watched it, two in each group; every router watched it in its first second; every router listed all routers at full price at each start, and wrote its record again although it was the same.

--- a/Libraries/LibForwarding/DirectorySynchronizer.cpp
+++ b/Libraries/LibForwarding/DirectorySynchronizer.cpp
@@ -10,6 +10,7 @@
 
 DirectorySyncActionList DirectorySynchronizer::begin()
 {
+    m_needsList = true;
     startNextCall();
     return std::exchange(m_actions, {});
 }
@@ -59,7 +60,7 @@
         return;
     }
     m_changePosition = m_position;
-    m_nextCallAt = now + watchBatchDelay;
+    m_nextCallAt = now + m_watchBatchDelay;
     setTimer();
 }
 
--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -131,10 +131,10 @@
     // Maximum backoff while there is no view and the router cannot serve requests. With 410 routers retrying
     // calls for two kinds of objects, the store gets fewer than 2,000 calls per second.
     static constexpr absl::Duration maxBackoffWithoutView = absl::Milliseconds(500);
-    // Delay before the next watch after a change. Changes come in bursts, and every watch that returns counts
-    // against the call rate limit, so the delay batches them. It is a tenth of the two seconds within which a
-    // change must take effect.
-    static constexpr absl::Duration watchBatchDelay = absl::Milliseconds(200);
+    // Delay before the next watch after a change, as a fraction of the time within which a change must take
+    // effect. Changes come in bursts, and every watch that returns counts against the call rate limit and is
+    // paid for, so the delay batches them.
+    static constexpr double watchBatchFraction = 0.1;
     // Entries that expired during an outage are registered again within about two seconds of its end.
     // Removals are held back for this long.
     static constexpr absl::Duration removalGracePeriod = absl::Milliseconds(2300);
@@ -144,8 +144,13 @@
     // How long removals are remembered. A copy is a few seconds old when the store is restored from it.
     static constexpr absl::Duration removalMemory = absl::Seconds(60);
 
-    explicit DirectorySynchronizer(RandomSource &random) : m_random(random) { }
+    // A change must take effect within `changeDeadline`.
+    DirectorySynchronizer(RandomSource &random, absl::Duration changeDeadline)
+        : m_random(random), m_watchBatchDelay(watchBatchFraction * changeDeadline)
+    {
+    }
 
+    // Lists the objects, at the start or again.
     [[nodiscard]] DirectorySyncActionList begin();
     [[nodiscard]] DirectorySyncActionList handle(const DirectorySyncEvent &, absl::Time now);
 
@@ -198,6 +203,7 @@
     void setTimer();
 
     RandomSource &m_random;
+    absl::Duration m_watchBatchDelay;
     bool m_hasView{false};
     bool m_needsList{true};
     StorePosition m_position;
--- a/Libraries/LibForwarding/PeerTopology.cpp
+++ b/Libraries/LibForwarding/PeerTopology.cpp
@@ -28,6 +28,7 @@
     m_ownGroup.clear();
     m_otherGroups.clear();
     m_ownGroupIndex = 0;
+    m_groupsInOwnDomain = 0;
     const bool isSingleGroup = others.size() + 1 <= m_limits.maxSingleGroup;
     absl::btree_map<FailureDomain, std::size_t> routersInDomain;
     ++routersInDomain[self.domain];
@@ -45,6 +46,7 @@
     for (const auto &it : others)
         groups[keyOf(it)].push_back(it.id);
     for (auto &[key, members] : groups) {
+        m_groupsInOwnDomain += key.domain == ownKey.domain ? 1 : 0;
         if (key < ownKey)
             ++m_ownGroupIndex;
         if (key == ownKey)
--- a/Libraries/LibForwarding/PeerTopology.h
+++ b/Libraries/LibForwarding/PeerTopology.h
@@ -59,6 +59,7 @@
     [[nodiscard]] const std::vector<RouterId> &ownGroup() const { return m_ownGroup; }
     // Selects one router of each other group.
     [[nodiscard]] std::vector<RouterId> selectBriefPeers(RandomSource &) const;
+    [[nodiscard]] std::size_t groupsInOwnDomain() const { return m_groupsInOwnDomain; }
     [[nodiscard]] std::size_t groupCount() const { return m_otherGroups.size() + 1; }
     // Position of the own group among all groups, in an order that all routers share.
     [[nodiscard]] std::size_t ownGroupIndex() const { return m_ownGroupIndex; }
@@ -80,6 +81,8 @@
     // Invariant: no group is empty.
     std::vector<std::vector<RouterId>> m_otherGroups;
     std::size_t m_ownGroupIndex{0};
+    // One for an undivided fleet.
+    std::size_t m_groupsInOwnDomain{1};
 };
 
 } // namespace Wisteria
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -44,11 +44,12 @@
 
 } // namespace detail
 
-DirectoryView::DirectoryView(DirectoryKind kind, boost::asio::io_context &context, DirectoryStore &store,
+DirectoryView::DirectoryView(DirectoryKind kind, absl::Duration changeDeadline,
+                             boost::asio::io_context &context, DirectoryStore &store,
                              const DirectoryDecoder &decoder, DirectoryListener &listener, StructuredLog &log,
                              RandomSource &random)
     : m_kind(kind), m_store(store), m_decoder(decoder), m_listener(listener), m_log(log), m_random(random),
-      m_synchronizer(random), m_timer(context)
+      m_synchronizer(random, changeDeadline), m_timer(context)
 {
 }
 
@@ -65,8 +66,9 @@
     return "";
 }
 
-void DirectoryView::start()
+void DirectoryView::start(ReadConsistency consistency)
 {
+    m_listConsistency = consistency;
     for (const auto &it : m_synchronizer.begin())
         perform(it);
 }
@@ -105,7 +107,7 @@
 void DirectoryView::perform(const DirectorySyncAction &action)
 {
     if (std::holds_alternative<DirectorySyncActions::StartList>(action)) {
-        m_store.list(m_kind, [this](ErrorOr<DirectoryBatch> result) {
+        m_store.list(m_kind, m_listConsistency, [this](ErrorOr<DirectoryBatch> result) {
             if (!result) {
                 handle(DirectorySyncEvents::CallFailed{});
                 return;
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -39,10 +39,13 @@
     // that the loss and recovery of a whole failure domain fits.
     static constexpr std::size_t changeLogCapacity = 1200;
 
-    DirectoryView(DirectoryKind, boost::asio::io_context &, DirectoryStore &, const DirectoryDecoder &,
-                  DirectoryListener &, StructuredLog &, RandomSource &);
+    // A change must take effect within `changeDeadline`.
+    DirectoryView(DirectoryKind, absl::Duration changeDeadline, boost::asio::io_context &, DirectoryStore &,
+                  const DirectoryDecoder &, DirectoryListener &, StructuredLog &, RandomSource &);
 
-    void start();
+    // Lists the objects, and then watches them unless this is done by other routers. May be called again to
+    // refresh a view that is not watched.
+    void start(ReadConsistency = ReadConsistency::Linearizable);
     // While false, the store is not watched and changes come from other routers.
     void setWatching(bool);
     [[nodiscard]] StorePosition changePosition() const { return m_synchronizer.changePosition(); }
@@ -80,6 +83,7 @@
     StructuredLog &m_log;
     RandomSource &m_random;
     DirectorySynchronizer m_synchronizer;
+    ReadConsistency m_listConsistency{ReadConsistency::Linearizable};
     boost::asio::steady_timer m_timer;
     // Applied objects, and objects of the current batch that are not applied yet.
     std::map<std::string, DirectoryObject> m_objects;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -35,6 +35,10 @@
 // Assumed timeout of a caller that does not send one.
 constexpr absl::Duration defaultCallerTimeout = absl::Seconds(10);
 constexpr absl::Duration publishRetryInterval = absl::Milliseconds(500);
+// Outdated lists of the store are a few seconds old.
+constexpr absl::Duration routerRefreshDelay = absl::Seconds(4);
+// A starting router has just listed all objects, and needs a moment to hear from those that watch them.
+constexpr absl::Duration firstWatchDelay = absl::Milliseconds(900);
 
 std::string requestPath(const HttpRequest &request)
 {
@@ -77,14 +81,15 @@
                                boost::asio::post(m_context, [this, session] { m_sessions.erase(session); });
                            }},
       m_topology({.maxSingleGroup = settings.maxSingleGroup, .maxGroupSize = settings.maxGroupSize}),
-      m_configurationView(DirectoryKind::Configuration, context, site.store, site.decoder, *this, m_log,
+      m_configurationView(DirectoryKind::Configuration, settings.changeDeadline, context, site.store, site.decoder, *this, m_log,
                           m_random),
-      m_targetsView(DirectoryKind::Targets, context, site.store, site.decoder, *this, m_log, m_random),
-      m_routersView(DirectoryKind::Routers, context, site.store, site.decoder, *this, m_log, m_random),
+      m_targetsView(DirectoryKind::Targets, settings.changeDeadline, context, site.store, site.decoder, *this, m_log, m_random),
+      m_routersView(DirectoryKind::Routers, settings.changeDeadline, context, site.store, site.decoder, *this, m_log, m_random),
       m_configurationRelay(context, m_configurationView, "configuration", detail::configurationCallTimeout,
                            m_log, m_random),
       m_targetsRelay(context, m_targetsView, "targets", detail::targetsCallTimeout, m_log, m_random),
-      m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context)
+      m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context),
+      m_routerRefreshTimer(context)
 {
     m_self.id = settings.id;
     m_self.domain = settings.domain;
@@ -153,13 +158,26 @@
 {
     // Routers are listed only after the own record is written, so that of two routers starting together at
     // least one sees the other.
-    if (!std::exchange(m_publishedEra, era))
-        m_routersView.start();
+    if (!std::exchange(m_publishedEra, era)) {
+        m_routersView.start(ReadConsistency::Stale);
+        scheduleRouterRefresh();
+    }
     // The store was restored while the write was on its way.
     if (era < m_targetsView.changePosition().era)
         retryPublishing();
 }
 
+void Gateway::scheduleRouterRefresh()
+{
+    m_routerRefreshTimer.expires_after(absl::ToChronoNanoseconds(detail::routerRefreshDelay));
+    m_routerRefreshTimer.async_wait([this](const auto &ec) {
+        if (ec)
+            return;
+        const bool isAlone = m_routerRegistry.aliveCount(monotonicNow()) == 0;
+        m_routersView.start(isAlone ? ReadConsistency::Linearizable : ReadConsistency::Stale);
+    });
+}
+
 void Gateway::retryPublishing()
 {
     m_publishTimer.expires_after(absl::ToChronoNanoseconds(detail::publishRetryInterval));
@@ -506,6 +524,15 @@
     m_targetsRelay.pullFullView(candidates[m_random.below(candidates.size())]);
 }
 
+bool Gateway::shouldWatchStore(absl::Time now) const
+{
+    if (now - m_startedAt < detail::firstWatchDelay)
+        return false;
+    const auto watchers =
+        std::max<std::size_t>(m_settings.watchersPerDomain / m_topology.groupsInOwnDomain(), 1);
+    return m_routerRegistry.shouldWatchStore(m_self, m_topology.ownGroup(), watchers, now);
+}
+
 void Gateway::runPeriodicTasks()
 {
     const auto now = monotonicNow();
@@ -513,15 +540,14 @@
     updateTopology();
     const auto groupRouters = m_routerRegistry.aliveCountAmong(m_topology.ownGroup(), now) + 1;
     const bool othersTrusted = m_routerRegistry.isStoreTrustedByOthers(now);
-    const bool shouldWatchStore = m_routerRegistry.shouldWatchStore(m_self, m_topology.ownGroup(),
-                                                                    m_settings.watchersPerDomain, now);
+    const bool isWatcher = shouldWatchStore(now);
     for (auto *it : {&m_configurationView, &m_targetsView}) {
         it->setStoreTrustedByOthers(othersTrusted);
-        it->setWatching(shouldWatchStore);
+        it->setWatching(isWatcher);
     }
     for (auto &[service, budget] : m_budgets)
         budget.setRouterCounts(groupRouters, m_routerRegistry.size() + 1);
-    if (++m_periodicRuns % detail::reconcileIntervalSeconds == 0 && !shouldWatchStore)
+    if (++m_periodicRuns % detail::reconcileIntervalSeconds == 0 && !isWatcher)
         reconcile(now);
     m_metrics.setGauge("routers_alive", static_cast<double>(m_routerRegistry.aliveCount(now) + 1));
     m_metrics.setGauge("routers_known", static_cast<double>(m_routerRegistry.size() + 1));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -75,6 +75,8 @@
     {
         return m_topology.loadReportInterval(minInterval);
     }
+    // Returns true if this router is one of those that watch the store for the others.
+    [[nodiscard]] bool shouldWatchStore(absl::Time now) const;
     // Recomputes the groups if the known routers have changed.
     void updateTopology();
     void addReportDestination(const RouterId &, bool isInOwnGroup, std::vector<ReportDestination> &) const;
@@ -97,6 +99,8 @@
     void publishOwnRecord();
     void ownRecordPublished(StoreEra);
     void retryPublishing();
+    // Looks for routers that the first, possibly outdated list lacked.
+    void scheduleRouterRefresh();
     // Requests the full view of targets from another router.
     void reconcile(absl::Time now);
     void runPeriodicTasks();
@@ -131,6 +135,7 @@
     std::uint64_t m_periodicRuns{0};
     boost::asio::steady_timer m_shutdownTimer;
     boost::asio::steady_timer m_publishTimer;
+    boost::asio::steady_timer m_routerRefreshTimer;
     bool m_isPublishing{false};
     // Era that the router's own record was last written in.
     std::optional<StoreEra> m_publishedEra;
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -32,6 +32,8 @@
     reader.address("address", Presence::Required, settings.store);
     reader.milliseconds("call_timeout_ms", absl::Milliseconds(50), absl::Seconds(60),
                         settings.storeCallTimeout);
+    reader.milliseconds("change_deadline_ms", absl::Milliseconds(100), absl::Seconds(60),
+                        settings.changeDeadline);
     reader.count("watchers_per_domain", 1, 1000, settings.watchersPerDomain);
     return reader.finish();
 }
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -24,14 +24,16 @@
     std::string peerListen;
     std::string store;
     absl::Duration storeCallTimeout{absl::Seconds(1)};
+    // Time within which a change of a target or of the configuration must take effect.
+    absl::Duration changeDeadline{absl::Seconds(2)};
     // How long callers may cache an entry point response.
     absl::Duration entryPointLifetime{absl::Seconds(2)};
     // Time between the stop signal and the kill.
     absl::Duration stopGrace{absl::Seconds(8)};
     RetryLimits retryLimits;
     LogSettings log;
-    // Number of routers in each failure domain, and in each group of a large fleet, that watch the store; the
-    // others get changes from them.
+    // Number of routers in each failure domain that watch the store; the others get changes from them. In a
+    // large fleet, each group has at least one.
     std::uint32_t watchersPerDomain{2};
     // Sizes of the groups of routers that share their loads.
     std::uint32_t maxSingleGroup{100};
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -82,7 +82,7 @@
     // When all routers restart during a store outage, nothing is served until the first list succeeds.
     void initialListIsRetriedWithShorterBackoff()
     {
-        DirectorySynchronizer synchronizer(m_random);
+        DirectorySynchronizer synchronizer(m_random, absl::Seconds(2));
         (void)synchronizer.begin();
         auto now = m_now;
         (void)synchronizer.handle(DirectorySyncEvents::CallFailed{}, now);
@@ -397,7 +397,7 @@
         constexpr int runs = 200;
         for (int run = 0; run < runs; ++run) {
             SeededRandom random(static_cast<std::uint64_t>(run) + 1);
-            DirectorySynchronizer synchronizer(random);
+            DirectorySynchronizer synchronizer(random, absl::Seconds(2));
             (void)synchronizer.begin();
             auto now = m_now;
             std::map<std::string, StorePosition> view;
@@ -489,7 +489,7 @@
 
     absl::Time m_now{absl::FromUnixSeconds(1000)};
     SeededRandom m_random{3};
-    DirectorySynchronizer m_synchronizer{m_random};
+    DirectorySynchronizer m_synchronizer{m_random, absl::Seconds(2)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestDirectorySynchronizer);
--- a/Tests/LibGateway/FakeDirectory.h
+++ b/Tests/LibGateway/FakeDirectory.h
@@ -14,7 +14,10 @@
 class ManualStore final : public DirectoryStore
 {
 public:
-    void list(DirectoryKind, DirectoryHandler handler) override { m_list = std::move(handler); }
+    void list(DirectoryKind, ReadConsistency, DirectoryHandler handler) override
+    {
+        m_list = std::move(handler);
+    }
     void watch(DirectoryKind, StorePosition, absl::Duration, DirectoryHandler handler) override
     {
         m_watch = std::move(handler);
@@ -97,7 +100,8 @@
 {
     // Log lines are written to logDescriptor.
     explicit DirectoryViewFixture(DirectoryKind kind, int logDescriptor = STDERR_FILENO)
-        : log(logDescriptor, "test"), view(kind, context, store, decoder, listener, log, random)
+        : log(logDescriptor, "test"),
+          view(kind, absl::Seconds(2), context, store, decoder, listener, log, random)
     {
         view.start();
     }
