Meta: Share the linter's verdicts of files with VERIFY between clones

Cause: the path that is cut out of the preprocessed text was that of the build folder, since the text is made there. Change: the root is noted before.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -14,6 +14,7 @@
     # The preprocessed text stands for the file and all of its includes; without the folder, so that clones share
     # the verdicts.
     local command key
+    local root=$PWD
     command=$(python3 - "$build" "$PWD/$file" <<'PY'
 import json, shlex, sys
 for entry in json.load(open(sys.argv[1] + "/compile_commands.json")):
@@ -25,7 +26,7 @@
         break
 PY
 )
-    key=$( { cat .clang-tidy; (cd "$build" && eval "$command -E -P" 2>/dev/null | sed "s|$PWD/||g"); cat "$file"; } | sha256sum | cut -d' ' -f1)
+    key=$( { cat .clang-tidy; (cd "$build" && eval "$command -E -P" 2>/dev/null | sed "s|$root/||g"); cat "$file"; } | sha256sum | cut -d' ' -f1)
     [ -e "$cache/$key" ] && return 0
     if clang-tidy --quiet -p "$build" "$file" 2>/dev/null; then
         touch "$cache/$key"
