Tests: Cover slices, brief reports, the limit of watchers, unchanged records and the gateway's settings

The cases name the load pattern that they replay: a slice that is busy or lost, a fleet whose store is away, hundreds of routers that restart at once.

--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(earlierIncarnationIsIgnored);
     CPPUNIT_TEST(reorderedReportIsOutdated);
     CPPUNIT_TEST(routersWithoutStoreAccessAreNotWatchers);
+    CPPUNIT_TEST(fewRoutersCallStoreThatIsAway);
+    CPPUNIT_TEST(briefReportOmitsLoadsAndCounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +236,47 @@
         CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, m_now));
     }
 
+    // During an outage no router has a reliable view. If all of a large fleet tried to reach the store, its
+    // calls would exceed the rate limit, and each is paid for.
+    void fewRoutersCallStoreThatIsAway()
+    {
+        constexpr int routers = 40;
+        constexpr std::size_t watchers = 2;
+        RouterRegistry registry;
+        std::vector<RouterId> group;
+        for (int n = 0; n < routers; ++n) {
+            auto it = member(absl::StrCat("r", 100 + n), 1, RouterPhase::Serving);
+            it.isStoreTrusted = false;
+            registry.recordReport(it, m_now);
+            group.push_back(it.id);
+        }
+        int calling = 0;
+        for (const auto &id : group) {
+            std::vector<RouterId> others = group;
+            std::erase(others, id);
+            const auto self = member(id.value(), 1, RouterPhase::Serving);
+            calling += registry.shouldWatchStore(self, others, watchers, m_now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(8, calling);
+        // A router that hears from nobody watches the store itself.
+        const auto last = member("r999", 1, RouterPhase::Serving);
+        CPPUNIT_ASSERT(!registry.shouldWatchStore(last, group, watchers, m_now));
+        const auto later = m_now + RouterRegistry::livenessTimeout + absl::Milliseconds(1);
+        CPPUNIT_ASSERT(registry.shouldWatchStore(last, group, watchers, later));
+    }
+
+    void briefReportOmitsLoadsAndCounts()
+    {
+        auto report = sampleReport();
+        report.counts[ServiceName("s")] = {.requests = 3, .retries = 1};
+        const auto brief = report.brief();
+        CPPUNIT_ASSERT(brief.loads.empty() && brief.faults.empty() && brief.gone.empty());
+        CPPUNIT_ASSERT(brief.counts.empty());
+        CPPUNIT_ASSERT(brief.targetsPosition == report.targetsPosition);
+        CPPUNIT_ASSERT(brief.router.phase == RouterPhase::Draining);
+        CPPUNIT_ASSERT(encodePeerReport(brief).size() < encodePeerReport(report).size());
+    }
+
 private:
     static TrafficConfiguration configuration()
     {
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -1,6 +1,7 @@
 // Tests the choice of targets by load, faults, failure domains and memory.
 
 #include <LibForwarding/TargetPool.h>
+#include <LibForwarding/TargetSlices.h>
 
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -30,6 +31,10 @@
     CPPUNIT_TEST(drainingProcessNeverBecomesReady);
     CPPUNIT_TEST(atMostOnceRequestAvoidsTargetThatLostResponse);
     CPPUNIT_TEST(choiceScalesWithMeasuredPerformance);
+    CPPUNIT_TEST(targetsOfOwnSliceArePreferred);
+    CPPUNIT_TEST(busySliceOverflowsToOtherTargets);
+    CPPUNIT_TEST(lostSliceIsReplacedByOtherTargets);
+    CPPUNIT_TEST(backlogIsThatOfOwnSlice);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -267,8 +272,65 @@
             CPPUNIT_ASSERT_EQUAL(2, n);
     }
 
+    void targetsOfOwnSliceArePreferred()
+    {
+        auto pool = makeDividedPool();
+        for (int n = 0; n < dividedTargetCount / 2; ++n) {
+            const auto chosen = *pool.choose(need(), m_now);
+            CPPUNIT_ASSERT(m_slice.contains(chosen));
+            pool.addLoad(chosen, load());
+        }
+    }
+
+    // The other routers' load outside of the slice is unknown, so it is used only for what would wait.
+    void busySliceOverflowsToOtherTargets()
+    {
+        auto pool = makeDividedPool();
+        for (const auto &it : m_slice) {
+            pool.addLoad(it, load());
+            pool.addLoad(it, load());
+        }
+        const auto chosen = *pool.choose(need(), m_now);
+        CPPUNIT_ASSERT(!m_slice.contains(chosen));
+    }
+
+    void lostSliceIsReplacedByOtherTargets()
+    {
+        auto pool = makeDividedPool();
+        for (const auto &it : m_slice)
+            pool.recordFault(it, TargetFault::Unreachable, m_now);
+        const auto chosen = *pool.choose(need(), m_now);
+        CPPUNIT_ASSERT(!m_slice.contains(chosen));
+    }
+
+    void backlogIsThatOfOwnSlice()
+    {
+        auto pool = makeDividedPool();
+        for (const auto &it : m_slice)
+            pool.addLoad(it, load());
+        CPPUNIT_ASSERT(pool.backlog(need(), m_now) > absl::ZeroDuration());
+        for (const auto &it : m_slice)
+            pool.recordFault(it, TargetFault::Gone, m_now);
+        CPPUNIT_ASSERT(pool.backlog(need(), m_now) == absl::ZeroDuration());
+    }
+
 private:
     static constexpr int targetCount = 9;
+    static constexpr int dividedTargetCount = 120;
+
+    // A pool of the second of two groups, and the slice that it prefers.
+    TargetPool makeDividedPool()
+    {
+        TargetPool pool(FailureDomain("d0"), m_random);
+        std::vector<TargetSlices::Target> targets;
+        for (int n = 0; n < dividedTargetCount; ++n) {
+            pool.upsert(record(n));
+            targets.push_back({id(n), domain(n)});
+        }
+        pool.setGroup(1, 2);
+        m_slice = TargetSlices::select(1, 2, targets);
+        return pool;
+    }
 
     static TargetId id(int n) { return TargetId(absl::StrCat("t", n)); }
     static FailureDomain domain(int n) { return FailureDomain(absl::StrCat("d", n % 3)); }
@@ -300,6 +362,7 @@
 
     absl::Time m_now{absl::FromUnixSeconds(1000)};
     SeededRandom m_random{7};
+    absl::flat_hash_set<TargetId> m_slice;
     TargetPool m_pool{FailureDomain("d0"), m_random};
 };
 
--- /dev/null
+++ b/Tests/LibGateway/TestGatewaySettings.cpp
@@ -0,0 +1,68 @@
+// Tests the keys and ranges of a gateway's settings file.
+
+#include <LibGateway/GatewaySettings.h>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestGatewaySettings : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestGatewaySettings);
+    CPPUNIT_TEST(optionalKeysHaveDefaults);
+    CPPUNIT_TEST(keysOfLargeFleetsAreRead);
+    CPPUNIT_TEST(invalidValuesAreRejectedWithTheirKey);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void optionalKeysHaveDefaults()
+    {
+        const auto settings = gatewaySettingsFromToml(text("", ""), "test.toml");
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT(settings->changeDeadline == absl::Seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, settings->maxSingleGroup);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{32}, settings->maxGroupSize);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, settings->watchersPerDomain);
+    }
+
+    void keysOfLargeFleetsAreRead()
+    {
+        const auto settings = gatewaySettingsFromToml(
+            text("change_deadline_ms = 4000", "[peers]\nmax_single_group = 50\nmax_group_size = 20"),
+            "test.toml");
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT(settings->changeDeadline == absl::Seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{50}, settings->maxSingleGroup);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{20}, settings->maxGroupSize);
+    }
+
+    void invalidValuesAreRejectedWithTheirKey()
+    {
+        checkRejected(text("change_deadline_ms = 0", ""), "change_deadline_ms");
+        checkRejected(text("", "[peers]\nmax_single_group = 0"), "max_single_group");
+        checkRejected(text("", "[peers]\nmax_group_size = 1"), "max_group_size");
+        checkRejected(text("", "[peers]\nmax_groups = 5"), "max_groups");
+    }
+
+private:
+    static std::string text(const std::string &storeKeys, const std::string &sections)
+    {
+        return absl::StrCat("id = \"g1\"\ndomain = \"z0\"\n[listen]\ncallers = \"127.0.0.1:1\"\n"
+                            "entry_points = \"127.0.0.1:2\"\nreadiness = \"127.0.0.1:3\"\n"
+                            "peers = \"127.0.0.1:4\"\n[store]\naddress = \"127.0.0.1:5\"\n",
+                            storeKeys, "\n", sections, "\n");
+    }
+
+    static void checkRejected(const std::string &text, const std::string &key)
+    {
+        const auto settings = gatewaySettingsFromToml(text, "test.toml");
+        CPPUNIT_ASSERT_MESSAGE(key, !settings);
+        CPPUNIT_ASSERT(settings.error().code == ErrorCode::InvalidSettings);
+        CPPUNIT_ASSERT_MESSAGE(settings.error().detail, settings.error().detail.find(key) != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestGatewaySettings);
+
+} // namespace Wisteria
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -199,6 +199,8 @@
         startWatch(connection, kind, target);
         return;
     }
+    if (detail::queryParameter(target, "serializable") == "1")
+        ++m_staleLists[kind];
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[name, object] : m_objects[kind])
         items.push_back(object);
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -49,6 +49,13 @@
     [[nodiscard]] bool contains(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
     [[nodiscard]] int calls() const { return m_calls; }
+    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+    // Number of lists of the kind that allowed outdated data.
+    [[nodiscard]] int staleLists(const std::string &kind) const
+    {
+        const auto it = m_staleLists.find(kind);
+        return it == m_staleLists.end() ? 0 : it->second;
+    }
 
 private:
     struct PendingWatch
@@ -93,6 +100,7 @@
     std::vector<PendingWatch> m_pendingWatches;
     FakeStoreMode m_mode{FakeStoreMode::Healthy};
     int m_calls{0};
+    std::map<std::string, int> m_staleLists;
     std::unique_ptr<HttpServer> m_server;
 };
 
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -68,6 +68,8 @@
     CPPUNIT_TEST(restoredStoreDoesNotReviveDrainingEngine);
     CPPUNIT_TEST(restoredStoreDoesNotReviveRemovedKey);
     CPPUNIT_TEST(requestsAreServedWhileCopyLacksEngines);
+    CPPUNIT_TEST(unchangedRecordIsNotWrittenAgain);
+    CPPUNIT_TEST(onlyRoutersAreListedWithBoundedStaleness);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -292,6 +294,38 @@
         CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), call("POST", "/stream/x", "r2").body);
     }
 
+    // Every write is paid for, and hundreds of routers restart at once after a loss of power.
+    void unchangedRecordIsNotWrittenAgain()
+    {
+        const auto client =
+            std::move(*Platform::StoreClient::create(*m_context, m_store->address(), absl::Seconds(1)));
+        RouterRecord record{RouterId("g7"), FailureDomain("z0"), "127.0.0.1:1", "127.0.0.1:2"};
+        const auto publish = [&] {
+            bool isDone = false;
+            client->publish(record, [&](const ErrorOr<StoreEra> &era) {
+                CPPUNIT_ASSERT(era);
+                isDone = true;
+            });
+            CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        };
+        publish();
+        const auto written = m_store->revision();
+        publish();
+        CPPUNIT_ASSERT_EQUAL(written, m_store->revision());
+        record.peerAddress = "127.0.0.1:3";
+        publish();
+        CPPUNIT_ASSERT(m_store->revision() > written);
+    }
+
+    void onlyRoutersAreListedWithBoundedStaleness()
+    {
+        startGateway();
+        const std::string routers(Platform::kindName(DirectoryKind::Routers));
+        CPPUNIT_ASSERT(runUntil([&] { return m_store->staleLists(routers) > 0; }));
+        CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("servers"));
+        CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("config"));
+    }
+
 private:
     enum class Readiness { Wait, DontWait };
 
