--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -115,11 +115,10 @@
 
 } // namespace DirectorySyncActions
 
-using DirectorySyncAction =
-    std::variant<DirectorySyncActions::StartList, DirectorySyncActions::StartWatch,
-                 DirectorySyncActions::Apply, DirectorySyncActions::Remove, DirectorySyncActions::SetTimer,
-                 DirectorySyncActions::StoreRecovered, DirectorySyncActions::StoreLost,
-                 DirectorySyncActions::EraChanged>;
+using DirectorySyncAction = std::variant<DirectorySyncActions::StartList, DirectorySyncActions::StartWatch,
+                                         DirectorySyncActions::Apply, DirectorySyncActions::Remove,
+                                         DirectorySyncActions::SetTimer, DirectorySyncActions::StoreRecovered,
+                                         DirectorySyncActions::StoreLost, DirectorySyncActions::EraChanged>;
 using DirectorySyncActionList = std::vector<DirectorySyncAction>;
 
 class DirectorySynchronizer
@@ -187,8 +186,8 @@
     void applyList(const std::vector<ObjectMetadata> &, StorePosition, absl::Time now);
     // Applies the first list of a new era and emits EraChanged.
     void applyFirstListOfEra(const std::vector<ObjectMetadata> &, StorePosition, absl::Time now);
-    // Returns true for a removed object that a router relays which has not noticed the removal, or which keeps
-    // the object only because a restored copy lacks it.
+    // Returns true for a removed object that a router relays which has not noticed the removal, or which
+    // keeps the object only because a restored copy lacks it.
     [[nodiscard]] bool isObsolete(const ObjectMetadata &) const;
     [[nodiscard]] bool isHeldBack(const ObjectMetadata &) const;
     void apply(const ObjectMetadata &, absl::Time now);
--- a/Libraries/LibForwarding/ServicePerformance.cpp
+++ b/Libraries/LibForwarding/ServicePerformance.cpp
@@ -35,8 +35,7 @@
 
 void ServicePerformance::recordPrefill(std::int64_t promptTokens, absl::Duration untilFirstEvent)
 {
-    m_prefillTokensPerMs.add(static_cast<double>(promptTokens)
-                             / absl::ToDoubleMilliseconds(untilFirstEvent));
+    m_prefillTokensPerMs.add(static_cast<double>(promptTokens) / absl::ToDoubleMilliseconds(untilFirstEvent));
 }
 
 void ServicePerformance::recordGeneration(const CompletedGeneration &generation)
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -309,8 +309,8 @@
     const double utilization = memoryUtilization(load, requirements);
     weight += (requirements.isCopy ? detail::copyMemoryWeight : detail::memoryWeight) * utilization;
     if (utilization > detail::memoryFullThreshold)
-        weight += detail::memoryFullWeight
-            + detail::memoryFullSlope * (utilization - detail::memoryFullThreshold);
+        weight +=
+            detail::memoryFullWeight + detail::memoryFullSlope * (utilization - detail::memoryFullThreshold);
     return weight * performance.typicalPrefillTime() + performance.prefillTime(load.pendingPrefillTokens)
         + detail::runningRequestWeight * load.requests * performance.generationTime();
 }
--- a/Libraries/LibForwarding/TargetSlices.h
+++ b/Libraries/LibForwarding/TargetSlices.h
@@ -31,8 +31,8 @@
     };
 
     // Selects the targets that the group prefers. Empty if the service is not divided.
-    [[nodiscard]] static absl::flat_hash_set<TargetId>
-    select(std::size_t groupIndex, std::size_t groupCount, const std::vector<Target> &);
+    [[nodiscard]] static absl::flat_hash_set<TargetId> select(std::size_t groupIndex, std::size_t groupCount,
+                                                              const std::vector<Target> &);
 };
 
 } // namespace Wisteria
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -191,8 +191,8 @@
     const auto now = monotonicNow();
     const auto load = m_gatewayContext.targets.loadOf(record.id, now);
     const auto wait = m_gatewayContext.targets.expectedWait(record.id, requirements(), now);
-    handle(ForwardingEvents::AttemptSent{wait
-                                         + performance().prefillTime(m_routed.request.size.promptTokens)});
+    handle(
+        ForwardingEvents::AttemptSent{wait + performance().prefillTime(m_routed.request.size.promptTokens)});
     m_attemptSentAt = now;
     m_firstEventAt.reset();
     m_eventCount = 0;
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -39,8 +39,7 @@
 void PeerLink::startTimer(absl::Time dueAt)
 {
     m_dueAt = dueAt;
-    m_timer.expires_after(
-        absl::ToChronoNanoseconds(std::max(dueAt - monotonicNow(), absl::ZeroDuration())));
+    m_timer.expires_after(absl::ToChronoNanoseconds(std::max(dueAt - monotonicNow(), absl::ZeroDuration())));
     m_timer.async_wait([this](const auto &ec) {
         if (ec)
             return;
--- a/Libraries/LibGateway/RequestTimeline.cpp
+++ b/Libraries/LibGateway/RequestTimeline.cpp
@@ -17,9 +17,9 @@
 namespace detail {
 
 // Events that concern a whole process, and events that concern one target.
-const std::set<std::string> processEvents = {"started",    "stopping",       "stopped",      "reloaded",
-                                             "store_lost", "store_regained", "store_restored",
-                                             "reload_failed"};
+const std::set<std::string> processEvents = {"started",        "stopping",     "stopped",
+                                             "reloaded",       "store_lost",   "store_regained",
+                                             "store_restored", "reload_failed"};
 const std::set<std::string> targetEvents = {"target", "target_removed", "target_verified", "target_fault"};
 
 // Explanations of the outcomes for on-call engineers.
@@ -142,9 +142,10 @@
         &out, "cause: ",
         cause.empty() ? "no final word: the process ended first, or the log line was dropped" : cause, "\n");
     if (wasStoreRestored)
-        absl::StrAppend(&out,
-                        "note: the store was restored from an older copy shortly before or during the request; "
-                        "objects written after the copy were missing until they were written again\n");
+        absl::StrAppend(
+            &out,
+            "note: the store was restored from an older copy shortly before or during the request; "
+            "objects written after the copy were missing until they were written again\n");
     return out;
 }
 
--- a/Tests/LibForwarding/FakePlacementFleet.cpp
+++ b/Tests/LibForwarding/FakePlacementFleet.cpp
@@ -33,8 +33,8 @@
 {
     std::vector<PeerTopology::Router> all;
     for (int n = 0; n < m_scenario.routers; ++n) {
-        all.push_back({RouterId(absl::StrCat("router-", n)),
-                       FailureDomain(absl::StrCat("d", n % m_scenario.domains))});
+        all.push_back(
+            {RouterId(absl::StrCat("router-", n)), FailureDomain(absl::StrCat("d", n % m_scenario.domains))});
     }
     for (const auto &it : all) {
         Router router{.id = it.id, .domain = it.domain, .topology = PeerTopology(m_scenario.limits)};
@@ -90,7 +90,8 @@
         report(now);
     }
     // Requests of the last seconds had no time to be served.
-    const auto judged = m_inTimeBySecond.size() - 1 - static_cast<std::size_t>(absl::ToInt64Seconds(objective));
+    const auto judged =
+        m_inTimeBySecond.size() - 1 - static_cast<std::size_t>(absl::ToInt64Seconds(objective));
     for (std::size_t n = 0; n < judged; ++n) {
         const auto &[inTime, requests] = m_inTimeBySecond[n];
         m_result.requests += requests;
@@ -156,8 +157,8 @@
 
 void FakePlacementFleet::retryLost(absl::Time now)
 {
-    auto due = std::partition(m_retries.begin(), m_retries.end(),
-                              [&](const Retry &it) { return it.at > now; });
+    auto due =
+        std::partition(m_retries.begin(), m_retries.end(), [&](const Retry &it) { return it.at > now; });
     const std::vector<Retry> retries(due, m_retries.end());
     m_retries.erase(due, m_retries.end());
     for (const auto &it : retries) {
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -107,12 +107,10 @@
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         const auto storeReturn = m_now + absl::Seconds(5);
         auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
-            storeReturn);
+            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)}, storeReturn);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
-        actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(12), false}}, at(12)},
-            storeReturn + absl::Seconds(1));
+        actions = m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"a", at(12), false}}, at(12)},
+                                        storeReturn + absl::Seconds(1));
         actions = m_synchronizer.handle(DirectorySyncEvents::Tick{}, storeReturn + absl::Seconds(10));
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
     }
@@ -122,9 +120,8 @@
         loadInitialList();
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         const auto storeReturn = m_now + absl::Seconds(5);
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
-            storeReturn);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
+                                    storeReturn);
         const auto before = storeReturn + DirectorySynchronizer::removalGracePeriod - absl::Milliseconds(1);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(
             m_synchronizer.handle(DirectorySyncEvents::Tick{}, before)));
@@ -141,8 +138,7 @@
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         m_synchronizer.setStoreTrustedByOthers(true);
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
-            m_now + absl::Seconds(5));
+            DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)}, m_now + absl::Seconds(5));
         CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(actions));
     }
 
@@ -151,8 +147,7 @@
         loadInitialList();
         (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::RelayReceived{{{"a", at(11), true}}, at(11), false},
-            m_now);
+            DirectorySyncEvents::RelayReceived{{{"a", at(11), true}}, at(11), false}, m_now);
         CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(actions));
     }
 
@@ -160,20 +155,17 @@
     {
         loadInitialList();
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::RelayReceived{{{"a", at(3), true}}, at(9), true},
-            m_now);
+            DirectorySyncEvents::RelayReceived{{{"a", at(3), true}}, at(9), true}, m_now);
         CPPUNIT_ASSERT(actions.empty());
     }
 
     void staleObjectRevisionIsIgnored()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(15), false}}, at(15)}, m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"a", at(15), false}}, at(15)},
+                                    m_now);
         const auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{
-                {{"a", at(14), false}, {"a", at(14), true}}, at(16)},
-            m_now);
+            DirectorySyncEvents::WatchCompleted{{{"a", at(14), false}, {"a", at(14), true}}, at(16)}, m_now);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Apply>(actions));
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
     }
@@ -181,9 +173,8 @@
     void relayedChangesAdvanceRevision()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::RelayReceived{{{"c", at(30), false}}, at(30), false},
-            m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::RelayReceived{{{"c", at(30), false}}, at(30), false},
+                                    m_now);
         CPPUNIT_ASSERT(m_synchronizer.changePosition() == at(30));
         CPPUNIT_ASSERT(m_synchronizer.position() == at(30));
     }
@@ -203,8 +194,8 @@
     void objectsOfNewEraReplaceThoseWithGreaterRevision()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(15), false}}, at(15)}, m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"a", at(15), false}}, at(15)},
+                                    m_now);
         const auto actions = restore({{"a", at(4, 2), false}, {"b", at(1, 2), false}}, at(6, 2));
         CPPUNIT_ASSERT_EQUAL(2, countActions<DirectorySyncActions::Apply>(actions));
         CPPUNIT_ASSERT(hasAction<DirectorySyncActions::EraChanged>(actions));
@@ -216,8 +207,8 @@
     {
         loadInitialList();
         (void)restore({{"a", at(4, 2), false}, {"b", at(1, 2), false}}, at(6, 2));
-        auto actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"a", at(90), true}}, at(90)}, m_now);
+        auto actions =
+            m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"a", at(90), true}}, at(90)}, m_now);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
         actions = m_synchronizer.handle(listResult({"x"}, 99), m_now);
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Apply>(actions));
@@ -231,9 +222,8 @@
         auto actions = restore({{"a", at(1, 2), false}}, at(5, 2));
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
         CPPUNIT_ASSERT(!m_synchronizer.isTrusted(m_now));
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"b", at(6, 2), false}}, at(6, 2)},
-            m_now + absl::Seconds(1));
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(6, 2), false}}, at(6, 2)},
+                                    m_now + absl::Seconds(1));
         actions = m_synchronizer.handle(DirectorySyncEvents::Tick{}, m_now + absl::Seconds(10));
         CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
     }
@@ -255,14 +245,14 @@
     void removedObjectInCopyIsHeldBackUntilWrittenAgain()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)},
+                                    m_now);
         auto actions = restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
         CPPUNIT_ASSERT(!appliesObject(actions, "b"));
         CPPUNIT_ASSERT(appliesObject(actions, "a"));
-        actions = m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"b", at(6, 2), false}}, at(6, 2)},
-            m_now + absl::Seconds(1));
+        actions =
+            m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(6, 2), false}}, at(6, 2)},
+                                  m_now + absl::Seconds(1));
         CPPUNIT_ASSERT(appliesObject(actions, "b"));
     }
 
@@ -270,8 +260,8 @@
     void removedObjectThatOutlivesHoldBackIsListed()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)},
+                                    m_now);
         (void)restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
         const auto end = m_now + DirectorySynchronizer::restoredEntryHoldBack;
         (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, end);
@@ -288,8 +278,8 @@
     void holdBackCoversListsAfterRelayedRestoration()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)},
+                                    m_now);
         (void)m_synchronizer.handle(
             DirectorySyncEvents::RelayReceived{{{"a", at(1, 2), false}}, at(5, 2), true}, m_now);
         auto actions = restore({{"a", at(1, 2), false}, {"b", at(1, 2), false}}, at(5, 2));
@@ -306,8 +296,8 @@
     void relayOfKeptObjectDoesNotUndoItsRemoval()
     {
         loadInitialList();
-        (void)m_synchronizer.handle(
-            DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)}, m_now);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)},
+                                    m_now);
         (void)restore({{"a", at(1, 2), false}}, at(6, 2));
         const auto later = m_now + DirectorySynchronizer::restoredEntryHoldBack;
         (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, later);
@@ -336,8 +326,8 @@
         CPPUNIT_ASSERT(appliesObject(actions, "a"));
         CPPUNIT_ASSERT(m_synchronizer.position() == at(4, 3));
         // The grace period of "b" starts again.
-        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(m_synchronizer.handle(
-            DirectorySyncEvents::Tick{}, m_now + absl::Seconds(2))));
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(
+            m_synchronizer.handle(DirectorySyncEvents::Tick{}, m_now + absl::Seconds(2))));
     }
 
     void relayedChangesOfNewEraNeedSnapshot()
@@ -449,8 +439,7 @@
     DirectorySyncActionList restore(std::vector<ObjectMetadata> objects, StorePosition position)
     {
         (void)m_synchronizer.handle(DirectorySyncEvents::RevisionExpired{}, m_now);
-        return m_synchronizer.handle(
-            DirectorySyncEvents::ListCompleted{std::move(objects), position}, m_now);
+        return m_synchronizer.handle(DirectorySyncEvents::ListCompleted{std::move(objects), position}, m_now);
     }
     static bool appliesObject(const DirectorySyncActionList &actions, const std::string &name)
     {
--- a/Tests/LibForwarding/TestPeerTopology.cpp
+++ b/Tests/LibForwarding/TestPeerTopology.cpp
@@ -171,8 +171,8 @@
         std::vector<PeerTopology::Router> out;
         for (int n = 0; n < count; ++n) {
             const auto domain = absl::StrCat("zone-", n % domains);
-            out.push_back({RouterId(absl::StrCat("front-", domain, "-", n / domains + 1)),
-                           FailureDomain(domain)});
+            out.push_back(
+                {RouterId(absl::StrCat("front-", domain, "-", n / domains + 1)), FailureDomain(domain)});
         }
         return out;
     }
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -49,8 +49,8 @@
     void undecodableObjectYieldsNoTarget()
     {
         detail::DirectoryViewFixture first(DirectoryKind::Targets);
-        first.store.completeList(
-            {{detail::makeObject("a", 1, "1.1.1.1:1"), detail::makeObject("b", 1, 5)}, detail::makePosition(1)});
+        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1"), detail::makeObject("b", 1, 5)},
+                                  detail::makePosition(1)});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.listener.targets.size());
         // A target is removed when its object can no longer be decoded.
         first.store.completeWatch({{detail::makeObject("a", 2, nullptr)}, detail::makePosition(2)});
@@ -155,9 +155,9 @@
         first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(20)});
         cutOff.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(20)});
         first.store.failWatch(ErrorCode::Conflict);
-        first.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1", 2),
-                                   detail::makeObject("b", 6, "1.1.1.1:2", 2)},
-                                  detail::makePosition(6, 2)});
+        first.store.completeList(
+            {{detail::makeObject("a", 1, "1.1.1.1:1", 2), detail::makeObject("b", 6, "1.1.1.1:2", 2)},
+             detail::makePosition(6, 2)});
         CPPUNIT_ASSERT(first.view.changePosition() > cutOff.view.changePosition());
         const auto changes = first.view.changesAfter(cutOff.view.changePosition());
         CPPUNIT_ASSERT(changes["complete"].get<bool>());
@@ -165,10 +165,8 @@
         CPPUNIT_ASSERT(cutOff.listener.targets == first.listener.targets);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cutOff.listener.restorations.size());
         // What the cut-off router knows is older, whatever its revision.
-        const auto stale = nlohmann::json{{"era", 1U},
-                                          {"revision", 99U},
-                                          {"complete", true},
-                                          {"objects", nlohmann::json::array()}};
+        const auto stale = nlohmann::json{
+            {"era", 1U}, {"revision", 99U}, {"complete", true}, {"objects", nlohmann::json::array()}};
         CPPUNIT_ASSERT(first.view.mergePeerView(stale));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.listener.targets.size());
     }
--- a/Tests/LibGateway/TestGatewaySettings.cpp
+++ b/Tests/LibGateway/TestGatewaySettings.cpp
@@ -59,7 +59,8 @@
         const auto settings = gatewaySettingsFromToml(text, "test.toml");
         CPPUNIT_ASSERT_MESSAGE(key, !settings);
         CPPUNIT_ASSERT(settings.error().code == ErrorCode::InvalidSettings);
-        CPPUNIT_ASSERT_MESSAGE(settings.error().detail, settings.error().detail.find(key) != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(settings.error().detail,
+                               settings.error().detail.find(key) != std::string::npos);
     }
 };
 
--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -76,7 +76,8 @@
     void changesAreFetchedFromPeer()
     {
         detail::FakePeerRouter peer(m_context, DirectoryKind::Targets, "targets");
-        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        peer.fixture().store.completeList(
+            {{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         detail::DirectoryViewFixture local(DirectoryKind::Targets);
         ViewRelay relay(m_context, local.view, "targets", absl::Seconds(1), local.log, local.random);
         relay.notePosition(peer.member(), detail::makePosition(1));
@@ -91,7 +92,8 @@
         slow.fixture().store.completeList({{detail::makeObject("main", 1, 1U)}, detail::makePosition(1)});
         slow.setUnresponsive(true);
         detail::FakePeerRouter peer(m_context, DirectoryKind::Targets, "targets");
-        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        peer.fixture().store.completeList(
+            {{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         detail::DirectoryViewFixture configuration(DirectoryKind::Configuration);
         detail::DirectoryViewFixture targets(DirectoryKind::Targets);
         ViewRelay large(m_context, configuration.view, "configuration", absl::Seconds(5), configuration.log,
@@ -131,7 +133,8 @@
         int pipeEnds[2];
         CPPUNIT_ASSERT_EQUAL(0, pipe(pipeEnds));
         detail::FakePeerRouter peer(m_context, DirectoryKind::Targets, "targets");
-        peer.fixture().store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        peer.fixture().store.completeList(
+            {{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         peer.setUnresponsive(true);
         detail::DirectoryViewFixture local(DirectoryKind::Targets, pipeEnds[1]);
         ViewRelay relay(m_context, local.view, "targets", absl::Milliseconds(100), local.log, local.random);
@@ -167,7 +170,8 @@
                                  "/v1/peer/views/targets/x/17", "/v1/peer/views/targets/1/2/3", "/book/x"})
             CPPUNIT_ASSERT(!ViewRelay::readRequest(path));
         const auto request = ViewRelay::readRequest("/v1/peer/views/targets/2/17");
-        CPPUNIT_ASSERT(request && request->view == "targets" && request->after == detail::makePosition(17, 2));
+        CPPUNIT_ASSERT(request && request->view == "targets"
+                       && request->after == detail::makePosition(17, 2));
     }
 
     void corruptedDataFailsToDecompress()
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -124,8 +124,8 @@
 
     void configurationIsDecoded()
     {
-        const auto configuration =
-            m_decoder.configuration({"main", StorePosition{StoreEra(), ObjectVersion(3)}, configurationSpec(), false});
+        const auto configuration = m_decoder.configuration(
+            {"main", StorePosition{StoreEra(), ObjectVersion(3)}, configurationSpec(), false});
         CPPUNIT_ASSERT(configuration);
         CPPUNIT_ASSERT(configuration->version == ConfigVersion(7));
         const auto &route = configuration->routes.at(0);
@@ -138,18 +138,22 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{88000}, configuration->services.at(0).engine.memoryTokens);
         CPPUNIT_ASSERT(configuration->limits.idleTimeout == absl::Seconds(15));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, configuration->workspaces.size());
-        CPPUNIT_ASSERT(!m_decoder.configuration({"other", StorePosition{StoreEra(), ObjectVersion(3)}, configurationSpec(), false}));
+        CPPUNIT_ASSERT(!m_decoder.configuration(
+            {"other", StorePosition{StoreEra(), ObjectVersion(3)}, configurationSpec(), false}));
     }
 
     void targetWithInvalidFieldIsRejected()
     {
-        CPPUNIT_ASSERT(m_decoder.target({"i-1", StorePosition{StoreEra(), ObjectVersion(1)}, targetSpec(), false}));
+        CPPUNIT_ASSERT(
+            m_decoder.target({"i-1", StorePosition{StoreEra(), ObjectVersion(1)}, targetSpec(), false}));
         for (const auto *field : {"service", "address", "zone", "slots", "state"}) {
             for (const nlohmann::json &invalidValue :
                  {nlohmann::json(), nlohmann::json::array(), nlohmann::json(true)}) {
                 auto spec = targetSpec();
                 spec[field] = invalidValue;
-                CPPUNIT_ASSERT_MESSAGE(field, !m_decoder.target({"i-1", StorePosition{StoreEra(), ObjectVersion(1)}, spec, false}));
+                CPPUNIT_ASSERT_MESSAGE(
+                    field,
+                    !m_decoder.target({"i-1", StorePosition{StoreEra(), ObjectVersion(1)}, spec, false}));
             }
         }
         auto spec = targetSpec();
@@ -173,7 +177,8 @@
                 const auto json = nlohmann::json::parse(text, nullptr, false);
                 if (json.is_discarded())
                     continue;
-                const DirectoryObject object{"main", StorePosition{StoreEra(), ObjectVersion(1)}, json, false};
+                const DirectoryObject object{"main", StorePosition{StoreEra(), ObjectVersion(1)}, json,
+                                             false};
                 (void)m_decoder.configuration(object);
                 (void)m_decoder.target(object);
                 (void)m_decoder.router(object);
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -258,8 +258,8 @@
         const std::string kind(Platform::kindName(DirectoryKind::Routers));
         CPPUNIT_ASSERT(runUntil([&] { return m_store->contains(kind, "g1"); }));
         CPPUNIT_ASSERT_EQUAL(503, call("POST", "/book/x", "r2").head.status);
-        CPPUNIT_ASSERT_EQUAL(
-            before, m_engines.at("app-0")->requestCount() + m_engines.at("app-1")->requestCount());
+        CPPUNIT_ASSERT_EQUAL(before,
+                             m_engines.at("app-0")->requestCount() + m_engines.at("app-1")->requestCount());
     }
 
     void restoredStoreDoesNotReviveRemovedKey()
@@ -336,8 +336,8 @@
         const auto at = text.find(gauge);
         int version = 0;
         if (at != std::string::npos)
-            (void)absl::SimpleAtoi(text.substr(at + gauge.size(), text.find('\n', at + 1) - at - gauge.size()),
-                                   &version);
+            (void)absl::SimpleAtoi(
+                text.substr(at + gauge.size(), text.find('\n', at + 1) - at - gauge.size()), &version);
         return version;
     }
 
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -172,14 +172,15 @@
 
 void SoakWorld::publishConfiguration()
 {
-    m_configuration = {{"version", ++m_version},
-                 {"routes",
-                  {detail::route("stream", "stream", "llm"), detail::route("book", "unsafe", "app"),
-                   detail::route("look", "safe", "app")}},
-                 {"services",
-                  {{{"name", "llm"}, {"engine", {{"kvTokens", 88000}, {"slots", 64}, {"backups", true}}}},
-                   {{"name", "app"}}}},
-                 {"tenants", {{{"name", "w"}, {"apiKeys", {"key", absl::StrCat("key-", m_keys)}}}}}};
+    m_configuration = {
+        {"version", ++m_version},
+        {"routes",
+         {detail::route("stream", "stream", "llm"), detail::route("book", "unsafe", "app"),
+          detail::route("look", "safe", "app")}},
+        {"services",
+         {{{"name", "llm"}, {"engine", {{"kvTokens", 88000}, {"slots", 64}, {"backups", true}}}},
+          {{"name", "app"}}}},
+        {"tenants", {{{"name", "w"}, {"apiKeys", {"key", absl::StrCat("key-", m_keys)}}}}}};
     m_store.put("config", "main", m_configuration);
 }
 
@@ -194,17 +195,15 @@
     m_store.restoreFromCopy();
     // Each writer notices by itself within two seconds.
     for (auto &it : m_engines) {
-        after(drawn(absl::ZeroDuration(), detail::longestRewrite),
-              [this, &it] { publish(it, it.state); });
+        after(drawn(absl::ZeroDuration(), detail::longestRewrite), [this, &it] { publish(it, it.state); });
     }
     after(drawn(absl::ZeroDuration(), detail::longestRewrite),
           [this] { m_store.put("config", "main", m_configuration); });
     after(detail::longestRewrite + detail::entryLag, [this, end = std::move(end)] {
         // Entries of engines that no longer run expire.
         for (const auto &name : m_store.names("servers")) {
-            const bool isRunning = std::any_of(m_engines.begin(), m_engines.end(), [&](const SoakEngine &it) {
-                return it.engine->id() == name;
-            });
+            const bool isRunning = std::any_of(m_engines.begin(), m_engines.end(),
+                                               [&](const SoakEngine &it) { return it.engine->id() == name; });
             if (!isRunning)
                 m_store.remove("servers", name);
         }
