Gateway: Read the first list of targets with bounded staleness

Change: the first list may be outdated; the watch, or the changes relayed by other routers, complete it from its revision. Later lists, and all lists of the configuration, stay linearizable.

--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -66,9 +66,9 @@
     return "";
 }
 
-void DirectoryView::start(ReadConsistency consistency)
+void DirectoryView::start(ReadConsistency firstList)
 {
-    m_listConsistency = consistency;
+    m_listConsistency = firstList;
     for (const auto &it : m_synchronizer.begin())
         perform(it);
 }
@@ -112,6 +112,7 @@
                 handle(DirectorySyncEvents::CallFailed{});
                 return;
             }
+            m_listConsistency = ReadConsistency::Linearizable;
             stage(result->objects);
             handle(
                 DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -133,7 +133,8 @@
                  {"build", WISTERIA_VERSION}},
                 monotonicNow());
     m_configurationView.start();
-    m_targetsView.start();
+    // Hundreds of routers start at once, and a list of hundreds of targets takes many calls.
+    m_targetsView.start(ReadConsistency::Stale);
     publishOwnRecord();
     m_peerLink->start();
     runPeriodicTasks();
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -199,12 +199,17 @@
         startWatch(connection, kind, target);
         return;
     }
-    if (detail::queryParameter(target, "serializable") == "1")
+    const bool isStale = detail::queryParameter(target, "serializable") == "1";
+    if (isStale)
         ++m_staleLists[kind];
+    const bool isFromCopy = isStale && m_isCopyListed;
+    auto &objects = isFromCopy ? m_copy.objects : m_objects;
     nlohmann::json items = nlohmann::json::array();
-    for (const auto &[name, object] : m_objects[kind])
+    for (const auto &[name, object] : objects[kind])
         items.push_back(object);
-    respond(connection, 200, {{"items", items}, {"hasMore", false}, {"currentRev", m_revision}});
+    respond(
+        connection, 200,
+        {{"items", items}, {"hasMore", false}, {"currentRev", isFromCopy ? m_copy.revision : m_revision}});
 }
 
 FakeEngine::FakeEngine(boost::asio::io_context &context, FakeEngineState &engineState, std::string id,
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -46,6 +46,8 @@
     // Replaces all objects and the revision by those of the copy, starts the next era and cuts connections
     // with pending watches. Watches from a revision that the copy has not reached get 410.
     void restoreFromCopy();
+    // Lists that allow outdated data are answered from the copy.
+    void serveStaleListsFromCopy() { m_isCopyListed = true; }
     [[nodiscard]] bool contains(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
     [[nodiscard]] int calls() const { return m_calls; }
@@ -93,6 +95,7 @@
 
     Objects m_objects;
     Copy m_copy;
+    bool m_isCopyListed{false};
     std::vector<Change> m_history;
     std::uint64_t m_revision{10};
     std::uint64_t m_era{1};
