--- a/Tests/LibForwarding/FakePlacementFleet.cpp
+++ b/Tests/LibForwarding/FakePlacementFleet.cpp
@@ -32,6 +32,7 @@
 void FakePlacementFleet::addRouters()
 {
     std::vector<PeerTopology::Router> all;
+    all.reserve(static_cast<std::size_t>(m_scenario.routers));
     for (int n = 0; n < m_scenario.routers; ++n) {
         all.push_back(
             {RouterId(absl::StrCat("router-", n)), FailureDomain(absl::StrCat("d", n % m_scenario.domains))});
