Gateway: List the routers with full consistency at the start

Measured: TestGatewayOnPlatform::routersThatStartTogetherFindEachOther, whose stale lists come from an older copy (the second list came after 4 s, the bound is 3 s).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -35,8 +35,6 @@
 // Assumed timeout of a caller that does not send one.
 constexpr absl::Duration defaultCallerTimeout = absl::Seconds(10);
 constexpr absl::Duration publishRetryInterval = absl::Milliseconds(500);
-// Outdated lists of the store are a few seconds old.
-constexpr absl::Duration routerRefreshDelay = absl::Seconds(4);
 // A starting router has just listed all objects, and needs a moment to hear from those that watch them.
 constexpr absl::Duration firstWatchDelay = absl::Milliseconds(900);
 
@@ -90,8 +88,7 @@
       m_configurationRelay(context, m_configurationView, "configuration", detail::configurationCallTimeout,
                            m_log, m_random),
       m_targetsRelay(context, m_targetsView, "targets", detail::targetsCallTimeout, m_log, m_random),
-      m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context),
-      m_routerRefreshTimer(context)
+      m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context)
 {
     m_self.id = settings.id;
     m_self.domain = settings.domain;
@@ -160,27 +157,14 @@
 void Gateway::ownRecordPublished(StoreEra era)
 {
     // Routers are listed only after the own record is written, so that of two routers starting together at
-    // least one sees the other.
-    if (!std::exchange(m_publishedEra, era)) {
-        m_routersView.start(ReadConsistency::Stale);
-        scheduleRouterRefresh();
-    }
+    // least one sees the other. An outdated list would lack all routers of a fleet that starts at once.
+    if (!std::exchange(m_publishedEra, era))
+        m_routersView.start();
     // The store was restored while the write was on its way.
     if (era < m_targetsView.changePosition().era)
         retryPublishing();
 }
 
-void Gateway::scheduleRouterRefresh()
-{
-    m_routerRefreshTimer.expires_after(absl::ToChronoNanoseconds(detail::routerRefreshDelay));
-    m_routerRefreshTimer.async_wait([this](const auto &ec) {
-        if (ec)
-            return;
-        const bool isAlone = m_routerRegistry.aliveCount(monotonicNow()) == 0;
-        m_routersView.start(isAlone ? ReadConsistency::Linearizable : ReadConsistency::Stale);
-    });
-}
-
 void Gateway::retryPublishing()
 {
     m_publishTimer.expires_after(absl::ToChronoNanoseconds(detail::publishRetryInterval));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -99,8 +99,6 @@
     void publishOwnRecord();
     void ownRecordPublished(StoreEra);
     void retryPublishing();
-    // Looks for routers that the first, possibly outdated list lacked.
-    void scheduleRouterRefresh();
     // Requests the full view of targets from another router.
     void reconcile(absl::Time now);
     void runPeriodicTasks();
@@ -135,7 +133,6 @@
     std::uint64_t m_periodicRuns{0};
     boost::asio::steady_timer m_shutdownTimer;
     boost::asio::steady_timer m_publishTimer;
-    boost::asio::steady_timer m_routerRefreshTimer;
     bool m_isPublishing{false};
     // Era that the router's own record was last written in.
     std::optional<StoreEra> m_publishedEra;
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(unchangedRecordIsNotWrittenAgain);
     CPPUNIT_TEST(configurationIsNeverListedWithBoundedStaleness);
     CPPUNIT_TEST(outdatedFirstListIsCompletedByWatch);
+    CPPUNIT_TEST(routersThatStartTogetherFindEachOther);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -321,8 +322,6 @@
     void configurationIsNeverListedWithBoundedStaleness()
     {
         startGateway();
-        const std::string routers(Platform::kindName(DirectoryKind::Routers));
-        CPPUNIT_ASSERT(runUntil([&] { return m_store->staleLists(routers) > 0; }));
         CPPUNIT_ASSERT_EQUAL(1, m_store->staleLists("servers"));
         CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("config"));
         // All lists after the first one are linearizable.
@@ -352,19 +351,35 @@
         CPPUNIT_ASSERT_EQUAL(before, m_engines.at("app-0")->requestCount());
     }
 
+    // A fleet starts at once, and lists that allow outdated data still lack all of its routers. Routers that
+    // did not find each other all watched the store for five seconds.
+    void routersThatStartTogetherFindEachOther()
+    {
+        m_store->takeCopy();
+        m_store->serveStaleListsFromCopy();
+        m_store->put(std::string(Platform::kindName(DirectoryKind::Routers)), "g9",
+                     {{"domain", "z0"}, {"callers", "127.0.0.1:1"}, {"peers", "127.0.0.1:2"}});
+        const auto startedAt = monotonicNow();
+        startGateway();
+        CPPUNIT_ASSERT(runUntil([&] { return gaugeValue("routers_known") == 2; }));
+        CPPUNIT_ASSERT(monotonicNow() - startedAt < absl::Seconds(3));
+    }
+
 private:
     enum class Readiness { Wait, DontWait };
 
-    int configurationVersion()
+    int configurationVersion() { return gaugeValue("configuration_version"); }
+
+    int gaugeValue(const std::string &name)
     {
-        constexpr std::string_view gauge = "\nwisteria_configuration_version ";
+        const auto gauge = absl::StrCat("\nwisteria_", name, " ");
         const auto text = call("GET", "/metrics", "").body;
         const auto at = text.find(gauge);
-        int version = 0;
+        int value = 0;
         if (at != std::string::npos)
             (void)absl::SimpleAtoi(
-                text.substr(at + gauge.size(), text.find('\n', at + 1) - at - gauge.size()), &version);
-        return version;
+                text.substr(at + gauge.size(), text.find('\n', at + 1) - at - gauge.size()), &value);
+        return value;
     }
 
     void addEngine(const std::string &id, const std::string &service, const std::string &zone)
