LibNet, Gateway: Log why a connection closed with work outstanding on it

HttpServer reports each closed connection to its handler; the gateway counts all of them by reason and logs those with work outstanding. The line of a process's end tells how many connections it still had. No change of what is closed when.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -193,6 +193,32 @@
         forward(caller, std::move(message));
 }
 
+void Gateway::connectionClosed(const ConnectionClosure &closure)
+{
+    const auto reason = closureReasonName(closure.reason);
+    m_metrics.increment("connections_closed_total",
+                        absl::StrCat("reason=\"", abslView(reason), "\",outstanding=\"",
+                                     closure.hasOutstandingWork() ? "yes" : "no", "\""));
+    if (!closure.hasOutstandingWork())
+        return;
+    m_log.write("connection_closed",
+                {{"reason", reason},
+                 {"peer", closure.peer},
+                 {"open_request", closure.hasOpenRequest},
+                 {"unparsed_bytes", closure.unparsedBytes},
+                 {"unread_bytes", closure.unreadBytes},
+                 {"unsent_bytes", closure.unsentBytes}},
+                monotonicNow());
+}
+
+std::size_t Gateway::connectionCount() const
+{
+    std::size_t n = 0;
+    for (const auto &it : m_servers)
+        n += it->connectionCount();
+    return n;
+}
+
 bool Gateway::tryHandleLocally(const std::shared_ptr<HttpServerConnection> &caller,
                                const HttpRequest &message)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -63,6 +63,7 @@
     void start();
 
     void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) override;
+    void connectionClosed(const ConnectionClosure &) override;
     void configurationChanged(std::shared_ptr<const RouteTable>) override;
     void targetChanged(const ForwardingTarget &) override;
     void targetRemoved(const TargetId &) override;
@@ -102,6 +103,7 @@
     // Requests the full view of targets from another router.
     void reconcile(absl::Time now);
     void runPeriodicTasks();
+    [[nodiscard]] std::size_t connectionCount() const;
     void continueShutdown();
 
     boost::asio::io_context &m_context;
--- a/Libraries/LibGateway/GatewayLifecycle.cpp
+++ b/Libraries/LibGateway/GatewayLifecycle.cpp
@@ -67,7 +67,9 @@
     if (isGraceOver || (elapsed >= stopListeningAfter && m_sessions.empty())) {
         for (const auto &it : m_servers)
             it->stopListening();
-        m_log.write("stopped", {{"after_ms", absl::ToInt64Milliseconds(elapsed)}}, now);
+        m_log.write(
+            "stopped",
+            {{"after_ms", absl::ToInt64Milliseconds(elapsed)}, {"open_connections", connectionCount()}}, now);
         m_log.flush();
         m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(detail::finalWriteDelay));
         m_shutdownTimer.async_wait([this](const auto &) { m_context.stop(); });
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 #include <glog/logging.h>
 
@@ -70,10 +71,7 @@
         return;
     if (ec) {
         // The caller is gone: a close in the middle of a request, an answer or between them all end here.
-        const auto callerLeft = std::exchange(m_callerLeft, nullptr);
-        close();
-        if (callerLeft)
-            callerLeft();
+        closeAndReport(ClosureReason::PeerClosed);
         return;
     }
     m_unparsed.append(m_buf.data(), n);
@@ -162,7 +160,7 @@
 void HttpServerConnection::abort()
 {
     m_callerLeft = nullptr;
-    close();
+    close(ClosureReason::AnswerAborted);
 }
 
 void HttpServerConnection::closeWhenIdle()
@@ -170,7 +168,7 @@
     if (m_hasOpenRequest || m_hasBytes)
         m_keepAlive = false;
     else
-        close();
+        close(ClosureReason::ServerClosing);
 }
 
 void HttpServerConnection::requestEnded()
@@ -196,10 +194,7 @@
     m_unsent += data;
     if (m_unsent.size() > maxUnsentBytes) {
         LOG_EVERY_N(WARNING, 100) << "a caller does not read its answer";
-        const auto callerLeft = std::exchange(m_callerLeft, nullptr);
-        close();
-        if (callerLeft)
-            callerLeft();
+        closeAndReport(ClosureReason::AnswerUnread);
         return;
     }
     flush();
@@ -211,20 +206,17 @@
         return;
     if (m_unsent.empty()) {
         if (m_closeAfterWrite && !m_hasOpenRequest)
-            close();
+            close(ClosureReason::AnswerSent);
         return;
     }
     m_sending.swap(m_unsent);
     boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
                              [self = shared_from_this()](const auto &ec, std::size_t) {
-                                 self->m_sending.clear();
                                  if (ec) {
-                                     const auto callerLeft = std::exchange(self->m_callerLeft, nullptr);
-                                     self->close();
-                                     if (callerLeft)
-                                         callerLeft();
+                                     self->closeAndReport(ClosureReason::WriteFailed);
                                      return;
                                  }
+                                 self->m_sending.clear();
                                  self->flush();
                              });
 }
@@ -238,22 +230,49 @@
         if (self->m_hasBytes)
             self->refuse(detail::statusRequestTimeout);
         else
-            self->close();
+            self->close(ClosureReason::IdleTimeout);
     });
 }
 
-void HttpServerConnection::close()
+void HttpServerConnection::closeAndReport(ClosureReason reason)
+{
+    const auto callerLeft = std::exchange(m_callerLeft, nullptr);
+    close(reason);
+    if (callerLeft)
+        callerLeft();
+}
+
+ConnectionClosure HttpServerConnection::closure(ClosureReason reason) const
+{
+    ConnectionClosure out{.reason = reason,
+                          .hasOpenRequest = m_hasOpenRequest,
+                          .unparsedBytes = m_unparsed.size(),
+                          .unsentBytes = m_sending.size() + m_unsent.size()};
+    boost::system::error_code ec;
+    const auto peer = m_socket.remote_endpoint(ec);
+    if (!ec)
+        out.peer = absl::StrCat(peer.address().to_string(), ":", peer.port());
+    const auto unread = m_socket.available(ec);
+    if (!ec)
+        out.unreadBytes = unread;
+    return out;
+}
+
+void HttpServerConnection::close(ClosureReason reason)
 {
     if (std::exchange(m_isClosed, true))
         return;
+    const auto closure = this->closure(reason);
     m_timer.cancel();
     boost::system::error_code ignored;
     // Unread bytes would turn the close into a reset that destroys the answer on its way.
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
-    if (m_server)
-        m_server->m_connections.erase(this);
-    m_server = nullptr;
+    auto *server = std::exchange(m_server, nullptr);
+    if (!server)
+        return;
+    server->m_connections.erase(this);
+    server->m_handler.connectionClosed(closure);
 }
 
 HttpServer::HttpServer(boost::asio::io_context &context, HttpRequestHandler &handler,
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibCore/Address.h>
+#include <LibNet/ConnectionClosure.h>
 #include <LibNet/HttpMessage.h>
 #include <LibNet/Socket.h>
 
@@ -42,6 +43,8 @@
     virtual ~HttpRequestHandler() = default;
     // The handler answers through the connection, now or later.
     virtual void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) = 0;
+    // Called once for each connection, after it has closed.
+    virtual void connectionClosed(const ConnectionClosure &) { }
 };
 
 class HttpServerConnection final : public std::enable_shared_from_this<HttpServerConnection>
@@ -82,7 +85,10 @@
     void write(std::string_view data);
     void flush();
     void armTimer(absl::Duration);
-    void close();
+    void close(ClosureReason);
+    // Closes the connection, then reports to the request's handler that the caller left.
+    void closeAndReport(ClosureReason);
+    [[nodiscard]] ConnectionClosure closure(ClosureReason) const;
     [[nodiscard]] ConnectionUse use() const;
 
     boost::asio::ip::tcp::socket m_socket;
@@ -117,6 +123,7 @@
     // Answers say that the connection closes, and idle connections close. New connections are still taken.
     void startClosing();
     void stopListening();
+    [[nodiscard]] std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
     HttpServer(boost::asio::io_context &, HttpRequestHandler &, const HttpServerLimits &);
