LibNet: Don't close a connection while bytes are under way on it

Callers of a stopping or slow router lost answers that were complete, or requests that had arrived: their connection was closed or reset without an answer.

Cause: whether a connection is idle was judged by the parser's state alone. closeWhenIdle() and the idle timer closed connections with bytes of the answer that the kernel had not taken, and the idle time began when the answer was queued. Both also closed connections whose next request was already in the socket's buffer, which resets them.

A connection is idle only when both directions are empty. An ended answer that its caller doesn't take has a limit of its own.

Before, idleTimeoutDoesNotCutAnswerThatIsBeingSent, closingServerDoesNotCutAnswerThatIsBeingSent and closingServerAnswersRequestThatHasArrived failed (answers cut; no answer).

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -165,19 +164,27 @@
 
 void HttpServerConnection::closeWhenIdle()
 {
-    if (m_hasOpenRequest || m_hasBytes)
+    if (m_hasOpenRequest || m_hasBytes || !m_unparsed.empty())
         m_keepAlive = false;
-    else
+    else if (unsentBytes() == 0 && !hasUnreadBytes())
         close(ClosureReason::ServerClosing);
 }
 
+bool HttpServerConnection::hasUnreadBytes() const
+{
+    boost::system::error_code ec;
+    return m_socket.available(ec) > 0 && !ec;
+}
+
 void HttpServerConnection::requestEnded()
 {
     m_callerLeft = nullptr;
     m_hasOpenRequest = false;
-    if (m_isClosed || m_closeAfterWrite || !m_server)
+    if (m_isClosed || !m_server)
+        return;
+    armIdleTimer();
+    if (m_closeAfterWrite)
         return;
-    armTimer(m_server->m_limits.idleTimeout);
     // The handler may be on the stack; what the caller sent ahead is looked at after it.
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (self->m_isClosed || self->m_hasOpenRequest || !self->m_server)
@@ -207,18 +214,46 @@
     if (m_unsent.empty()) {
         if (m_closeAfterWrite && !m_hasOpenRequest)
             close(ClosureReason::AnswerSent);
+        else if (m_server && m_server->m_isClosing)
+            closeWhenIdle();
         return;
     }
     m_sending.swap(m_unsent);
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
-                             [self = shared_from_this()](const auto &ec, std::size_t) {
-                                 if (ec) {
-                                     self->closeAndReport(ClosureReason::WriteFailed);
-                                     return;
-                                 }
-                                 self->m_sending.clear();
-                                 self->flush();
-                             });
+    m_sentBytes = 0;
+    sendSome();
+}
+
+void HttpServerConnection::sendSome()
+{
+    m_socket.async_write_some(
+        boost::asio::buffer(m_sending.data() + m_sentBytes, m_sending.size() - m_sentBytes),
+        [self = shared_from_this()](const auto &ec, std::size_t n) { self->onWritten(ec, n); });
+}
+
+void HttpServerConnection::onWritten(const boost::system::error_code &ec, std::size_t n)
+{
+    if (ec) {
+        closeAndReport(ClosureReason::WriteFailed);
+        return;
+    }
+    if (m_isClosed)
+        return;
+    m_sentBytes += n;
+    if (!m_hasOpenRequest && !m_hasBytes)
+        armIdleTimer();
+    if (m_sentBytes < m_sending.size()) {
+        sendSome();
+        return;
+    }
+    m_sending.clear();
+    m_sentBytes = 0;
+    flush();
+}
+
+void HttpServerConnection::armIdleTimer()
+{
+    if (m_server)
+        armTimer(unsentBytes() > 0 ? unreadAnswerTimeout : m_server->m_limits.idleTimeout);
 }
 
 void HttpServerConnection::armTimer(absl::Duration duration)
@@ -229,8 +264,8 @@
             return;
         if (self->m_hasBytes)
             self->refuse(detail::statusRequestTimeout);
-        else
-            self->close(ClosureReason::IdleTimeout);
+        else if (!self->hasUnreadBytes())
+            self->close(self->unsentBytes() > 0 ? ClosureReason::AnswerUnread : ClosureReason::IdleTimeout);
     });
 }
 
@@ -247,7 +282,7 @@
     ConnectionClosure out{.reason = reason,
                           .hasOpenRequest = m_hasOpenRequest,
                           .unparsedBytes = m_unparsed.size(),
-                          .unsentBytes = m_sending.size() + m_unsent.size()};
+                          .unsentBytes = unsentBytes()};
     boost::system::error_code ec;
     const auto peer = m_socket.remote_endpoint(ec);
     if (!ec)
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -33,7 +33,7 @@
     std::size_t maxBodyBytes{std::size_t{4} << 20U};
     // From the first byte of a request to its end.
     absl::Duration requestTimeout{absl::Seconds(3)};
-    // Between two requests.
+    // Between two requests, counted from the time at which the kernel has taken the whole answer.
     absl::Duration idleTimeout{absl::Seconds(15)};
 };
 
@@ -56,6 +56,9 @@
     // Bytes that a caller may send ahead while its request is open.
     static constexpr std::size_t maxBytesAhead = std::size_t{64} * 1024;
 
+    // A caller that takes no byte of an ended answer for this long loses its connection.
+    static constexpr absl::Duration unreadAnswerTimeout = absl::Seconds(10);
+
     HttpServerConnection(boost::asio::ip::tcp::socket, HttpServer &);
 
     void start();
@@ -71,6 +74,8 @@
     // Called once when the caller closes the connection while its request is open.
     void setCallerLeftHandler(std::function<void()> handler) { m_callerLeft = std::move(handler); }
     [[nodiscard]] bool hasOpenRequest() const { return m_hasOpenRequest; }
+    // Bytes of answers that the kernel has not taken yet.
+    [[nodiscard]] std::size_t unsentBytes() const { return m_unsent.size() + m_sending.size() - m_sentBytes; }
     // Closes a connection without an open request; others close after their answer.
     void closeWhenIdle();
 
@@ -84,6 +89,10 @@
     void requestEnded();
     void write(std::string_view data);
     void flush();
+    void sendSome();
+    void onWritten(const boost::system::error_code &, std::size_t n);
+    [[nodiscard]] bool hasUnreadBytes() const;
+    void armIdleTimer();
     void armTimer(absl::Duration);
     void close(ClosureReason);
     // Closes the connection, then reports to the request's handler that the caller left.
@@ -100,6 +109,8 @@
     std::string m_unparsed;
     std::string m_unsent;
     std::string m_sending;
+    // How much of `m_sending` the kernel has taken.
+    std::size_t m_sentBytes{0};
     std::function<void()> m_callerLeft;
     bool m_isReading{false};
     bool m_hasOpenRequest{false};
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -14,6 +14,8 @@
 
 namespace detail {
 
+const std::string shortRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
 // Answers each request with its own body, or leaves it open.
 class EchoHandler final : public HttpRequestHandler
 {
@@ -23,12 +25,15 @@
         bodies.push_back(request.body());
         if (isHolding) {
             connection->setCallerLeftHandler([this] { ++callersLeft; });
+            held = connection;
             return;
         }
         connection->respond(makeResponse(200, "text/plain", request.body()));
     }
 
     std::vector<std::string> bodies;
+    // The connection of the last open request.
+    std::shared_ptr<HttpServerConnection> held;
     bool isHolding{false};
     int callersLeft{0};
 };
@@ -78,6 +83,9 @@
     CPPUNIT_TEST(largeHeadsAndBodiesAreRefused);
     CPPUNIT_TEST(slowRequestTimesOut);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
+    CPPUNIT_TEST(idleTimeoutDoesNotCutAnswerThatIsBeingSent);
+    CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
+    CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
@@ -105,6 +113,7 @@
     void tearDown() override
     {
         m_connection.reset();
+        m_handler.held.reset();
         m_server.reset();
         m_context.reset();
     }
@@ -169,6 +178,29 @@
         CPPUNIT_ASSERT_EQUAL(1, m_handler.callersLeft);
     }
 
+    // The idle time begins when the caller has taken the answer.
+    void idleTimeoutDoesNotCutAnswerThatIsBeingSent()
+    {
+        m_server->setLimits({.idleTimeout = absl::Milliseconds(60)});
+        checkUnsentAnswerArrives([] {});
+    }
+
+    void closingServerDoesNotCutAnswerThatIsBeingSent()
+    {
+        checkUnsentAnswerArrives([this] { m_server->startClosing(); });
+    }
+
+    // The request is in the socket's buffer when its connection looks idle.
+    void closingServerAnswersRequestThatHasArrived()
+    {
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        m_context->run_for(std::chrono::milliseconds(10));
+        boost::asio::write(socket, boost::asio::buffer(detail::shortRequest));
+        m_server->startClosing();
+        CPPUNIT_ASSERT(readToEnd(socket).text.rfind("HTTP/1.1 200", 0) == 0);
+    }
+
     void truncatedAnswerIsNoAnswer()
     {
         CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true)
@@ -242,6 +274,62 @@
     }
 
 private:
+    struct ReadResult
+    {
+        std::string text;
+        // Unset while the connection is open.
+        boost::system::error_code end;
+    };
+
+    // Reads until the connection ends or has been silent for a moment.
+    ReadResult readToEnd(boost::asio::ip::tcp::socket &socket)
+    {
+        ReadResult out;
+        std::array<char, 65536> buf{};
+        std::function<void()> read = [&] {
+            socket.async_read_some(boost::asio::buffer(buf), [&](const auto &ec, std::size_t n) {
+                out.text.append(buf.data(), n);
+                out.end = ec;
+                if (!ec)
+                    read();
+            });
+        };
+        read();
+        for (std::size_t size = 1; !out.end && size != out.text.size();) {
+            size = out.text.size();
+            m_context->run_for(std::chrono::milliseconds(100));
+        }
+        const auto end = out.end;
+        socket.cancel();
+        m_context->poll();
+        out.end = end;
+        return out;
+    }
+
+    // Ends an answer of which the kernel cannot take all, runs the step, waits and reads the answer.
+    void checkUnsentAnswerArrives(const std::function<void()> &step)
+    {
+        m_handler.isHolding = true;
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(detail::shortRequest));
+        m_context->run_for(std::chrono::milliseconds(10));
+        auto connection = std::exchange(m_handler.held, nullptr);
+        connection->openStream(makeResponse(200, "text/plain", "").head);
+        const std::string piece(64 * 1024, 'x');
+        std::size_t sent = 0;
+        for (; connection->unsentBytes() < 3 * piece.size(); sent += piece.size()) {
+            connection->writeStream(piece);
+            m_context->poll();
+        }
+        connection->endStream();
+        step();
+        m_context->run_for(std::chrono::milliseconds(150));
+        const auto text = readToEnd(socket).text;
+        CPPUNIT_ASSERT(text.size() > sent);
+        CPPUNIT_ASSERT(text.ends_with("0\r\n\r\n"));
+    }
+
     // Sends bytes to the server and returns what comes back within a moment.
     std::string exchange(const std::string &bytes)
     {
