LibNet: Take the connections of the accept queue before listening ends

A caller whose connection was established but not accepted when its router stopped listening was reset: no answer and no refusal, and no line in any log.

Cause: closing a listening socket resets what waits in its queue. stopListening() now accepts all of them first.

Before, requestsInAcceptQueueAreAnsweredWhenListeningEnds failed (connection reset by peer).

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -358,13 +358,18 @@
             });
             return;
         }
-        auto connection = std::make_shared<HttpServerConnection>(std::move(socket), *this);
-        m_connections.insert(connection.get());
-        connection->start();
+        serve(std::move(socket));
         accept();
     });
 }
 
+void HttpServer::serve(boost::asio::ip::tcp::socket socket)
+{
+    auto connection = std::make_shared<HttpServerConnection>(std::move(socket), *this);
+    m_connections.insert(connection.get());
+    connection->start();
+}
+
 void HttpServer::startClosing()
 {
     m_isClosing = true;
@@ -375,6 +380,17 @@
 
 void HttpServer::stopListening()
 {
+    // Closing the acceptor resets the connections that wait in its queue.
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        boost::asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+            serve(std::move(socket));
+    }
+    if (ec != boost::asio::error::would_block)
+        LOG(WARNING) << "accept before the end of listening: " << ec.message();
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
 }
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -133,6 +133,7 @@
     void setLimits(const HttpServerLimits &limits) { m_limits = limits; }
     // Answers say that the connection closes, and idle connections close. New connections are still taken.
     void startClosing();
+    // Takes the connections that wait to be accepted, then no more.
     void stopListening();
     [[nodiscard]] std::size_t connectionCount() const { return m_connections.size(); }
 
@@ -140,6 +141,7 @@
     HttpServer(boost::asio::io_context &, HttpRequestHandler &, const HttpServerLimits &);
 
     void accept();
+    void serve(boost::asio::ip::tcp::socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     // Waits out a lack of descriptors.
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(idleTimeoutDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
+    CPPUNIT_TEST(requestsInAcceptQueueAreAnsweredWhenListeningEnds);
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
@@ -201,6 +202,23 @@
         CPPUNIT_ASSERT(readToEnd(socket).text.rfind("HTTP/1.1 200", 0) == 0);
     }
 
+    void requestsInAcceptQueueAreAnsweredWhenListeningEnds()
+    {
+        constexpr std::size_t queued = 20;
+        std::vector<boost::asio::ip::tcp::socket> sockets;
+        for (std::size_t n = 0; n < queued; ++n) {
+            sockets.emplace_back(*m_context);
+            sockets.back().connect(*parseEndpoint(m_address));
+            boost::asio::write(sockets.back(), boost::asio::buffer(detail::shortRequest));
+        }
+        m_server->startClosing();
+        m_server->stopListening();
+        for (auto &it : sockets) {
+            const auto read = readToEnd(it);
+            CPPUNIT_ASSERT_MESSAGE(read.end.message(), read.text.rfind("HTTP/1.1 200", 0) == 0);
+        }
+    }
+
     void truncatedAnswerIsNoAnswer()
     {
         CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true)
@@ -295,6 +313,8 @@
             });
         };
         read();
+        // Without a listener, the loop may have run out of work.
+        m_context->restart();
         for (std::size_t size = 1; !out.end && size != out.text.size();) {
             size = out.text.size();
             m_context->run_for(std::chrono::milliseconds(100));
