LibNet: Read on before closing a connection whose peer still sends

A caller refused in the middle of its request (408, 413, 431) could lose the refusal: it saw a reset or a broken pipe instead.

Cause: close() destroys the socket at once. Unread bytes, and those that arrive afterwards, make the kernel answer with a reset, which discards what the caller has not read; the comment in close() said so, and nothing prevented it.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include <LibNet/HttpServer.h>
 
 #include <LibCore/Views.h>
+#include <LibNet/LingeringClose.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -123,6 +124,7 @@
 void HttpServerConnection::refuse(int status)
 {
     m_hasOpenRequest = true;
+    m_isRequestUnfinished = true;
     m_keepAlive = false;
     respond(makeResponse(status, "text/plain", ""));
 }
@@ -299,10 +301,15 @@
         return;
     const auto closure = this->closure(reason);
     m_timer.cancel();
+    const bool mayStillSend = reason == ClosureReason::AnswerSent && m_isRequestUnfinished;
     boost::system::error_code ignored;
-    // Unread bytes would turn the close into a reset that destroys the answer on its way.
-    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    m_socket.close(ignored);
+    if (mayStillSend || closure.unreadBytes > 0) {
+        m_socket.cancel(ignored);
+        closeLingering(std::move(m_socket));
+    } else {
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        m_socket.close(ignored);
+    }
     auto *server = std::exchange(m_server, nullptr);
     if (!server)
         return;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -115,6 +115,8 @@
     bool m_isReading{false};
     bool m_hasOpenRequest{false};
     bool m_hasBytes{false};
+    // The request was refused before its end, so the caller may still be sending it.
+    bool m_isRequestUnfinished{false};
     bool m_keepAlive{true};
     bool m_closeAfterWrite{false};
     bool m_isClosed{false};
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
     CPPUNIT_TEST(requestsInAcceptQueueAreAnsweredWhenListeningEnds);
+    CPPUNIT_TEST(refusalDoesNotResetCallerThatStillSends);
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
@@ -219,6 +220,23 @@
         }
     }
 
+    // A reset discards an answer that the caller has not read yet.
+    void refusalDoesNotResetCallerThatStillSends()
+    {
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(head + std::string(100000, 'x')));
+        m_context->run_for(std::chrono::milliseconds(20));
+        boost::system::error_code ec;
+        boost::asio::write(socket, boost::asio::buffer(std::string(100000, 'x')), ec);
+        CPPUNIT_ASSERT_MESSAGE(ec.message(), !ec);
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+        const auto read = readToEnd(socket);
+        CPPUNIT_ASSERT(read.text.rfind("HTTP/1.1 413", 0) == 0);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(read.end.message(), true, read.end == boost::asio::error::eof);
+    }
+
     void truncatedAnswerIsNoAnswer()
     {
         CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true)
