--- /dev/null
+++ b/Tests/Platform/FakeDeployment.h
@@ -0,0 +1,71 @@
+// A gateway with the platform adapter before fakes on loopback, as the base of end-to-end tests.
+
+#pragma once
+
+#include "FakePlatform.h"
+
+#include <LibGateway/Gateway.h>
+#include <LibPlatform/MonotonicClock.h>
+
+#include <ObjectDecoder.h>
+#include <PlatformDialect.h>
+#include <StoreClient.h>
+
+#include <cppunit/TestFixture.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Wisteria {
+
+// The configuration's spec in the store: a stream, a non-idempotent and an idempotent route for workspace
+// "w".
+[[nodiscard]] nlohmann::json fakeConfiguration(int version);
+
+// Four model engines and two plain ones in two failure domains; the gateway is in "z0".
+class FakeDeployment : public CppUnit::TestFixture
+{
+public:
+    void setUp() override;
+    void tearDown() override;
+
+protected:
+    enum class Readiness { Wait, DontWait };
+
+    [[nodiscard]] int configurationVersion() { return gaugeValue("configuration_version"); }
+    [[nodiscard]] int gaugeValue(const std::string &name);
+    void addEngine(const std::string &id, const std::string &service, const std::string &zone);
+    // For all engines whose id begins with the prefix.
+    void setModes(const std::string &prefix, FakeEngineMode);
+    void startGateway(Readiness = Readiness::Wait);
+    void startCall(const std::string &method, const std::string &target, const std::string &id,
+                   const std::string &key, HttpResponse &response, bool &isDone);
+    HttpResponse call(const std::string &method, const std::string &target, const std::string &id,
+                      const std::string &key = "key");
+
+    // Runs the event loop until the check passes, for at most 5 seconds.
+    template <typename Check>
+    bool runUntil(Check check)
+    {
+        const auto end = monotonicNow() + absl::Seconds(5);
+        while (monotonicNow() < end) {
+            if (check())
+                return true;
+            m_context->run_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    std::unique_ptr<boost::asio::io_context> m_context;
+    FakeEngineState m_engineState;
+    std::unique_ptr<FakeStore> m_store;
+    std::map<std::string, std::unique_ptr<FakeEngine>> m_engines;
+    std::unique_ptr<Platform::StoreClient> m_client;
+    Platform::PlatformDialect m_dialect;
+    Platform::ObjectDecoder m_decoder;
+    std::unique_ptr<Gateway> m_gateway;
+    std::string m_address;
+};
+
+} // namespace Wisteria
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -1,53 +1,15 @@
 // End-to-end tests of the gateway with the platform adapter, against fakes on loopback.
 
-#include "FakePlatform.h"
+#include "FakeDeployment.h"
 
-#include <LibGateway/Gateway.h>
-#include <LibPlatform/MonotonicClock.h>
-
-#include <ObjectDecoder.h>
 #include <ObjectNames.h>
-#include <PlatformDialect.h>
-#include <StoreClient.h>
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace Wisteria {
 
-namespace detail {
-
-nlohmann::json route(const std::string &name, const std::string &kind, const std::string &service)
-{
-    return {{"name", name},
-            {"host", "site.example"},
-            {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},
-            {"timeoutMs", 3000},
-            {"targetLatencyMs", 100},
-            {"priority", 1},
-            {"service", service},
-            {"maxAttempts", kind == "unsafe" ? 1 : 4},
-            {"resumable", kind == "stream"},
-            {"gapAimMs", 300}};
-}
-
-nlohmann::json configuration(int version)
-{
-    return {
-        {"version", version},
-        {"routes",
-         {route("stream", "stream", "llm"), route("book", "unsafe", "app"), route("look", "safe", "app")}},
-        {"services",
-         {{{"name", "llm"}, {"engine", {{"kvTokens", 88000}, {"slots", 64}, {"backups", true}}}},
-          {{"name", "app"}}}},
-        {"tenants", {{{"name", "w"}, {"apiKeys", {"key"}}}}}};
-}
-
-} // namespace detail
-
-class TestGatewayOnPlatform : public CppUnit::TestFixture
+class TestGatewayOnPlatform : public FakeDeployment
 {
     CPPUNIT_TEST_SUITE(TestGatewayOnPlatform);
     CPPUNIT_TEST(allRouteKindsAreServed);
@@ -75,29 +37,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        m_context = std::make_unique<boost::asio::io_context>(1);
-        m_engineState = {};
-        m_store = std::make_unique<FakeStore>(*m_context);
-        m_engines.clear();
-        for (int n = 0; n < 4; ++n)
-            addEngine(absl::StrCat("llm-", n), "llm", absl::StrCat("z", n % 2));
-        for (int n = 0; n < 2; ++n)
-            addEngine(absl::StrCat("app-", n), "app", absl::StrCat("z", n % 2));
-        m_store->put("config", "main", detail::configuration(1));
-    }
-
-    void tearDown() override
-    {
-        // Sockets must be destroyed before their event loop.
-        m_gateway.reset();
-        m_client.reset();
-        m_engines.clear();
-        m_store.reset();
-        m_context.reset();
-    }
-
     void allRouteKindsAreServed()
     {
         startGateway();
@@ -157,7 +96,7 @@
     void newConfigurationTakesEffect()
     {
         startGateway();
-        auto updated = detail::configuration(2);
+        auto updated = fakeConfiguration(2);
         updated["tenants"][0]["apiKeys"] = {"key2"};
         m_store->put("config", "main", updated);
         CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r").head.status == 401; }));
@@ -168,7 +107,7 @@
     {
         startGateway();
         m_store->compactHistory();
-        auto updated = detail::configuration(3);
+        auto updated = fakeConfiguration(3);
         updated["tenants"][0]["apiKeys"] = {"key3"};
         m_store->put("config", "main", updated);
         CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r", "key3").head.status == 200; }));
@@ -226,10 +165,10 @@
         constexpr int laterChanges = 20;
         for (int n = 0; n < laterChanges; ++n)
             m_store->put("other", "x", n);
-        m_store->put("config", "main", detail::configuration(2));
+        m_store->put("config", "main", fakeConfiguration(2));
         CPPUNIT_ASSERT(runUntil([&] { return configurationVersion() == 2; }));
         m_store->restoreFromCopy();
-        auto updated = detail::configuration(3);
+        auto updated = fakeConfiguration(3);
         updated["tenants"][0]["apiKeys"] = {"key3"};
         m_store->put("config", "main", updated);
         CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r", "key3").head.status == 200; }));
@@ -268,7 +207,7 @@
     {
         m_store->takeCopy();
         startGateway();
-        auto updated = detail::configuration(2);
+        auto updated = fakeConfiguration(2);
         updated["tenants"][0]["apiKeys"] = {"key2"};
         m_store->put("config", "main", updated);
         CPPUNIT_ASSERT(runUntil([&] { return call("POST", "/book/x", "r").head.status == 401; }));
@@ -366,101 +305,6 @@
     }
 
 private:
-    enum class Readiness { Wait, DontWait };
-
-    int configurationVersion() { return gaugeValue("configuration_version"); }
-
-    int gaugeValue(const std::string &name)
-    {
-        const auto gauge = absl::StrCat("\nwisteria_", name, " ");
-        const auto text = call("GET", "/metrics", "").body;
-        const auto at = text.find(gauge);
-        int value = 0;
-        if (at != std::string::npos)
-            (void)absl::SimpleAtoi(
-                text.substr(at + gauge.size(), text.find('\n', at + 1) - at - gauge.size()), &value);
-        return value;
-    }
-
-    void addEngine(const std::string &id, const std::string &service, const std::string &zone)
-    {
-        m_engines[id] = std::make_unique<FakeEngine>(*m_context, m_engineState, id, service, zone);
-        m_store->put("servers", id, m_engines[id]->storeRecord());
-    }
-
-    void setModes(const std::string &prefix, FakeEngineMode mode)
-    {
-        for (const auto &[id, engine] : m_engines) {
-            if (id.rfind(prefix, 0) == 0)
-                engine->setMode(mode);
-        }
-    }
-
-    void startGateway(Readiness readiness = Readiness::Wait)
-    {
-        GatewaySettings settings;
-        settings.id = RouterId("g1");
-        settings.domain = FailureDomain("z0");
-        settings.callerListen = unusedLoopbackAddress();
-        settings.entryPointListen = settings.callerListen;
-        settings.readinessListen = settings.callerListen;
-        settings.peerListen = unusedLoopbackAddress();
-        settings.store = m_store->address();
-        settings.retryLimits = {.ratio = 0.8, .minRetriesPerWindow = 150, .window = absl::Seconds(10)};
-        m_address = settings.callerListen;
-        m_client = std::move(*Platform::StoreClient::create(*m_context, settings.store, absl::Seconds(1)));
-        auto gateway = Gateway::create(*m_context, settings,
-                                       {.dialect = m_dialect, .decoder = m_decoder, .store = *m_client});
-        CPPUNIT_ASSERT(gateway);
-        m_gateway = std::move(*gateway);
-        if (readiness == Readiness::Wait)
-            CPPUNIT_ASSERT(runUntil([&] { return call("GET", "/-/ready", "").head.status == 200; }));
-    }
-
-    void startCall(const std::string &method, const std::string &target, const std::string &id,
-                   const std::string &key, HttpResponse &response, bool &isDone)
-    {
-        HttpFields fields;
-        fields.set("Host", "site.example");
-        fields.set("Request-Id", id);
-        fields.set("Authorization", "Bearer " + key);
-        fields.set("Deadline-Ms", "3000");
-        fields.set("Token-Counts", "1000,140");
-        auto connection =
-            std::make_shared<HttpClientConnection>(*m_context, *parseEndpoint(m_address), SocketLimits{});
-        constexpr std::size_t maxBody = 1U << 20U;
-        callHttp(*m_context, connection,
-                 serializeRequest(method, target, fields, method == "POST" ? "body" : ""), absl::Seconds(5),
-                 maxBody, [&response, &isDone](HttpCallResult result) {
-                     if (result)
-                         response = std::move(*result);
-                     isDone = true;
-                 });
-    }
-
-    HttpResponse call(const std::string &method, const std::string &target, const std::string &id,
-                      const std::string &key = "key")
-    {
-        HttpResponse response;
-        bool isDone = false;
-        startCall(method, target, id, key, response, isDone);
-        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
-        return response;
-    }
-
-    // Runs the event loop until the check passes, for at most 5 seconds.
-    template <typename Check>
-    bool runUntil(Check check)
-    {
-        const auto end = monotonicNow() + absl::Seconds(5);
-        while (monotonicNow() < end) {
-            if (check())
-                return true;
-            m_context->run_for(std::chrono::milliseconds(10));
-        }
-        return false;
-    }
-
     void checkStreamCompletes(FakeEngineMode mode)
     {
         startGateway();
@@ -475,16 +319,6 @@
             CPPUNIT_ASSERT_EQUAL(1, m_engineState.runsByRequest[id]);
         }
     }
-
-    std::unique_ptr<boost::asio::io_context> m_context;
-    FakeEngineState m_engineState;
-    std::unique_ptr<FakeStore> m_store;
-    std::map<std::string, std::unique_ptr<FakeEngine>> m_engines;
-    std::unique_ptr<Platform::StoreClient> m_client;
-    Platform::PlatformDialect m_dialect;
-    Platform::ObjectDecoder m_decoder;
-    std::unique_ptr<Gateway> m_gateway;
-    std::string m_address;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestGatewayOnPlatform);
