LibNet: Deliver whole answers of any size

A caller whose answer was over 512 KB got neither the answer nor a refusal: its connection closed. The same for a router that asked another one for a large view.

Cause: the limit on what a caller leaves unread was checked before the first byte was handed to the kernel. It is meant for streams whose caller falls behind.

Before, largeAnswerIsDelivered failed ("a caller does not read its answer").

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -135,7 +135,9 @@
         return;
     const auto connectionUse = use();
     m_closeAfterWrite = m_closeAfterWrite || connectionUse == ConnectionUse::Close;
-    write(serializeResponse(response, connectionUse));
+    // A whole answer is bounded by whoever made it; the limit of write() is for streams.
+    m_unsent += serializeResponse(response, connectionUse);
+    flush();
     requestEnded();
 }
 
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -50,8 +50,7 @@
 class HttpServerConnection final : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
-    // Answers that the caller does not take up to this many bytes end the connection: it reads too slowly.
-    // Source: several whole streams of the users' sheets fit.
+    // A stream of which the caller leaves more than this unread ends with its connection.
     static constexpr std::size_t maxUnsentBytes = std::size_t{512} * 1024;
     // Bytes that a caller may send ahead while its request is open.
     static constexpr std::size_t maxBytesAhead = std::size_t{64} * 1024;
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(largeHeadsAndBodiesAreRefused);
     CPPUNIT_TEST(slowRequestTimesOut);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
+    CPPUNIT_TEST(largeAnswerIsDelivered);
     CPPUNIT_TEST(idleTimeoutDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
@@ -180,6 +181,19 @@
         CPPUNIT_ASSERT_EQUAL(1, m_handler.callersLeft);
     }
 
+    // The limit of unsent bytes is for streams whose caller falls behind, not for one large answer.
+    void largeAnswerIsDelivered()
+    {
+        m_handler.isHolding = true;
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(detail::shortRequest));
+        m_context->run_for(std::chrono::milliseconds(10));
+        const std::string body(4 * HttpServerConnection::maxUnsentBytes, 'x');
+        std::exchange(m_handler.held, nullptr)->respond(makeResponse(200, "text/plain", body));
+        CPPUNIT_ASSERT(readToEnd(socket).text.ends_with("\r\n\r\n" + body));
+    }
+
     // The idle time begins when the caller has taken the answer.
     void idleTimeoutDoesNotCutAnswerThatIsBeingSent()
     {
