Gateway: End a stop only after the last answer, and pass nothing on at its end

Callers that used an open connection to the end of a planned stop were cut: a request that came after the end of listening was passed on to a target, and the process ended 200 ms later; an answer that was still being sent ended in the middle.

Cause: the end was a fixed delay after the last session, whatever came in or was unsent. Now requests after the end of listening are refused at once (503, not run), and the process ends when no connection has work under way, at 98.5 % of the grace at the latest.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -301,7 +301,8 @@
         return refuse(caller, detail::statusUnavailable, "unknown_service", id,
                       retryAfter(callerTimeout, absl::ZeroDuration()));
     }
-    if (m_shutdownStartedAt && isStream(routed.route->kind)) {
+    // The process may end before a target has answered.
+    if (m_listeningStoppedAt || (m_shutdownStartedAt && isStream(routed.route->kind))) {
         return refuse(caller, detail::statusUnavailable, "stopping", id, detail::shutdownRetryAfter);
     }
     routed.message = std::move(message);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -40,6 +40,9 @@
     // Fraction of the stop grace period after which running streams are aborted; of a grace period of eight
     // seconds, this leaves about half a second for the last writes.
     static constexpr double abortGraceFraction = 0.94;
+    // Fraction of the stop grace period after which the process ends even if callers have not taken their
+    // answers.
+    static constexpr double exitGraceFraction = 0.985;
 
     // Errors: InvalidSettings.
     [[nodiscard]] static ErrorOr<std::unique_ptr<Gateway>>
@@ -105,6 +108,10 @@
     void runPeriodicTasks();
     [[nodiscard]] std::size_t connectionCount() const;
     void continueShutdown();
+    // Takes no more connections; requests on open ones are refused from now on.
+    void stopListening(absl::Time now);
+    // Every answer was sent, or the grace period is over.
+    [[nodiscard]] bool canExit(absl::Time now) const;
 
     boost::asio::io_context &m_context;
     GatewaySettings m_settings;
@@ -140,6 +147,7 @@
     std::optional<StoreEra> m_publishedEra;
     absl::Time m_startedAt;
     std::optional<absl::Time> m_shutdownStartedAt;
+    std::optional<absl::Time> m_listeningStoppedAt;
     std::uint64_t m_reportSequence{0};
     // Targets that this router found faulty since its last report.
     std::vector<TargetId> m_unreportedFaults;
--- a/Libraries/LibGateway/GatewayLifecycle.cpp
+++ b/Libraries/LibGateway/GatewayLifecycle.cpp
@@ -4,13 +4,15 @@
 
 #include <LibPlatform/MonotonicClock.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
 namespace detail {
 
 constexpr absl::Duration shutdownCheckInterval = absl::Milliseconds(100);
-// Time to write the last responses before the event loop stops.
-constexpr absl::Duration finalWriteDelay = absl::Milliseconds(200);
+// After the end of listening, requests on open connections are answered for at least this long.
+constexpr absl::Duration finalRequestPeriod = absl::Milliseconds(200);
 
 } // namespace detail
 
@@ -64,15 +66,14 @@
         for (const auto &it : sessions)
             it->stopNow();
     }
-    if (isGraceOver || (elapsed >= stopListeningAfter && m_sessions.empty())) {
-        for (const auto &it : m_servers)
-            it->stopListening();
+    if (!m_listeningStoppedAt && (isGraceOver || (elapsed >= stopListeningAfter && m_sessions.empty())))
+        stopListening(now);
+    if (m_listeningStoppedAt && canExit(now)) {
         m_log.write(
             "stopped",
             {{"after_ms", absl::ToInt64Milliseconds(elapsed)}, {"open_connections", connectionCount()}}, now);
         m_log.flush();
-        m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(detail::finalWriteDelay));
-        m_shutdownTimer.async_wait([this](const auto &) { m_context.stop(); });
+        m_context.stop();
         return;
     }
     m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(detail::shutdownCheckInterval));
@@ -82,4 +83,21 @@
     });
 }
 
+void Gateway::stopListening(absl::Time now)
+{
+    m_listeningStoppedAt = now;
+    for (const auto &it : m_servers)
+        it->stopListening();
+    m_log.write("listening_stopped", {{"open_connections", connectionCount()}}, now);
+}
+
+bool Gateway::canExit(absl::Time now) const
+{
+    if (now - *m_shutdownStartedAt >= exitGraceFraction * m_settings.stopGrace)
+        return true;
+    return now - *m_listeningStoppedAt >= detail::finalRequestPeriod
+        && std::none_of(m_servers.begin(), m_servers.end(),
+                        [](const auto &it) { return it->hasWorkUnderWay(); });
+}
+
 } // namespace Wisteria
--- a/Libraries/LibGateway/RequestTimeline.cpp
+++ b/Libraries/LibGateway/RequestTimeline.cpp
@@ -17,9 +17,9 @@
 namespace detail {
 
 // Events that concern a whole process, and events that concern one target.
-const std::set<std::string> processEvents = {"started",        "stopping",     "stopped",
-                                             "reloaded",       "store_lost",   "store_regained",
-                                             "store_restored", "reload_failed"};
+const std::set<std::string> processEvents = {"started",        "stopping",      "stopped",
+                                             "reloaded",       "store_lost",    "store_regained",
+                                             "store_restored", "reload_failed", "listening_stopped"};
 const std::set<std::string> targetEvents = {"target", "target_removed", "target_verified", "target_fault"};
 
 // Explanations of the outcomes for on-call engineers.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -13,6 +13,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
 namespace http = boost::beast::http;
@@ -168,12 +170,15 @@
 
 void HttpServerConnection::closeWhenIdle()
 {
-    if (m_hasOpenRequest || m_hasBytes || !m_unparsed.empty())
-        m_keepAlive = false;
-    else if (unsentBytes() == 0 && !hasUnreadBytes())
+    if (!hasWorkUnderWay())
         close(ClosureReason::ServerClosing);
 }
 
+bool HttpServerConnection::hasWorkUnderWay() const
+{
+    return m_hasOpenRequest || m_hasBytes || !m_unparsed.empty() || unsentBytes() > 0 || hasUnreadBytes();
+}
+
 bool HttpServerConnection::hasUnreadBytes() const
 {
     boost::system::error_code ec;
@@ -387,6 +392,12 @@
         it->closeWhenIdle();
 }
 
+bool HttpServer::hasWorkUnderWay() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto *it) { return it->hasWorkUnderWay(); });
+}
+
 void HttpServer::stopListening()
 {
     // Closing the acceptor resets the connections that wait in its queue.
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -75,6 +75,8 @@
     [[nodiscard]] bool hasOpenRequest() const { return m_hasOpenRequest; }
     // Bytes of answers that the kernel has not taken yet.
     [[nodiscard]] std::size_t unsentBytes() const { return m_unsent.size() + m_sending.size() - m_sentBytes; }
+    // A request is open, has arrived in part, or its answer is being sent.
+    [[nodiscard]] bool hasWorkUnderWay() const;
     // Closes a connection without an open request; others close after their answer.
     void closeWhenIdle();
 
@@ -136,6 +138,8 @@
     void startClosing();
     // Takes the connections that wait to be accepted, then no more.
     void stopListening();
+    // A connection has an open request, part of one, or bytes of an answer that the kernel has not taken.
+    [[nodiscard]] bool hasWorkUnderWay() const;
     [[nodiscard]] std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -285,6 +285,7 @@
         return;
     }
     response.head.fields.set("Engine-Seal", "seal");
+    response.body.append(m_engineState.answerPadding, '.');
     m_engineState.workspaceByRequest[requestId] = fieldValue(request, "Tenant");
     if (from.empty()) {
         ++m_engineState.runsByRequest[requestId];
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -112,6 +112,8 @@
 {
     int eventsPerStream{20};
     std::chrono::milliseconds eventInterval{10};
+    // Bytes that are added to each plain answer.
+    std::size_t answerPadding{0};
     // Keys are "ADDRESS/REQUEST_ID" or "ADDRESS/HANDLE", with the address of the engine that holds the copy.
     std::set<std::string> copies;
     std::map<std::string, int> runsByRequest;
