Gateway: Give up a running attempt only for one that starts

Callers lost answers of sound engines. Beside anything else, also beside a change of the configuration, an engine that was silent for 351 ms, or that refused a new connection, had its streams broken off; when no other target, attempt or retry was left, the caller's connection closed with neither an answer nor a refusal, or with a 502, though the engine went on a second later.

Cause, in three places of one class (suspicion taken for proof, and giving up what runs before it is known that its replacement can start): - The stall limit cancelled the attempt and only then asked for a target; NoTarget or NoTimeLeft then ended the answer. Probes without an answer cancelled it without any look at what could replace it. Now the state machine asks the host for a replacement first (FindReplacement), keeps the running attempt while there is none, and takes a retry from the budget only when it starts one. Probes and reports only suspect a target (TargetSuspected). - A refused connect was taken for the end of the target's process: its streams were cancelled at all routers, and it was not used again until its entry changed. A process that stops listening or is at its limit of connections refuses them and finishes what it has. TargetFault::Refused is suspicion; Gone stays for 421 and replaced entries. - A connection of which the target took no byte for 1.5 s was closed (TCP_USER_TIMEOUT), which a target that doesn't read for a moment meets too. The limit is 4 s; what can be replaced is replaced much earlier.

TestForwardedRequest: tests that expected a cancelled attempt from the stall limit now expect the search first, then the same cancel and start.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -72,7 +72,7 @@
     return std::exchange(m_actions, {});
 }
 
-void ForwardedRequest::startAttempt(absl::Time now, bool fromCopy)
+void ForwardedRequest::startAttempt(absl::Time now, bool fromCopy, TargetSearch search)
 {
     const auto timeLeft = deadline() - now;
     if (timeLeft < detail::minUsefulTime) {
@@ -84,11 +84,13 @@
     m_attemptStartedAt = now;
     m_lastEventAt = now;
     m_nextProbeAt = now + firstProbeDelay;
+    m_nextReplacementAt = absl::InfinitePast();
     m_firstEventDeadline = absl::InfiniteFuture();
     m_actions.emplace_back(ForwardingActions::StartAttempt{.number = ++m_lastAttemptNumber,
                                                            .fromCopy = fromCopy,
                                                            .lastEvent = m_lastEvent,
-                                                           .timeLeft = timeLeft});
+                                                           .timeLeft = timeLeft,
+                                                           .isReplacement = search == TargetSearch::Done});
     ++m_executedAttempts;
     m_hasCopy = m_parameters.usesCopies;
     setTimer(now);
@@ -100,7 +102,7 @@
         fail(reason);
         return;
     }
-    if (m_executedAttempts >= std::max(m_parameters.maxAttempts, 1)) {
+    if (!mayAttemptAgain()) {
         fail(RefusalReason::AttemptsExhausted);
         return;
     }
@@ -227,7 +229,45 @@
 {
     m_mayHaveExecuted = true;
     // Engines have no copy of a run that has not sent an event yet.
-    retryOrFail(RefusalReason::ResponseLost, now, m_hasCopy && m_hasEvents);
+    retryOrFail(RefusalReason::ResponseLost, now, canUseCopy());
+}
+
+void ForwardedRequest::on(const ForwardingEvents::TargetSuspected &event, absl::Time now)
+{
+    if (m_state == State::Attempting)
+        (void)trySeekReplacement(event.fault, now);
+}
+
+void ForwardedRequest::on(const ForwardingEvents::ReplacementFound &, absl::Time now)
+{
+    if (!m_retryGate.tryAcquireRetry(now)) {
+        setTimer(now);
+        return;
+    }
+    m_actions.emplace_back(ForwardingActions::CancelAttempt{m_suspicion});
+    m_mayHaveExecuted = true;
+    startAttempt(now, canUseCopy(), TargetSearch::Done);
+}
+
+void ForwardedRequest::on(const ForwardingEvents::NoReplacement &, absl::Time now)
+{
+    setTimer(now);
+}
+
+bool ForwardedRequest::mayAttemptAgain() const
+{
+    return m_executedAttempts < std::max(m_parameters.maxAttempts, 1);
+}
+
+bool ForwardedRequest::trySeekReplacement(TargetFault fault, absl::Time now)
+{
+    if (!isRetryable(m_parameters.kind) || !mayAttemptAgain() || now < m_nextReplacementAt)
+        return false;
+    m_nextReplacementAt = now + replacementInterval;
+    m_suspicion = fault;
+    m_actions.emplace_back(ForwardingActions::FindReplacement{
+        .number = m_lastAttemptNumber + 1, .fromCopy = canUseCopy(), .timeLeft = deadline() - now});
+    return true;
 }
 
 void ForwardedRequest::on(const ForwardingEvents::CallerDisconnected &, absl::Time)
@@ -255,13 +295,9 @@
         fail(RefusalReason::TimedOut);
         return;
     }
-    if (now >= stallDeadline() && m_executedAttempts < m_parameters.maxAttempts
-        && m_retryGate.tryAcquireRetry(now)) {
-        m_actions.emplace_back(ForwardingActions::CancelAttempt{TargetFault::Unresponsive});
-        m_mayHaveExecuted = true;
-        startAttempt(now, m_hasCopy && m_hasEvents);
+    // The answer to the search sets the next timer.
+    if (now >= stallDeadline() && trySeekReplacement(TargetFault::Unresponsive, now))
         return;
-    }
     if (isStream(m_parameters.kind) && !m_hasEvents && now >= m_nextProbeAt) {
         m_nextProbeAt = now + probeInterval;
         m_actions.emplace_back(ForwardingActions::ProbeTarget{});
@@ -285,9 +321,8 @@
     auto at = deadline();
     if (isStream(m_parameters.kind) && !m_hasEvents)
         at = std::min(at, m_nextProbeAt);
-    // A stall that could not be retried for lack of budget is checked again at the next timer.
-    if (const auto stallTime = stallDeadline(); m_executedAttempts < m_parameters.maxAttempts)
-        at = std::min(at, stallTime > now ? stallTime : now + absl::Milliseconds(50));
+    if (mayAttemptAgain())
+        at = std::min(at, std::max(stallDeadline(), m_nextReplacementAt));
     m_actions.emplace_back(ForwardingActions::SetTimer{std::max(at, now)});
 }
 
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -76,6 +76,18 @@
 {
     int status{200};
 };
+// The target of the running attempt may be lost: it is silent, or accepts no connections. It may also go on.
+struct TargetSuspected
+{
+    TargetFault fault{TargetFault::Unresponsive};
+};
+// Another target or a usable copy is available for the attempt that FindReplacement asked for.
+struct ReplacementFound
+{
+};
+struct NoReplacement
+{
+};
 // The attempt may have been executed, and no (further) response will arrive.
 struct AttemptLost
 {
@@ -98,7 +110,8 @@
 using ForwardingEvent = std::variant<
     ForwardingEvents::NoTarget, ForwardingEvents::NoTimeLeft, ForwardingEvents::AttemptSent,
     ForwardingEvents::AttemptNotExecuted, ForwardingEvents::StreamOpened, ForwardingEvents::EventsReceived,
-    ForwardingEvents::StreamCompleted, ForwardingEvents::ResponseReceived, ForwardingEvents::AttemptLost,
+    ForwardingEvents::StreamCompleted, ForwardingEvents::ResponseReceived, ForwardingEvents::TargetSuspected,
+    ForwardingEvents::ReplacementFound, ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost,
     ForwardingEvents::CallerDisconnected, ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
 
 // Why the router itself ends a request with an error.
@@ -127,6 +140,17 @@
     std::optional<EventNumber> lastEvent;
     // Time available to the target.
     absl::Duration timeLeft;
+    // The host has already found a target for it.
+    bool isReplacement{false};
+};
+// Asks the host whether the attempt could be started elsewhere. The running attempt goes on meanwhile. The
+// host answers with ReplacementFound or NoReplacement before it reports anything else.
+struct FindReplacement
+{
+    // Number of the attempt to be started.
+    int number{1};
+    bool fromCopy{false};
+    absl::Duration timeLeft;
 };
 // Closes the connection of the running attempt.
 struct CancelAttempt
@@ -163,19 +187,19 @@
 {
     absl::Time at;
 };
-// Asks the host to check whether the target still accepts connections. The host reports AttemptLost if it
-// does not.
+// Asks the host to check whether the target still accepts connections. The host reports TargetSuspected if
+// it does not.
 struct ProbeTarget
 {
 };
 
 } // namespace ForwardingActions
 
-using ForwardingAction =
-    std::variant<ForwardingActions::StartAttempt, ForwardingActions::CancelAttempt,
-                 ForwardingActions::StartResponse, ForwardingActions::CompleteStream,
-                 ForwardingActions::SendResponse, ForwardingActions::Refuse, ForwardingActions::AbortResponse,
-                 ForwardingActions::SetTimer, ForwardingActions::ProbeTarget>;
+using ForwardingAction = std::variant<ForwardingActions::StartAttempt, ForwardingActions::FindReplacement,
+                                      ForwardingActions::CancelAttempt, ForwardingActions::StartResponse,
+                                      ForwardingActions::CompleteStream, ForwardingActions::SendResponse,
+                                      ForwardingActions::Refuse, ForwardingActions::AbortResponse,
+                                      ForwardingActions::SetTimer, ForwardingActions::ProbeTarget>;
 using ForwardingActionList = std::vector<ForwardingAction>;
 
 // Decides whether a request may be retried, based on all requests of its service.
@@ -217,6 +241,9 @@
     // which a probe does not find. Prompts that other routers send at the same moment can double the expected
     // time.
     static constexpr double firstEventTimeoutFactor = 3;
+    // Interval at which a replacement is looked for again while there is none. The running attempt may still
+    // go on by itself.
+    static constexpr absl::Duration replacementInterval = absl::Milliseconds(200);
     // An idempotent plain request is retried after this multiple of its latency objective.
     static constexpr double plainRequestTimeoutFactor = 3;
 
@@ -242,12 +269,23 @@
     void on(const ForwardingEvents::EventsReceived &, absl::Time now);
     void on(const ForwardingEvents::StreamCompleted &, absl::Time now);
     void on(const ForwardingEvents::ResponseReceived &, absl::Time now);
+    void on(const ForwardingEvents::TargetSuspected &, absl::Time now);
+    void on(const ForwardingEvents::ReplacementFound &, absl::Time now);
+    void on(const ForwardingEvents::NoReplacement &, absl::Time now);
     void on(const ForwardingEvents::AttemptLost &, absl::Time now);
     void on(const ForwardingEvents::CallerDisconnected &, absl::Time now);
     void on(const ForwardingEvents::ShutdownRequested &, absl::Time now);
     void on(const ForwardingEvents::Tick &, absl::Time now);
 
-    void startAttempt(absl::Time now, bool fromCopy);
+    enum class TargetSearch { Pending, Done };
+
+    void startAttempt(absl::Time now, bool fromCopy, TargetSearch = TargetSearch::Pending);
+    // Looks for another target before the running attempt is given up, since a silent target may go on. False
+    // if the attempt can't be replaced now.
+    [[nodiscard]] bool trySeekReplacement(TargetFault, absl::Time now);
+    [[nodiscard]] bool mayAttemptAgain() const;
+    // A retry can resume from the copy of the running attempt's KV cache.
+    [[nodiscard]] bool canUseCopy() const { return m_hasCopy && m_hasEvents; }
     // Retries the request if it is retryable and attempts and budget allow it, and fails it otherwise.
     void retryOrFail(RefusalReason, absl::Time now, bool fromCopy);
     void fail(RefusalReason);
@@ -275,7 +313,10 @@
     absl::Time m_attemptStartedAt;
     absl::Time m_lastEventAt;
     absl::Time m_nextProbeAt;
-    // The running attempt is considered lost if no event arrives before this time.
+    // Why a replacement is looked for.
+    TargetFault m_suspicion{TargetFault::Unresponsive};
+    absl::Time m_nextReplacementAt{absl::InfinitePast()};
+    // The running attempt is suspected if no event arrives before this time.
     absl::Time m_firstEventDeadline{absl::InfiniteFuture()};
     ForwardingActionList m_actions;
 };
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -57,6 +57,8 @@
         return "silent";
     case TargetFault::InvalidResponse:
         return "bad_answer";
+    case TargetFault::Refused:
+        return "refused";
     case TargetFault::Gone:
         return "gone";
     }
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -79,7 +79,10 @@
     Unresponsive,
     // The target responded with an internal error or with malformed data.
     InvalidResponse,
-    // Another target uses the address, or nothing listens there any more.
+    // Nothing accepts connections at the address. The process may have ended, may have reached its limit of
+    // connections, or may finish what it has.
+    Refused,
+    // Another target uses the address.
     Gone,
 };
 
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -17,8 +17,7 @@
 // FIXME: Unused. Meant as the time without an event after which a stream counts as lost when another request
 // reports its target as silent; idle engines send an event every 30 to 70 ms.
 constexpr absl::Duration suspectStreamSilence = absl::Milliseconds(150);
-// A single connect timeout may be caused by a lost packet; the target counts as lost after this many in a
-// row.
+// A single connect timeout may be caused by a lost packet; the target is suspected after this many in a row.
 constexpr int maxProbeAttempts = 2;
 // Fraction of the prompt that a target still processes when it resumes from a copy.
 constexpr double prefillFractionFromCopy = 0.1;
@@ -141,7 +140,7 @@
     const auto source = action.fromCopy ? findUsableCopy() : std::nullopt;
     const auto holder = m_copies.copy();
     releaseLoad();
-    if (!source && !canFinishInTime(action)) {
+    if (!source && !action.isReplacement && !canFinishInTime(action.number, action.timeLeft)) {
         handle(ForwardingEvents::NoTimeLeft{});
         return;
     }
@@ -156,7 +155,26 @@
     sendTo(*record, action, source);
 }
 
-bool ForwardSession::canFinishInTime(const ForwardingActions::StartAttempt &action)
+void ForwardSession::perform(const ForwardingActions::FindReplacement &action)
+{
+    const auto now = monotonicNow();
+    bool isFound = action.fromCopy && findUsableCopy();
+    if (!isFound && canFinishInTime(action.number, action.timeLeft)) {
+        const auto target = m_gatewayContext.targets.choose(requirements(), now);
+        isFound = target && m_gatewayContext.targets.isHealthy(*target, now);
+    }
+    if (isFound) {
+        handle(ForwardingEvents::ReplacementFound{});
+        return;
+    }
+    m_gatewayContext.metrics.increment("replacements_missing_total", "");
+    // The search is repeated while the target is silent.
+    if (std::exchange(m_unreplacedAttempt, action.number) != action.number)
+        log("no_replacement", {{"number", action.number}, {"target", m_target ? m_target->value() : ""}});
+    handle(ForwardingEvents::NoReplacement{});
+}
+
+bool ForwardSession::canFinishInTime(int attemptNumber, absl::Duration timeLeft)
 {
     // A stream that is resumed may be shorter than the caller's estimate, so it is never refused here.
     if (!m_routed.service->isModelService || m_forwardedRequest.lastEvent())
@@ -168,19 +186,17 @@
     const auto &size = m_routed.request.size;
     const auto prefillTime = performance().prefillTime(size.promptTokens);
     const auto decodeTime = performance().decodeTime(size.expectedOutputTokens);
-    const bool canFinishInTime = DeadlineAdmission::canFinishInTime({.backlog = backlog,
-                                                                     .prefillTime = prefillTime,
-                                                                     .decodeTime = decodeTime,
-                                                                     .timeLeft = action.timeLeft});
+    const bool canFinishInTime = DeadlineAdmission::canFinishInTime(
+        {.backlog = backlog, .prefillTime = prefillTime, .decodeTime = decodeTime, .timeLeft = timeLeft});
     if (!canFinishInTime) {
         log("no_time_left",
-            {{"number", action.number},
+            {{"number", attemptNumber},
              {"prompt_tokens", size.promptTokens},
              {"expected_tokens", size.expectedOutputTokens},
              {"backlog_ms", absl::ToInt64Milliseconds(backlog)},
              {"prefill_ms", absl::ToInt64Milliseconds(prefillTime)},
              {"decode_ms", absl::ToInt64Milliseconds(decodeTime)},
-             {"time_left_ms", absl::ToInt64Milliseconds(action.timeLeft)}});
+             {"time_left_ms", absl::ToInt64Milliseconds(timeLeft)}});
     }
     return canFinishInTime;
 }
@@ -487,9 +503,8 @@
                     (*retry)(number + 1);
                     return;
                 }
-                running->cancel();
-                session->attemptLost(result == ProbeResult::Refused ? TargetFault::Gone
-                                                                    : TargetFault::Unresponsive);
+                session->handle(ForwardingEvents::TargetSuspected{
+                    result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unresponsive});
             });
     };
     (*probe)(1);
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -60,6 +60,7 @@
     void handle(const ForwardingEvent &);
     void perform(const ForwardingActionList &);
     void perform(const ForwardingActions::StartAttempt &);
+    void perform(const ForwardingActions::FindReplacement &);
     void perform(const ForwardingActions::CancelAttempt &);
     void perform(const ForwardingActions::StartResponse &);
     void perform(const ForwardingActions::CompleteStream &);
@@ -72,7 +73,7 @@
     [[nodiscard]] TargetRequirements requirements() const;
     // False when the generation cannot finish before the caller's deadline, so that its prompt need not be
     // processed.
-    [[nodiscard]] bool canFinishInTime(const ForwardingActions::StartAttempt &);
+    [[nodiscard]] bool canFinishInTime(int attemptNumber, absl::Duration timeLeft);
     // Returns the copy from which the next attempt can resume, if its holder is healthy.
     [[nodiscard]] std::optional<CopySource> findUsableCopy() const;
     void sendTo(const ForwardingTarget &, const ForwardingActions::StartAttempt &,
@@ -117,6 +118,8 @@
     std::optional<TargetId> m_copyHolder;
     TargetLoad m_copyLoad;
     bool m_isFromCopy{false};
+    // The last attempt for which no replacement was found.
+    int m_unreplacedAttempt{0};
     std::vector<TargetId> m_triedTargets;
     // Response head of the first stream, or the latest complete response.
     HttpResponse m_response;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -519,7 +519,7 @@
             m_targets.markReachable(id);
             return;
         }
-        const auto fault = result == ProbeResult::Refused ? TargetFault::Gone : TargetFault::Unreachable;
+        const auto fault = result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unreachable;
         m_targets.recordFault(id, fault, now);
         m_log.write("target_verified", {{"target", id.value()}, {"fault", targetFaultName(fault)}}, now);
         targetFailed(id, fault);
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -106,7 +106,7 @@
     else if (m_responseClass == ResponseClass::RejectedFull)
         listener->attemptNotRun(TargetFault::InvalidResponse, true);
     else if (failure == HttpFailure::Refused)
-        listener->attemptNotRun(TargetFault::Gone, false);
+        listener->attemptNotRun(TargetFault::Refused, false);
     else if (failure == HttpFailure::NotConnected)
         listener->attemptNotRun(TargetFault::Unreachable, false);
     else if (failure == HttpFailure::BadAnswer)
--- a/Libraries/LibGateway/TargetConnections.cpp
+++ b/Libraries/LibGateway/TargetConnections.cpp
@@ -8,9 +8,9 @@
 
 namespace detail {
 
-// A connection is closed when sent data stays unacknowledged for this long, which allows for several
-// retransmissions.
-constexpr absl::Duration unacknowledgedTimeout = absl::Milliseconds(1500);
+// A connection is closed when sent data stays unacknowledged for this long. A target may be silent for a
+// second or two and go on; an attempt that can be replaced is replaced earlier.
+constexpr absl::Duration unacknowledgedTimeout = absl::Seconds(4);
 
 // Responses to control requests are small JSON objects.
 constexpr std::size_t maxControlResponseBytes = std::size_t{64} * 1024;
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -88,6 +88,11 @@
     CPPUNIT_TEST(shutdownAbortsRunningStream);
     CPPUNIT_TEST(shutdownDoesNotReportStartedRequestAsNotRun);
     CPPUNIT_TEST(longPrefillIsProbedNotRetried);
+    CPPUNIT_TEST(silentStreamGoesOnWhileThereIsNoReplacement);
+    CPPUNIT_TEST(replacementIsSoughtAgain);
+    CPPUNIT_TEST(suspectedStreamGoesOnWhenAttemptsAreUsedUp);
+    CPPUNIT_TEST(suspectedStreamGoesOnWithoutRetryBudget);
+    CPPUNIT_TEST(suspicionDoesNotEndNonIdempotentRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,7 +175,7 @@
         ForwardedRequest request(detail::idempotentParameters(), budget, m_start);
         (void)request.begin(m_start);
         // Stall deadline of a request without a stream: 3 x latencyObjective (100 ms).
-        const auto actions = request.handle(ForwardingEvents::Tick{}, m_start + absl::Milliseconds(301));
+        const auto actions = tickAndReplace(request, m_start + absl::Milliseconds(301));
         const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(actions);
         CPPUNIT_ASSERT(cancel && cancel->fault == TargetFault::Unresponsive);
         CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(actions));
@@ -184,6 +189,8 @@
         // Stall deadline of a request without a stream: 3 x latencyObjective (100 ms).
         auto actions = request.handle(ForwardingEvents::Tick{}, m_start + absl::Milliseconds(301));
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
+        actions = request.handle(ForwardingEvents::ReplacementFound{}, m_start + absl::Milliseconds(301));
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
         actions = request.handle(ForwardingEvents::ResponseReceived{200}, m_start + absl::Milliseconds(400));
         CPPUNIT_ASSERT(detail::findAction<ForwardingActions::SendResponse>(actions));
     }
@@ -221,7 +228,7 @@
         const auto early =
             request.handle(ForwardingEvents::Tick{}, begin + objective - absl::Milliseconds(1));
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(early));
-        const auto late = request.handle(ForwardingEvents::Tick{}, begin + objective);
+        const auto late = tickAndReplace(request, begin + objective);
         const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(late);
         CPPUNIT_ASSERT(cancel && cancel->fault == TargetFault::Unresponsive);
         const auto *start = detail::findAction<ForwardingActions::StartAttempt>(late);
@@ -240,10 +247,64 @@
         // First-event deadline: 3 x expected time to first event (4 s) = 12 s.
         const auto actions = request.handle(ForwardingEvents::Tick{}, begin + absl::Milliseconds(11900));
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
-        const auto lost = request.handle(ForwardingEvents::Tick{}, begin + absl::Seconds(12));
+        const auto lost = tickAndReplace(request, begin + absl::Seconds(12));
         CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(lost));
     }
 
+    // A target that was silent for a second went on, but its stream had been broken off for a replacement
+    // that could not be started.
+    void silentStreamGoesOnWhileThereIsNoReplacement()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(1)}, m_start);
+        const auto silentAt = m_start + absl::Milliseconds(351);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(
+            request.handle(ForwardingEvents::Tick{}, silentAt)));
+        checkGoesOn(request, request.handle(ForwardingEvents::NoReplacement{}, silentAt));
+    }
+
+    void replacementIsSoughtAgain()
+    {
+        detail::FixedRetryBudget budget(1);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(1)}, m_start);
+        const auto silentAt = m_start + absl::Milliseconds(351);
+        (void)request.handle(ForwardingEvents::Tick{}, silentAt);
+        const auto actions = request.handle(ForwardingEvents::NoReplacement{}, silentAt);
+        const auto *timer = detail::findAction<ForwardingActions::SetTimer>(actions);
+        CPPUNIT_ASSERT(timer && timer->at == silentAt + ForwardedRequest::replacementInterval);
+        // A search without a result takes no retry from the budget.
+        const auto *start =
+            detail::findAction<ForwardingActions::StartAttempt>(tickAndReplace(request, timer->at));
+        CPPUNIT_ASSERT(start && start->isReplacement);
+    }
+
+    void suspectedStreamGoesOnWhenAttemptsAreUsedUp()
+    {
+        auto parameters = detail::streamParameters();
+        parameters.maxAttempts = 1;
+        checkSuspectedStreamGoesOn(parameters, detail::ampleRetries);
+    }
+
+    void suspectedStreamGoesOnWithoutRetryBudget()
+    {
+        checkSuspectedStreamGoesOn(detail::streamParameters(), 0);
+    }
+
+    void suspicionDoesNotEndNonIdempotentRequest()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::nonIdempotentParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        CPPUNIT_ASSERT(request.handle(ForwardingEvents::TargetSuspected{}, m_start).empty());
+        const auto actions =
+            request.handle(ForwardingEvents::ResponseReceived{200}, m_start + absl::Milliseconds(700));
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::SendResponse>(actions));
+    }
+
     void stalledStreamResumesFromCopy()
     {
         detail::FixedRetryBudget budget(detail::ampleRetries);
@@ -253,7 +314,7 @@
         CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartResponse>(
             request.handle(ForwardingEvents::EventsReceived{EventNumber(7)}, eventAt)));
         // Stall deadline after an event: half of maxEventGap (700 ms).
-        const auto actions = request.handle(ForwardingEvents::Tick{}, eventAt + absl::Milliseconds(351));
+        const auto actions = tickAndReplace(request, eventAt + absl::Milliseconds(351));
         const auto *start = detail::findAction<ForwardingActions::StartAttempt>(actions);
         CPPUNIT_ASSERT(start && start->fromCopy);
         CPPUNIT_ASSERT(start->lastEvent == EventNumber(7));
@@ -349,6 +410,40 @@
     }
 
 private:
+    // A tick at which the host finds another target. Until then, the running attempt isn't touched.
+    static ForwardingActionList tickAndReplace(ForwardedRequest &request, absl::Time now)
+    {
+        const auto asked = request.handle(ForwardingEvents::Tick{}, now);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(asked));
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(asked));
+        return request.handle(ForwardingEvents::ReplacementFound{}, now);
+    }
+
+    // The stream is neither cancelled nor ended, and its next event is passed on to its end.
+    static void checkGoesOn(ForwardedRequest &request, const ForwardingActionList &actions)
+    {
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::AbortResponse>(actions));
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::Refuse>(actions));
+        const auto goesOnAt = absl::FromUnixSeconds(1000) + absl::Seconds(3);
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(2)}, goesOnAt);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::CompleteStream>(
+            request.handle(ForwardingEvents::StreamCompleted{}, goesOnAt)));
+    }
+
+    void checkSuspectedStreamGoesOn(const ForwardingParameters &parameters, int retries) const
+    {
+        detail::FixedRetryBudget budget(retries);
+        ForwardedRequest request(parameters, budget, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(1)}, m_start);
+        const auto suspectedAt = m_start + absl::Milliseconds(500);
+        auto actions = request.handle(ForwardingEvents::TargetSuspected{}, suspectedAt);
+        if (detail::findAction<ForwardingActions::FindReplacement>(actions))
+            actions = request.handle(ForwardingEvents::ReplacementFound{}, suspectedAt);
+        checkGoesOn(request, actions);
+    }
+
     absl::Time m_start{absl::FromUnixSeconds(1000)};
 };
 
--- a/Tests/Platform/FakeDeployment.cpp
+++ b/Tests/Platform/FakeDeployment.cpp
@@ -110,7 +110,8 @@
 }
 
 void FakeDeployment::startCall(const std::string &method, const std::string &target, const std::string &id,
-                               const std::string &key, HttpResponse &response, bool &isDone)
+                               const std::string &key, HttpResponse &response, bool &isDone,
+                               const std::string &body)
 {
     HttpFields fields;
     fields.set("Host", "site.example");
@@ -121,7 +122,7 @@
     auto connection =
         std::make_shared<HttpClientConnection>(*m_context, *parseEndpoint(m_address), SocketLimits{});
     constexpr std::size_t maxBody = 1U << 20U;
-    callHttp(*m_context, connection, serializeRequest(method, target, fields, method == "POST" ? "body" : ""),
+    callHttp(*m_context, connection, serializeRequest(method, target, fields, method == "POST" ? body : ""),
              absl::Seconds(5), maxBody, [&response, &isDone](HttpCallResult result) {
                  if (result)
                      response = std::move(*result);
--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -40,7 +40,8 @@
     void setModes(const std::string &prefix, FakeEngineMode);
     void startGateway(Readiness = Readiness::Wait);
     void startCall(const std::string &method, const std::string &target, const std::string &id,
-                   const std::string &key, HttpResponse &response, bool &isDone);
+                   const std::string &key, HttpResponse &response, bool &isDone,
+                   const std::string &body = "body");
     HttpResponse call(const std::string &method, const std::string &target, const std::string &id,
                       const std::string &key = "key");
 
