Gateway: Pass on during a stop only what can end before it does

A caller whose plain request came late in a stop, while another one kept the listeners open, was cut when the grace ended: its request had been passed on with more time than the process had. And a router with a short grace (2 s) ended at its very end, since it looked only every 100 ms.

Requests whose timeout ends after the time at which open ones are aborted are refused at once (503, not run). The checks are due at the exact times.

Before, requestTakenLateInAShutdownIsNotCutAtItsEnd (the target ran it, no 503) and shutdownEndsWithinAShortGrace failed.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -301,12 +301,11 @@
         return refuse(caller, detail::statusUnavailable, "unknown_service", id,
                       retryAfter(callerTimeout, absl::ZeroDuration()));
     }
-    // The process may end before a target has answered.
-    if (m_listeningStoppedAt || (m_shutdownStartedAt && isStream(routed.route->kind))) {
+    const auto now = monotonicNow();
+    if (!canServeBeforeExit(routed, now)) {
         return refuse(caller, detail::statusUnavailable, "stopping", id, detail::shutdownRetryAfter);
     }
     routed.message = std::move(message);
-    const auto now = monotonicNow();
     auto &budget = budgetFor(routed.service->name);
     budget.recordRequest(now);
     auto session = std::make_shared<ForwardSession>(m_gatewayContext, caller, std::move(routed), budget, now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -110,6 +110,8 @@
     void continueShutdown();
     // Takes no more connections; requests on open ones are refused from now on.
     void stopListening(absl::Time now);
+    // During a shutdown, only requests whose timeout ends before open requests are aborted are passed on.
+    [[nodiscard]] bool canServeBeforeExit(const RoutedRequest &, absl::Time now) const;
     // Every answer was sent, or the grace period is over.
     [[nodiscard]] bool canExit(absl::Time now) const;
 
--- a/Libraries/LibGateway/GatewayLifecycle.cpp
+++ b/Libraries/LibGateway/GatewayLifecycle.cpp
@@ -76,13 +76,30 @@
         m_context.stop();
         return;
     }
-    m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(detail::shutdownCheckInterval));
+    const auto &grace = m_settings.stopGrace;
+    auto next = now + detail::shutdownCheckInterval;
+    for (const double fraction : {abortGraceFraction, exitGraceFraction}) {
+        if (const auto at = *m_shutdownStartedAt + fraction * grace; at > now)
+            next = std::min(next, at);
+    }
+    m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(next - now));
     m_shutdownTimer.async_wait([this](const auto &ec) {
         if (!ec)
             continueShutdown();
     });
 }
 
+bool Gateway::canServeBeforeExit(const RoutedRequest &routed, absl::Time now) const
+{
+    if (!m_shutdownStartedAt)
+        return true;
+    if (m_listeningStoppedAt || isStream(routed.route->kind))
+        return false;
+    const auto timeout =
+        std::min(routed.route->timeout, routed.request.callerTimeout.value_or(routed.route->timeout));
+    return now + timeout <= *m_shutdownStartedAt + abortGraceFraction * m_settings.stopGrace;
+}
+
 void Gateway::stopListening(absl::Time now)
 {
     m_listeningStoppedAt = now;
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(slowRequestTimesOut);
     CPPUNIT_TEST(callerThatLeavesIsNoticed);
     CPPUNIT_TEST(largeAnswerIsDelivered);
+    CPPUNIT_TEST(callerThatPausesReadingGetsItsWholeAnswer);
+    CPPUNIT_TEST(burstOfAStreamReachesCallerThatReads);
     CPPUNIT_TEST(idleTimeoutDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
@@ -92,6 +94,7 @@
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
+    CPPUNIT_TEST(connectionThatItsPeerHasClosedIsNotReused);
     CPPUNIT_TEST(garbageAnswerIsBad);
     CPPUNIT_TEST(silentPeerTimesOut);
     CPPUNIT_TEST(refusedConnectIsTold);
@@ -194,6 +197,37 @@
         CPPUNIT_ASSERT(readToEnd(socket).text.ends_with("\r\n\r\n" + body));
     }
 
+    // A caller that reads nothing for a while is alive: its kernel acknowledges every probe of the window.
+    void callerThatPausesReadingGetsItsWholeAnswer()
+    {
+        m_handler.isHolding = true;
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(detail::shortRequest));
+        m_context->run_for(std::chrono::milliseconds(10));
+        const std::string body(std::size_t{16} << 20U, 'x');
+        std::exchange(m_handler.held, nullptr)->respond(makeResponse(200, "text/plain", body));
+        const auto pause = HttpServerConnection::unreadAnswerTimeout / 2;
+        m_context->run_for(absl::ToChronoMilliseconds(pause));
+        const auto read = readToEnd(socket);
+        CPPUNIT_ASSERT_MESSAGE(read.end.message(), read.text.ends_with("\r\n\r\n" + body));
+    }
+
+    // The caller reads all the time; the stream is faster than one round of the event loop.
+    void burstOfAStreamReachesCallerThatReads()
+    {
+        m_handler.isHolding = true;
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(detail::shortRequest));
+        m_context->run_for(std::chrono::milliseconds(10));
+        const auto connection = std::exchange(m_handler.held, nullptr);
+        connection->openStream(makeResponse(200, "text/plain", "").head);
+        connection->writeStream(std::string(HttpServerConnection::maxUnsentBytes + 1, 'x'));
+        connection->endStream();
+        CPPUNIT_ASSERT(readToEnd(socket).text.ends_with("0\r\n\r\n"));
+    }
+
     // The idle time begins when the caller has taken the answer.
     void idleTimeoutDoesNotCutAnswerThatIsBeingSent()
     {
@@ -275,6 +309,44 @@
         CPPUNIT_ASSERT(!m_connection->isReusable());
     }
 
+    // The end of the connection has arrived, but the event loop has not handled it yet. A request that may
+    // run only once can't be repeated after it was sent there.
+    void connectionThatItsPeerHasClosedIsNotReused()
+    {
+        boost::asio::ip::tcp::acceptor acceptor(*m_context, {boost::asio::ip::address_v4::loopback(), 0});
+        const auto pool = std::make_shared<HttpPool>(*m_context, acceptor.local_endpoint(), SocketLimits{});
+        HttpCallResult result = tl::unexpected(HttpFailure::Timeout);
+        int ended = 0;
+        const auto call = [&] {
+            callHttp(*m_context, pool->take(monotonicNow()), serializeRequest("GET", "/", {}, ""),
+                     absl::Milliseconds(500), 4096, [&](HttpCallResult answer) {
+                         result = std::move(answer);
+                         ++ended;
+                     });
+        };
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+        std::array<char, 4096> buf{};
+        call();
+        m_context->run_for(std::chrono::milliseconds(20));
+        auto first = acceptor.accept();
+        (void)first.read_some(boost::asio::buffer(buf));
+        boost::asio::write(first, boost::asio::buffer(answer));
+        m_context->run_for(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(ended == 1 && result && result->body == "1");
+
+        first.close();
+        call();
+        acceptor.non_blocking(true);
+        m_context->run_for(std::chrono::milliseconds(20));
+        boost::system::error_code ec;
+        auto second = acceptor.accept(ec);
+        CPPUNIT_ASSERT_MESSAGE(ec.message(), !ec);
+        (void)second.read_some(boost::asio::buffer(buf));
+        boost::asio::write(second, boost::asio::buffer(answer));
+        m_context->run_for(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(ended == 2 && result && result->body == "1");
+    }
+
     void garbageAnswerIsBad()
     {
         CPPUNIT_ASSERT(failureOf("nonsense\r\n\r\n", false) == HttpFailure::BadAnswer);
--- a/Tests/Platform/TestGatewayShutdown.cpp
+++ b/Tests/Platform/TestGatewayShutdown.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(requestOnOpenConnectionAtTheEndOfShutdownIsRefused);
     CPPUNIT_TEST(answerThatIsBeingSentOutlivesTheLastRequest);
     CPPUNIT_TEST(shutdownEndsWhileOwnRecordCannotBeWritten);
+    CPPUNIT_TEST(requestTakenLateInAShutdownIsNotCutAtItsEnd);
+    CPPUNIT_TEST(shutdownEndsWithinAShortGrace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,7 +64,50 @@
         CPPUNIT_ASSERT(m_context->stopped());
     }
 
+    // One slow request keeps the listeners open beyond stopListeningAfter. A request that comes meanwhile and
+    // can't be finished within the grace period is refused, not passed on and cut.
+    void requestTakenLateInAShutdownIsNotCutAtItsEnd()
+    {
+        startGateway();
+        setStopGrace(absl::Seconds(5));
+        setModes("app", FakeEngineMode::Stalled);
+        m_gateway->startShutdown();
+        runFor(absl::Milliseconds(500));
+        auto slow = connect();
+        send(slow, "slow");
+        runFor(Gateway::stopListeningAfter - absl::Milliseconds(200));
+        auto late = connect();
+        send(late, "late");
+        const auto answer = readUntilEnd(late);
+        CPPUNIT_ASSERT_EQUAL(1, m_engineState.runsByRequest["slow"]);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.rfind("HTTP/1.1 503", 0) == 0);
+        CPPUNIT_ASSERT(!m_engineState.runsByRequest.contains("late"));
+    }
+
+    // The process is killed at the end of its grace period. Half a request keeps it to the last moment.
+    void shutdownEndsWithinAShortGrace()
+    {
+        constexpr absl::Duration grace = absl::Seconds(2);
+        startGateway();
+        setStopGrace(grace);
+        const auto startedAt = monotonicNow();
+        m_gateway->startShutdown();
+        runFor(absl::Milliseconds(1500));
+        auto socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(std::string("POST /book/x HTTP/1.1\r\nHost: s")));
+        CPPUNIT_ASSERT(runUntil([&] { return m_context->stopped(); }));
+        const auto elapsed = monotonicNow() - startedAt;
+        CPPUNIT_ASSERT_MESSAGE(absl::FormatDuration(elapsed), elapsed < grace);
+    }
+
 private:
+    void setStopGrace(absl::Duration grace)
+    {
+        GatewaySettings settings;
+        settings.stopGrace = grace;
+        m_gateway->reload(settings);
+    }
+
     void runFor(absl::Duration duration) { m_context->run_for(absl::ToChronoMilliseconds(duration)); }
 
     boost::asio::ip::tcp::socket connect()
