LibNet: Don't take a caller that pauses for one that is gone

A caller that read nothing for three seconds lost its answer, and so did one that was sent more than 512 KB of a stream in one round of the event loop, though it was reading.

Cause: TCP_USER_TIMEOUT (3 s) also ends connections whose window is closed, and the limit of unread bytes counted what the kernel had not been offered yet. Callers' connections get the limit of unread answers (10 s); a stream ends only if the caller took nothing for a second while more than 512 KB are unsent. In exchange a caller that lost power is noticed after 10 s instead of 3 s, unless its connection is reset.

Before, callerThatPausesReadingGetsItsWholeAnswer and burstOfAStreamReachesCallerThatReads failed.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/Views.h>
 #include <LibNet/LingeringClose.h>
+#include <LibPlatform/MonotonicClock.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -208,7 +209,8 @@
     if (m_isClosed)
         return;
     m_unsent += data;
-    if (m_unsent.size() > maxUnsentBytes) {
+    if (unsentBytes() > maxUnsentBytes && !m_sending.empty()
+        && monotonicNow() - m_lastSentAt > streamStallTimeout) {
         LOG_EVERY_N(WARNING, 100) << "a caller does not read its answer";
         closeAndReport(ClosureReason::AnswerUnread);
         return;
@@ -229,6 +231,7 @@
     }
     m_sending.swap(m_unsent);
     m_sentBytes = 0;
+    m_lastSentAt = monotonicNow();
     sendSome();
 }
 
@@ -248,6 +251,7 @@
     if (m_isClosed)
         return;
     m_sentBytes += n;
+    m_lastSentAt = monotonicNow();
     if (!m_hasOpenRequest && !m_hasBytes)
         armIdleTimer();
     if (m_sentBytes < m_sending.size()) {
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -50,8 +50,10 @@
 class HttpServerConnection final : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
-    // A stream of which the caller leaves more than this unread ends with its connection.
+    // A stream of which the caller leaves more than this unread, and of which it takes nothing for the time
+    // below, ends with its connection.
     static constexpr std::size_t maxUnsentBytes = std::size_t{512} * 1024;
+    static constexpr absl::Duration streamStallTimeout = absl::Seconds(1);
     // Bytes that a caller may send ahead while its request is open.
     static constexpr std::size_t maxBytesAhead = std::size_t{64} * 1024;
 
@@ -112,6 +114,8 @@
     std::string m_sending;
     // How much of `m_sending` the kernel has taken.
     std::size_t m_sentBytes{0};
+    // When the kernel last took bytes, or had none left to take.
+    absl::Time m_lastSentAt;
     std::function<void()> m_callerLeft;
     bool m_isReading{false};
     bool m_hasOpenRequest{false};
@@ -153,7 +157,8 @@
     boost::asio::steady_timer m_acceptPause;
     HttpRequestHandler &m_handler;
     HttpServerLimits m_limits;
-    SocketLimits m_socketLimits;
+    // A caller that stops reading for a while leaves bytes unacknowledged, too.
+    SocketLimits m_socketLimits{.unacknowledged = HttpServerConnection::unreadAnswerTimeout};
     bool m_isClosing{false};
     absl::flat_hash_set<HttpServerConnection *> m_connections;
 
