--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -401,7 +401,7 @@
         m_context->run_for(std::chrono::milliseconds(10));
         auto connection = std::exchange(m_handler.held, nullptr);
         connection->openStream(makeResponse(200, "text/plain", "").head);
-        const std::string piece(64 * 1024, 'x');
+        const std::string piece(std::size_t{64} * 1024, 'x');
         std::size_t sent = 0;
         for (; connection->unsentBytes() < 3 * piece.size(); sent += piece.size()) {
             connection->writeStream(piece);
--- a/Tests/Platform/TestGatewayShutdown.cpp
+++ b/Tests/Platform/TestGatewayShutdown.cpp
@@ -39,7 +39,7 @@
     // The caller reads the answer only after the router has no open request any more.
     void answerThatIsBeingSentOutlivesTheLastRequest()
     {
-        constexpr std::size_t unsentBytes = 256 * 1024;
+        constexpr std::size_t unsentBytes = std::size_t{256} * 1024;
         m_engineState.answerPadding = kernelCapacity() + unsentBytes;
         startGateway();
         m_gateway->startShutdown();
@@ -125,7 +125,7 @@
         client.connect(acceptor.local_endpoint());
         auto server = acceptor.accept();
         server.non_blocking(true);
-        const std::string piece(64 * 1024, 'x');
+        const std::string piece(std::size_t{64} * 1024, 'x');
         std::size_t total = 0;
         boost::system::error_code ec;
         while (!ec)
