Gateway: Heed what targets say of themselves in their answers

Callers would see requests sent to an engine that is about to exit while the store still lists it as ready, and an overloaded engine would be asked again at once by each request, although it had said for how long it wants none. The platform's rules now name both: an engine that leaves says so in all its answers (Server-Leaving), and a 503 may carry Retry-After, which binds the router that received it.

Cause: the gateway read neither header. Whether an engine leaves was known from the store alone, and a rejection excluded the engine only from the request that was rejected.

The dialect decodes both into a TargetNotice, for each answer whose origin is known: plain answers, heads of streams, rejections and answers to copy requests. A 421 is left out, since it comes from the process that took the address. Malformed fields are ignored, counted, and logged at most every 10 s; backoffs are bounded to an hour. TargetNotices keeps notices by process. They outlast the removal of the store's entry and a restored one, and end with a later start; processes without a known start are told apart by address. TargetPool neither chooses such a target nor resumes from a copy on it, and a target that backs off is sent no copy requests or releases. If all targets of a service back off, the request is refused at once as not run. Its Retry-After is no shorter than the time until the first of them accepts requests, as far as the caller honors such a delay.

Other routers are not told: a backoff concerns only the router that it was sent to, and a router is bound only by answers that it has received; the store tells the rest.

The tests of TargetPool, ForwardedRequest and the adapter use the new interface and could not be built before.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -22,6 +22,8 @@
     switch (reason) {
     case RefusalReason::NoTarget:
         return "no_target";
+    case RefusalReason::TargetsBackingOff:
+        return "targets_backing_off";
     case RefusalReason::TargetsFull:
         return "targets_full";
     case RefusalReason::NoTimeLeft:
@@ -111,7 +113,7 @@
     startAttempt(now, fromCopy);
 }
 
-void ForwardedRequest::fail(RefusalReason reason)
+void ForwardedRequest::fail(RefusalReason reason, absl::Duration backoff)
 {
     if (m_hasResponseStarted) {
         m_actions.emplace_back(ForwardingActions::AbortResponse{reason});
@@ -121,7 +123,9 @@
         ForwardingActions::Refuse refusal{.isNotExecuted = !m_mayHaveExecuted, .reason = reason};
         if (refusal.isNotExecuted) {
             refusal.status = detail::statusServiceUnavailable;
-            refusal.retryAfter = retryAfter(m_parameters.callerTimeout, absl::ZeroDuration());
+            // Long enough that the jitter spreads the callers over the time after the backoff.
+            refusal.retryAfter = retryAfter(m_parameters.callerTimeout, backoff / (1 - retryJitter));
+            refusal.earliestRetry = backoff;
         } else {
             refusal.status =
                 reason == RefusalReason::TimedOut ? detail::statusGatewayTimeout : detail::statusBadGateway;
@@ -136,11 +140,16 @@
     m_state = State::Finished;
 }
 
-void ForwardedRequest::on(const ForwardingEvents::NoTarget &, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::NoTarget &event, absl::Time)
 {
     // The attempt was not started.
     --m_executedAttempts;
-    fail(m_mayHaveExecuted ? RefusalReason::ResponseLost : RefusalReason::NoTarget);
+    if (m_mayHaveExecuted)
+        fail(RefusalReason::ResponseLost);
+    else if (event.backoff)
+        fail(RefusalReason::TargetsBackingOff, *event.backoff);
+    else
+        fail(RefusalReason::NoTarget);
 }
 
 void ForwardedRequest::on(const ForwardingEvents::NoTimeLeft &, absl::Time)
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -39,6 +39,8 @@
 // No target is available for the attempt.
 struct NoTarget
 {
+    // Set if all targets of the service want no requests: time until the first one accepts them again.
+    std::optional<absl::Duration> backoff;
 };
 // No target could finish the request before its deadline. This attempt was not sent.
 struct NoTimeLeft
@@ -104,6 +106,7 @@
 // Why the router itself ends a request with an error.
 enum class RefusalReason {
     NoTarget,
+    TargetsBackingOff,
     TargetsFull,
     NoTimeLeft,
     AttemptsExhausted,
@@ -153,6 +156,8 @@
     bool isNotExecuted{false};
     RefusalReason reason{RefusalReason::NoTarget};
     std::optional<absl::Duration> retryAfter;
+    // The request would be refused again before this time has passed.
+    absl::Duration earliestRetry;
 };
 // Closes the caller's connection before the response is complete.
 struct AbortResponse
@@ -196,6 +201,9 @@
 // than that limit requires, since part of the time has already passed.
 inline constexpr double maxRetryAfterDivisor = 3.3;
 inline constexpr absl::Duration minRetryAfter = absl::Milliseconds(50);
+// Random fraction by which Retry-After is shortened, so that callers refused together do not retry at the
+// same time.
+inline constexpr double retryJitter = 0.4;
 
 // Returns the delay after which a refused caller should retry. `outage` is how long the cause of the refusal
 // has lasted.
@@ -250,7 +258,8 @@
     void startAttempt(absl::Time now, bool fromCopy);
     // Retries the request if it is retryable and attempts and budget allow it, and fails it otherwise.
     void retryOrFail(RefusalReason, absl::Time now, bool fromCopy);
-    void fail(RefusalReason);
+    // `backoff` is the time until a target accepts the request again.
+    void fail(RefusalReason, absl::Duration backoff = absl::ZeroDuration());
     void finish();
     void setTimer(absl::Time now);
     [[nodiscard]] absl::Time stallDeadline() const;
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -75,6 +75,8 @@
         other.isGone = true;
         replaced = id;
     }
+    if (m_notices.processStarted(record.process()))
+        m_slices.clear();
     auto &target = m_targets[record.id];
     if (target.record.startedAtMs != record.startedAtMs || target.record.address != record.address) {
         const auto ownLoad = target.ownLoad;
@@ -116,7 +118,8 @@
         return it->second;
     std::vector<TargetSlices::Target> targets;
     for (const auto &[id, target] : m_targets) {
-        if (target.record.service == service && target.record.phase == ForwardingTargetPhase::Ready)
+        if (target.record.service == service && target.record.phase == ForwardingTargetPhase::Ready
+            && !m_notices.isLeaving(id))
             targets.push_back({id, target.record.domain});
     }
     it->second.targets = TargetSlices::select(m_groupIndex, m_groupCount, targets);
@@ -203,11 +206,42 @@
         it->second.isGone = true;
 }
 
+TargetNoticeEffect TargetPool::recordNotice(const TargetProcess &process, const TargetNotice &notice,
+                                            absl::Time now)
+{
+    // A target that the directory has removed may still run, so its notices count.
+    if (const auto *record = find(process.id); record && record->process().isLaterThan(process))
+        return {};
+    const auto effect = m_notices.record(process, notice, now);
+    if (effect.hasStartedLeaving)
+        m_slices.clear();
+    return effect;
+}
+
+std::optional<absl::Time> TargetPool::earliestBackoffEnd(const ServiceName &service, absl::Time now) const
+{
+    std::optional<absl::Time> earliest;
+    for (const auto &[id, target] : m_targets) {
+        if (target.record.service != service || !isReady(id, target))
+            continue;
+        const auto end = backoffEnd(id);
+        if (end <= now)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(end), end);
+    }
+    return earliest;
+}
+
+bool TargetPool::isReady(const TargetId &id, const Target &target) const
+{
+    return target.record.phase == ForwardingTargetPhase::Ready && !target.isGone && !m_notices.isLeaving(id);
+}
+
 bool TargetPool::isHealthy(const TargetId &id, absl::Time now) const
 {
     const auto it = m_targets.find(id);
-    return it != m_targets.end() && it->second.record.phase == ForwardingTargetPhase::Ready
-        && !it->second.isGone && now >= it->second.suspectUntil;
+    return it != m_targets.end() && isReady(id, it->second) && !isBackingOff(id, now)
+        && now >= it->second.suspectUntil;
 }
 
 bool TargetPool::isSuspect(const TargetId &id, absl::Time now) const
@@ -334,8 +368,7 @@
     std::vector<std::pair<absl::Duration, const TargetId *>> candidates;
     auto bestCost = absl::InfiniteDuration();
     for (const auto &[id, target] : m_targets) {
-        if (target.record.service != requirements.service
-            || target.record.phase != ForwardingTargetPhase::Ready || target.isGone)
+        if (target.record.service != requirements.service || !isReady(id, target) || isBackingOff(id, now))
             continue;
         if (std::find(requirements.exclude.begin(), requirements.exclude.end(), id)
             != requirements.exclude.end())
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -11,6 +11,7 @@
 #include <LibCore/Random.h>
 #include <LibForwarding/Request.h>
 #include <LibForwarding/ServicePerformance.h>
+#include <LibForwarding/TargetNotices.h>
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
@@ -39,6 +40,8 @@
     ForwardingTargetPhase phase{ForwardingTargetPhase::Ready};
     // Start of the target's process in Unix milliseconds. A new value invalidates all recorded state.
     std::int64_t startedAtMs{0};
+
+    [[nodiscard]] TargetProcess process() const { return {id, startedAtMs, address}; }
 };
 
 // Load from requests that have not ended yet.
@@ -145,7 +148,15 @@
     // Records that another router found that the target no longer exists.
     void markGone(const TargetId &);
     [[nodiscard]] bool isSuspect(const TargetId &, absl::Time now) const;
-    // Returns true if the target is known, ready and neither suspect nor gone.
+    // Records what the process said of itself. A target that leaves is chosen no more; one that backs off
+    // receives no request until the end of that time.
+    TargetNoticeEffect recordNotice(const TargetProcess &, const TargetNotice &, absl::Time now);
+    [[nodiscard]] absl::Time backoffEnd(const TargetId &id) const { return m_notices.backoffEnd(id); }
+    [[nodiscard]] bool isBackingOff(const TargetId &id, absl::Time now) const { return now < backoffEnd(id); }
+    // The earliest time at which a target of the service accepts requests again. Empty if one accepts
+    // requests now, or if there is none.
+    [[nodiscard]] std::optional<absl::Time> earliestBackoffEnd(const ServiceName &, absl::Time now) const;
+    // Returns true if the target is known, ready, neither suspect nor gone, and neither leaves nor backs off.
     [[nodiscard]] bool isHealthy(const TargetId &, absl::Time now) const;
 
     // Replaces the loads that the router reported before.
@@ -204,6 +215,8 @@
         }
     };
 
+    // The target takes new requests, as far as the directory and the target itself have said.
+    [[nodiscard]] bool isReady(const TargetId &, const Target &) const;
     [[nodiscard]] const Slice &sliceOf(const ServiceName &);
     // Drops the loads of routers whose reports have expired.
     void expirePeerLoads(absl::Time now);
@@ -224,6 +237,7 @@
     FailureDomain m_ownDomain;
     RandomSource &m_random;
     absl::btree_map<TargetId, Target> m_targets;
+    TargetNotices m_notices;
     absl::node_hash_map<ServiceName, ServicePerformance> m_performance;
     std::size_t m_groupIndex{0};
     std::size_t m_groupCount{1};
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -84,6 +84,8 @@
     virtual void writeTargetFields(HttpFields &, const CallerRequest &, const AttemptParameters &) const = 0;
     [[nodiscard]] virtual ResponseClass classifyResponse(const HttpResponseHead &,
                                                          const RequestId &) const = 0;
+    // Fields that are malformed are ignored.
+    [[nodiscard]] virtual TargetNotice readTargetNotice(const HttpResponseHead &) const = 0;
     [[nodiscard]] virtual bool isEventStream(const HttpResponseHead &) const = 0;
     // Asks the target to copy the KV cache of a running generation to the holder while the generation
     // continues.
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -57,10 +57,14 @@
 
 } // namespace detail
 
-void setRetryAfter(HttpResponse &response, absl::Duration after, RandomSource &random)
+void setRetryAfter(HttpResponse &response, absl::Duration after, RandomSource &random,
+                   absl::Duration earliest)
 {
-    const double jitterFactor = 1 - retryJitter * random.fraction();
-    response.head.fields.set("Retry-After", absl::StrCat(absl::ToDoubleSeconds(after * jitterFactor)));
+    auto shortest = after * (1 - retryJitter);
+    if (earliest <= after)
+        shortest = std::max(shortest, earliest);
+    const auto delay = after - (after - shortest) * random.fraction();
+    response.head.fields.set("Retry-After", absl::StrCat(absl::ToDoubleSeconds(delay)));
 }
 
 ForwardSession::ForwardSession(GatewayContext &gatewayContext, std::shared_ptr<HttpServerConnection> caller,
@@ -149,7 +153,9 @@
                                : m_gatewayContext.targets.choose(requirements(), monotonicNow());
     const auto *record = target ? m_gatewayContext.targets.find(*target) : nullptr;
     if (!record) {
-        handle(ForwardingEvents::NoTarget{});
+        const auto now = monotonicNow();
+        const auto end = m_gatewayContext.targets.earliestBackoffEnd(m_routed.service->name, now);
+        handle(ForwardingEvents::NoTarget{.backoff = end ? std::optional(*end - now) : std::nullopt});
         return;
     }
     m_triedTargets.push_back(*target);
@@ -199,6 +205,7 @@
     m_wasTargetIdle = load.pendingPrefillTokens == 0;
     m_target = record.id;
     m_targetAddress = record.address;
+    m_targetProcess = record.process();
     m_isFromCopy = source.has_value();
     reserveLoad(record.id, m_isFromCopy);
     handleCopyEvent(KvCopyEvents::AttemptStarted{m_copyHolder});
@@ -322,6 +329,11 @@
     m_gatewayContext.targetFailed(target, fault);
 }
 
+void ForwardSession::headReceived(const HttpResponseHead &head)
+{
+    m_gatewayContext.notices->record(m_targetProcess, head, monotonicNow());
+}
+
 void ForwardSession::attemptNotRun(TargetFault fault, bool wasRefused)
 {
     const bool isFull = wasRefused && fault != TargetFault::Gone;
@@ -441,7 +453,7 @@
 {
     auto response = makeResponse(action.status, "text/plain", "");
     if (action.retryAfter)
-        setRetryAfter(response, *action.retryAfter, m_gatewayContext.random);
+        setRetryAfter(response, *action.retryAfter, m_gatewayContext.random, action.earliestRetry);
     m_caller->respond(response);
     finish(refusalReasonName(action.reason), action.status);
 }
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -16,12 +16,10 @@
 
 namespace Wisteria {
 
-// Random fraction by which Retry-After is shortened, so that callers refused together do not retry at the
-// same time.
-inline constexpr double retryJitter = 0.4;
-
-// Sets the Retry-After field, shortened by a random jitter.
-void setRetryAfter(HttpResponse &, absl::Duration after, RandomSource &);
+// Sets the Retry-After field, shortened by a random jitter, but not to less than `earliest`. An earliest time
+// that callers would not wait for is disregarded.
+void setRetryAfter(HttpResponse &, absl::Duration after, RandomSource &,
+                   absl::Duration earliest = absl::ZeroDuration());
 
 // A caller's request together with its route, workspace and service.
 struct RoutedRequest
@@ -49,6 +47,7 @@
     void targetFailed(const TargetId &, TargetFault);
     [[nodiscard]] bool isFinished() const { return m_forwardedRequest.isFinished(); }
 
+    void headReceived(const HttpResponseHead &) override;
     void attemptNotRun(TargetFault, bool wasRefused) override;
     void streamOpened(const HttpResponseHead &) override;
     void eventsReceived(const std::vector<RawEvent> &) override;
@@ -81,6 +80,9 @@
     void perform(const KvCopyActions::CreateCopy &);
     void perform(const KvCopyActions::DeleteCopy &);
     void perform(const KvCopyActions::SetTimer &);
+    // Sends a control request and records what the target says of itself in the answer. A target that backs
+    // off is sent none, which counts as not connected.
+    void sendControlRequest(const ForwardingTarget &, const ControlRequest &, HttpCallHandler);
     void reserveCopyLoad(const std::optional<TargetId> &holder);
     // Adds the request's load to the target and, if the route uses copies, to a copy holder.
     void reserveLoad(const TargetId &, bool fromCopy);
@@ -104,6 +106,8 @@
     std::optional<TargetId> m_target;
     // Address of that target, which identifies the copies that it created.
     std::string m_targetAddress;
+    // Process that the running attempt was sent to.
+    TargetProcess m_targetProcess;
     // The target had no unprocessed prompt of another request when the attempt was sent.
     bool m_wasTargetIdle{false};
     absl::Time m_attemptSentAt;
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -50,6 +50,25 @@
     m_gatewayContext.targets.addLoad(*m_copyHolder, m_copyLoad);
 }
 
+void ForwardSession::sendControlRequest(const ForwardingTarget &record, const ControlRequest &request,
+                                        HttpCallHandler handler)
+{
+    if (m_gatewayContext.targets.isBackingOff(record.id, monotonicNow())) {
+        boost::asio::post(m_gatewayContext.context, [handler = std::move(handler)] {
+            handler(tl::unexpected(HttpFailure::NotConnected));
+        });
+        return;
+    }
+    m_gatewayContext.connections.sendControlRequest(
+        record, request, detail::copyTimeout,
+        [notices = std::weak_ptr(m_gatewayContext.notices), process = record.process(),
+         handler = std::move(handler)](HttpCallResult result) {
+            if (const auto recorder = notices.lock(); recorder && result)
+                recorder->record(process, result->head, monotonicNow());
+            handler(std::move(result));
+        });
+}
+
 void ForwardSession::handleCopyEvent(const KvCopyEvent &event)
 {
     for (const auto &it : m_copies.handle(event, monotonicNow()))
@@ -72,8 +91,8 @@
     }
     reserveCopyLoad(holder);
     const auto controlRequest = m_gatewayContext.dialect.makeCopyRequest(m_routed.request.id, to->address);
-    m_gatewayContext.connections.sendControlRequest(
-        *from, controlRequest, detail::copyTimeout,
+    sendControlRequest(
+        *from, controlRequest,
         [self = shared_from_this(), holder = *holder, number = action.callId](const HttpCallResult &result) {
             if (self->m_forwardedRequest.isFinished())
                 return;
@@ -99,9 +118,8 @@
     if (!from)
         return;
     // NOTE: The response is ignored because a copy that is not released expires on its own.
-    m_gatewayContext.connections.sendControlRequest(
-        *from, m_gatewayContext.dialect.makeCopyReleaseRequest(action.handle), detail::copyTimeout,
-        [](const HttpCallResult &) {});
+    sendControlRequest(*from, m_gatewayContext.dialect.makeCopyReleaseRequest(action.handle),
+                       [](const HttpCallResult &) {});
 }
 
 void ForwardSession::perform(const KvCopyActions::SetTimer &action)
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -68,6 +68,8 @@
                        .connections = m_connections,
                        .log = m_log,
                        .metrics = m_metrics,
+                       .notices =
+                           std::make_shared<TargetNoticeRecorder>(site.dialect, m_targets, m_log, m_metrics),
                        .targetFailed = [this](const auto &id, auto fault) { targetFailed(id, fault); },
                        .loadChanged =
                            [this] {
--- a/Libraries/LibGateway/GatewayContext.h
+++ b/Libraries/LibGateway/GatewayContext.h
@@ -8,6 +8,7 @@
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/StructuredLog.h>
 #include <LibGateway/TargetConnections.h>
+#include <LibGateway/TargetNoticeRecorder.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,6 +28,9 @@
     TargetConnections &connections;
     StructuredLog &log;
     GatewayMetrics &metrics;
+    // Answers to control requests may arrive after the gateway has been destroyed, so their handlers hold a
+    // weak pointer. Never null.
+    std::shared_ptr<TargetNoticeRecorder> notices;
     // Called when a request finds a target to be faulty, so that other requests on it check it too.
     std::function<void(const TargetId &, TargetFault)> targetFailed;
     // Called when this router's own load on targets changed.
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -34,6 +34,9 @@
         fail(TargetFault::InvalidResponse);
         return;
     }
+    // A 421 comes from the process that replaced the target.
+    if (m_responseClass != ResponseClass::RejectedReplaced && m_listener)
+        m_listener->headReceived(head);
     m_isStream = m_responseClass == ResponseClass::Executed && m_dialect.isEventStream(head);
     if (m_isStream && m_listener)
         m_listener->streamOpened(head);
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -14,11 +14,13 @@
 namespace Wisteria {
 
 // Exactly one of attemptNotRun, streamEnded, responseReceived and attemptLost is called, as the last call,
-// unless the attempt is cancelled.
+// unless the attempt is cancelled. headReceived may be called once before it, and before streamOpened.
 class AttemptListener
 {
 public:
     virtual ~AttemptListener() = default;
+    // The target itself answered, with a response of any kind.
+    virtual void headReceived(const HttpResponseHead &) = 0;
     // `wasRefused` means that a target received the request and rejected it without executing it.
     virtual void attemptNotRun(TargetFault, bool wasRefused) = 0;
     virtual void streamOpened(const HttpResponseHead &) = 0;
--- /dev/null
+++ b/Libraries/LibGateway/TargetNoticeRecorder.h
@@ -0,0 +1,33 @@
+// Passes on what targets say of themselves in answers, of any kind, to the pool, the log and the metrics.
+
+#pragma once
+
+#include <LibForwarding/TargetPool.h>
+#include <LibGateway/Dialect.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/StructuredLog.h>
+
+#include <absl/time/time.h>
+
+namespace Wisteria {
+
+class TargetNoticeRecorder
+{
+public:
+    TargetNoticeRecorder(const Dialect &dialect, TargetPool &targets, StructuredLog &log,
+                         GatewayMetrics &metrics)
+        : m_dialect(dialect), m_targets(targets), m_log(log), m_metrics(metrics)
+    {
+    }
+
+    void record(const TargetProcess &, const HttpResponseHead &, absl::Time now);
+
+private:
+    const Dialect &m_dialect;
+    TargetPool &m_targets;
+    StructuredLog &m_log;
+    GatewayMetrics &m_metrics;
+    absl::Time m_nextMalformedLogAt{absl::InfinitePast()};
+};
+
+} // namespace Wisteria
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -73,6 +73,9 @@
     CPPUNIT_TEST(nonIdempotentRequestIsRetriedWhenNoByteWasAccepted);
     CPPUNIT_TEST(retryAfterRefusalConsumesBudget);
     CPPUNIT_TEST(missingTargetIsRejectedAsNotRun);
+    CPPUNIT_TEST(requestIsRefusedUntilFirstTargetEndsItsBackoff);
+    CPPUNIT_TEST(retryAfterOfLongBackoffIsOneThatCallersHonor);
+    CPPUNIT_TEST(requestThatMayHaveRunIsNotReportedAsNotRunDuringBackoff);
     CPPUNIT_TEST(routeTimeoutYields504);
     CPPUNIT_TEST(failedIdempotentRequestIsRetriedThenDelivered);
     CPPUNIT_TEST(stalledIdempotentAttemptIsRetried);
@@ -139,6 +142,46 @@
         CPPUNIT_ASSERT(request.isFinished());
     }
 
+    void requestIsRefusedUntilFirstTargetEndsItsBackoff()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        const auto backoff = absl::Seconds(3);
+        const auto actions = request.handle(ForwardingEvents::NoTarget{backoff}, m_start);
+        const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->isNotExecuted && refusal->retryAfter);
+        CPPUNIT_ASSERT(refusal->reason == RefusalReason::TargetsBackingOff);
+        CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+        CPPUNIT_ASSERT(refusal->earliestRetry == backoff);
+        CPPUNIT_ASSERT(*refusal->retryAfter > backoff);
+        CPPUNIT_ASSERT(request.isFinished());
+    }
+
+    void retryAfterOfLongBackoffIsOneThatCallersHonor()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        const auto parameters = detail::streamParameters();
+        ForwardedRequest request(parameters, budget, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(ForwardingEvents::NoTarget{absl::Hours(1)}, m_start);
+        const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->retryAfter);
+        CPPUNIT_ASSERT(*refusal->retryAfter <= parameters.callerTimeout / 3);
+    }
+
+    void requestThatMayHaveRunIsNotReportedAsNotRunDuringBackoff()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::AttemptLost{}, m_start);
+        const auto actions = request.handle(ForwardingEvents::NoTarget{absl::Seconds(3)}, m_start);
+        const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && !refusal->isNotExecuted && !refusal->retryAfter);
+        CPPUNIT_ASSERT_EQUAL(502, refusal->status);
+    }
+
     void routeTimeoutYields504()
     {
         detail::FixedRetryBudget budget(0);
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -29,6 +29,15 @@
     CPPUNIT_TEST(targetWithFullMemoryIsAvoided);
     CPPUNIT_TEST(loadOfEarlierProcessIsSubtractedAfterRestart);
     CPPUNIT_TEST(drainingProcessNeverBecomesReady);
+    CPPUNIT_TEST(targetThatSaysItLeavesIsNotChosen);
+    CPPUNIT_TEST(leavingProcessStaysOutWhenDirectoryListsItAgain);
+    CPPUNIT_TEST(laterProcessDoesNotInheritNotices);
+    CPPUNIT_TEST(answerOfEarlierProcessIsIgnored);
+    CPPUNIT_TEST(processWithoutKnownStartStaysOutAtItsAddress);
+    CPPUNIT_TEST(targetIsNotChosenDuringItsBackoff);
+    CPPUNIT_TEST(earliestBackoffEndIsThatOfFirstTarget);
+    CPPUNIT_TEST(excessiveBackoffIsBounded);
+    CPPUNIT_TEST(copyHolderDuringItsBackoffIsNotChosen);
     CPPUNIT_TEST(atMostOnceRequestAvoidsTargetThatLostResponse);
     CPPUNIT_TEST(choiceScalesWithMeasuredPerformance);
     CPPUNIT_TEST(targetsOfOwnSliceArePreferred);
@@ -226,6 +235,121 @@
         CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
     }
 
+    void targetThatSaysItLeavesIsNotChosen()
+    {
+        keepOnly(2);
+        CPPUNIT_ASSERT(
+            m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now).hasStartedLeaving);
+        CPPUNIT_ASSERT(
+            !m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now).hasStartedLeaving);
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+        for (int n = 0; n < 2 * targetCount; ++n) {
+            CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(1));
+            m_pool.addLoad(id(1), load());
+        }
+        CPPUNIT_ASSERT(!m_pool.chooseCopyHolder(need(), id(1), m_now));
+        CPPUNIT_ASSERT(!m_pool.earliestBackoffEnd(ServiceName("s"), m_now));
+    }
+
+    // An entry expires while the store is down, or a restored store lists it as it was.
+    void leavingProcessStaysOutWhenDirectoryListsItAgain()
+    {
+        keepOnly(1);
+        m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now);
+        m_pool.upsert(record(0));
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+        m_pool.remove(id(0));
+        m_pool.upsert(record(0));
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+        auto moved = record(0);
+        moved.address = "127.0.0.1:999";
+        m_pool.upsert(moved);
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+        // An answer may arrive after the entry was removed.
+        m_pool.remove(id(0));
+        m_pool.upsert(record(1));
+        m_pool.remove(id(1));
+        m_pool.recordNotice(record(1).process(), {.isLeaving = true}, m_now);
+        m_pool.upsert(record(1));
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+    }
+
+    void laterProcessDoesNotInheritNotices()
+    {
+        keepOnly(1);
+        m_pool.recordNotice(record(0).process(), {.isLeaving = true, .backoff = absl::Seconds(60)}, m_now);
+        auto restarted = record(0);
+        restarted.startedAtMs += 1;
+        m_pool.upsert(restarted);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
+    }
+
+    void answerOfEarlierProcessIsIgnored()
+    {
+        keepOnly(1);
+        auto restarted = record(0);
+        restarted.startedAtMs += 1;
+        m_pool.upsert(restarted);
+        const auto effect = m_pool.recordNotice(record(0).process(),
+                                                {.isLeaving = true, .backoff = absl::Seconds(60)}, m_now);
+        CPPUNIT_ASSERT(!effect.hasStartedLeaving && !effect.hasBackedOff);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
+    }
+
+    void processWithoutKnownStartStaysOutAtItsAddress()
+    {
+        keepOnly(0);
+        auto unknown = record(0);
+        unknown.startedAtMs = 0;
+        m_pool.upsert(unknown);
+        m_pool.recordNotice(unknown.process(), {.isLeaving = true}, m_now);
+        m_pool.upsert(unknown);
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+        unknown.address = "127.0.0.1:999";
+        m_pool.upsert(unknown);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
+    }
+
+    void targetIsNotChosenDuringItsBackoff()
+    {
+        keepOnly(1);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now);
+        // A shorter one does not end it, nor does a success or a repeated entry.
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(1)}, m_now);
+        m_pool.recordSuccess(id(0));
+        m_pool.upsert(record(0));
+        const auto before = m_now + absl::Seconds(2) - absl::Milliseconds(1);
+        CPPUNIT_ASSERT(!m_pool.choose(need(), before));
+        CPPUNIT_ASSERT(!m_pool.choose(plainNeed(), before));
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), before));
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now + absl::Seconds(2)) == id(0));
+    }
+
+    void earliestBackoffEndIsThatOfFirstTarget()
+    {
+        keepOnly(3);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now);
+        m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(1)}, m_now);
+        CPPUNIT_ASSERT(!m_pool.earliestBackoffEnd(ServiceName("s"), m_now));
+        m_pool.recordNotice(record(2).process(), {.isLeaving = true}, m_now);
+        CPPUNIT_ASSERT(m_pool.earliestBackoffEnd(ServiceName("s"), m_now) == m_now + absl::Seconds(1));
+    }
+
+    void excessiveBackoffIsBounded()
+    {
+        keepOnly(1);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::InfiniteDuration()}, m_now);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now + TargetNotices::maxBackoff) == id(0));
+    }
+
+    void copyHolderDuringItsBackoffIsNotChosen()
+    {
+        keepOnly(2);
+        CPPUNIT_ASSERT(m_pool.chooseCopyHolder(need(), id(0), m_now) == id(1));
+        m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(2)}, m_now);
+        CPPUNIT_ASSERT(!m_pool.chooseCopyHolder(need(), id(0), m_now));
+    }
+
     // A target loses a connection with a pending request, and a probe finds that it accepts connections. A
     // booking was sent there 124 ms after the loss and lost its response, too, with other targets idle.
     void atMostOnceRequestAvoidsTargetThatLostResponse()
@@ -332,6 +456,12 @@
         return pool;
     }
 
+    void keepOnly(int count)
+    {
+        for (int n = count; n < targetCount; ++n)
+            m_pool.remove(id(n));
+    }
+
     static TargetId id(int n) { return TargetId(absl::StrCat("t", n)); }
     static FailureDomain domain(int n) { return FailureDomain(absl::StrCat("d", n % 3)); }
     static ForwardingTarget record(int n)
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(malformedRequestIsRejected);
     CPPUNIT_TEST(callerCannotForgeReservedHeaders);
     CPPUNIT_TEST(responseOriginIsClassified);
+    CPPUNIT_TEST(noticesOfTargetsAreDecoded);
+    CPPUNIT_TEST(malformedNoticesAreIgnored);
     CPPUNIT_TEST(copyHeadersAndResponsesAreTranslated);
     CPPUNIT_TEST(entryPointsAreEncoded);
     CPPUNIT_TEST(configurationIsDecoded);
@@ -87,6 +89,39 @@
         CPPUNIT_ASSERT(m_dialect.classifyResponse(refused, id) == ResponseClass::RejectedReplaced);
     }
 
+    void noticesOfTargetsAreDecoded()
+    {
+        HttpResponseHead head;
+        head.status = 200;
+        CPPUNIT_ASSERT(!m_dialect.readTargetNotice(head).isLeaving);
+        head.fields.set("Server-Leaving", "1");
+        CPPUNIT_ASSERT(m_dialect.readTargetNotice(head).isLeaving);
+        // Only rejections ask for a pause.
+        head.fields.set("Retry-After", "0.25");
+        CPPUNIT_ASSERT(!m_dialect.readTargetNotice(head).backoff);
+        head.status = 503;
+        const auto notice = m_dialect.readTargetNotice(head);
+        CPPUNIT_ASSERT(notice.isLeaving);
+        CPPUNIT_ASSERT(notice.backoff == absl::Milliseconds(250));
+        CPPUNIT_ASSERT(!notice.isMalformed);
+    }
+
+    void malformedNoticesAreIgnored()
+    {
+        HttpResponseHead head;
+        head.status = 503;
+        for (const auto *value : {"-1", "soon", "nan", "inf", "1e999", "Fri, 04 Dec 2026 11:00:00 GMT"}) {
+            head.fields.set("Retry-After", value);
+            const auto notice = m_dialect.readTargetNotice(head);
+            CPPUNIT_ASSERT_MESSAGE(value, !notice.backoff);
+            CPPUNIT_ASSERT_MESSAGE(value, notice.isMalformed);
+        }
+        head.fields.erase("Retry-After");
+        head.fields.set("Server-Leaving", "perhaps");
+        CPPUNIT_ASSERT(!m_dialect.readTargetNotice(head).isLeaving);
+        CPPUNIT_ASSERT(m_dialect.readTargetNotice(head).isMalformed);
+    }
+
     void copyHeadersAndResponsesAreTranslated()
     {
         const auto request = *m_dialect.readRequest(callerFields());
