LibNet: Close connections whose answers have no end outside the body

What callers would see: a target, the store or another router that sends interim answers, a chunk size, a chunk extension or trailers without end keeps its connection open and feeds it for as long as the call may take. An unfinished chunk line or trailer is buffered whole, so memory grows with the speed of the link.

Cause: Beast limits the size of one buffer of a head. Chunk lines and trailers have no limit, and each interim answer is followed by a new parser with a new limit.

FramingLimit counts the bytes outside the body over the whole answer and allows for the framing of short chunks by the body bytes that came with it, so that long streams of short events never reach it. A log line, at most one a second, names the peer and the reason, which tells it from a lost connection.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -12,6 +12,8 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 namespace Wisteria {
@@ -21,6 +23,8 @@
 namespace detail {
 
 constexpr int firstFinalStatus = 200;
+// A peer that answers wrongly tends to do so on each request.
+constexpr double badAnswerLogSeconds = 1;
 
 // The value of "timeout=" in a Keep-Alive field, in seconds.
 std::optional<absl::Duration> keepAliveTimeout(const HttpFields &fields)
@@ -59,9 +63,8 @@
     m_listener = std::move(listener);
     m_sending = std::move(bytes);
     m_headTaken = false;
-    m_parser.emplace();
-    m_parser->body_limit(boost::none);
-    m_parser->eager(true);
+    m_framingLimit = {};
+    resetParser();
     if (m_state == State::Idle) {
         m_state = State::Waiting;
         startWriting();
@@ -70,6 +73,13 @@
     connect(connectTimeout);
 }
 
+void HttpClientConnection::resetParser()
+{
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->eager(true);
+}
+
 void HttpClientConnection::connect(absl::Duration timeout)
 {
     m_state = State::Connecting;
@@ -155,7 +165,13 @@
         const auto used = m_parser->put(boost::asio::buffer(m_unparsed), ec);
         m_unparsed.erase(0, used);
         if (ec && ec != http::error::need_more) {
-            fail(HttpFailure::BadAnswer);
+            failBadAnswer(ec.message());
+            return false;
+        }
+        const auto bodyBytes = m_parser->get().body().size();
+        m_framingLimit.add(used - std::min(used, bodyBytes), bodyBytes);
+        if (m_framingLimit.isExceeded(ec ? m_unparsed.size() : 0)) {
+            failBadAnswer("too many bytes outside the body");
             return false;
         }
         if (!m_headTaken && m_parser->is_header_done() && !takeHead())
@@ -177,9 +193,8 @@
     auto &message = m_parser->get();
     if (message.result_int() < detail::firstFinalStatus) {
         // An interim answer (RFC 9110, section 15.2); the final one follows.
-        m_parser.emplace();
-        m_parser->body_limit(boost::none);
-        m_parser->eager(true);
+        m_framingLimit.addInterimAnswer();
+        resetParser();
         return false;
     }
     m_headTaken = true;
@@ -232,6 +247,12 @@
         listener->answerFailed(failure);
 }
 
+void HttpClientConnection::failBadAnswer(std::string_view reason)
+{
+    LOG_EVERY_T(WARNING, detail::badAnswerLogSeconds) << "bad answer from " << m_endpoint << ": " << reason;
+    fail(HttpFailure::BadAnswer);
+}
+
 std::shared_ptr<HttpAnswerListener> HttpClientConnection::takeListener()
 {
     auto listener = m_listener.lock();
@@ -330,8 +351,11 @@
     void answerBody(std::string_view data) override
     {
         m_response.body += data;
-        if (m_response.body.size() > m_maxBodyBytes)
-            finish(tl::unexpected(HttpFailure::BadAnswer));
+        if (m_response.body.size() <= m_maxBodyBytes)
+            return;
+        LOG_EVERY_T(WARNING, badAnswerLogSeconds)
+            << "bad answer: the body exceeds " << m_maxBodyBytes << " bytes";
+        finish(tl::unexpected(HttpFailure::BadAnswer));
     }
     void answerEnded() override { finish(std::move(m_response)); }
     void answerFailed(HttpFailure failure) override { finish(tl::unexpected(failure)); }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Address.h>
 #include <LibCore/Error.h>
+#include <LibNet/FramingLimit.h>
 #include <LibNet/HttpMessage.h>
 #include <LibNet/Socket.h>
 
@@ -31,7 +32,7 @@
     Refused,
     // Closed or reset after the request may have been read.
     ConnectionLost,
-    // The bytes that came are no answer.
+    // The bytes that came are no answer, or more of them than any answer has.
     BadAnswer,
     // Nothing complete came in time; only for calls with a timeout.
     Timeout,
@@ -78,6 +79,7 @@
     enum class State { Unconnected, Connecting, Waiting, Idle, Closed };
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    void resetParser();
     void connect(absl::Duration timeout);
     void startWriting();
     void read();
@@ -89,6 +91,8 @@
     void takeBody();
     void endAnswer();
     void fail(HttpFailure);
+    // Fails because of the bytes that came.
+    void failBadAnswer(std::string_view reason);
     void close();
     std::shared_ptr<HttpAnswerListener> takeListener();
 
@@ -102,6 +106,7 @@
     bool m_isWriting{false};
     bool m_headTaken{false};
     std::optional<Parser> m_parser;
+    FramingLimit m_framingLimit;
     // Bytes that the parser needs to see again with more.
     std::string m_unparsed;
     std::array<char, readBufferBytes> m_buf;
--- /dev/null
+++ b/Tests/LibNet/FakeEndlessPeer.cpp
@@ -0,0 +1,128 @@
+// Accepts, reads the request and writes without end.
+
+#include "FakeEndlessPeer.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
+namespace Wisteria {
+
+class FakeEndlessPeer::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(FakeEndlessPeer &peer, boost::asio::ip::tcp::socket socket)
+        : m_peer(peer), m_lifetime(peer.m_lifetime), m_socket(std::move(socket)),
+          m_timer(m_socket.get_executor())
+    {
+    }
+
+    void start()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_buf),
+                                 [self = shared_from_this()](const auto &ec, std::size_t) {
+                                     if (self->m_lifetime.expired())
+                                         return;
+                                     if (ec)
+                                         return self->end();
+                                     self->readOn();
+                                     self->write(self->m_peer.m_answer.start);
+                                 });
+    }
+
+private:
+    // Notices the end of the connection.
+    void readOn()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_buf),
+                                 [self = shared_from_this()](const auto &ec, std::size_t) {
+                                     if (self->m_lifetime.expired())
+                                         return;
+                                     if (ec)
+                                         return self->end();
+                                     self->readOn();
+                                 });
+    }
+
+    void write(std::string bytes)
+    {
+        m_sending = std::move(bytes);
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
+                                 [self = shared_from_this()](const auto &ec, std::size_t n) {
+                                     if (self->m_lifetime.expired())
+                                         return;
+                                     self->m_peer.m_sentBytes += n;
+                                     if (ec)
+                                         return self->end();
+                                     self->writePiece();
+                                 });
+    }
+
+    void writePiece()
+    {
+        if (m_peer.m_answer.interval.count() == 0) {
+            // Many pieces at once, as fast as the connection takes them.
+            constexpr std::size_t writeBytes = 64 * 1024;
+            std::string bytes;
+            while (bytes.size() < writeBytes)
+                bytes += m_peer.m_answer.piece(m_pieces++);
+            write(std::move(bytes));
+            return;
+        }
+        m_timer.expires_after(m_peer.m_answer.interval);
+        m_timer.async_wait([self = shared_from_this()](const auto &ec) {
+            if (!ec && !self->m_lifetime.expired() && !self->m_hasEnded)
+                self->write(self->m_peer.m_answer.piece(self->m_pieces++));
+        });
+    }
+
+    void end()
+    {
+        if (std::exchange(m_hasEnded, true))
+            return;
+        --m_peer.m_openConnectionCount;
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    FakeEndlessPeer &m_peer;
+    std::weak_ptr<int> m_lifetime;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::array<char, 4096> m_buf{};
+    std::string m_sending;
+    std::uint64_t m_pieces{0};
+    bool m_hasEnded{false};
+};
+
+FakeEndlessPeer::FakeEndlessPeer(boost::asio::io_context &context, EndlessAnswer answer)
+    : m_context(context), m_answer(std::move(answer)),
+      m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+{
+    accept();
+}
+
+FakeEndlessPeer::~FakeEndlessPeer() = default;
+
+std::string FakeEndlessPeer::address() const
+{
+    return absl::StrCat("127.0.0.1:", endpoint().port());
+}
+
+void FakeEndlessPeer::accept()
+{
+    m_acceptor.async_accept([this, lifetime = std::weak_ptr<int>(m_lifetime)](const auto &ec, auto socket) {
+        if (ec || lifetime.expired())
+            return;
+        ++m_connectionCount;
+        ++m_openConnectionCount;
+        std::make_shared<Connection>(*this, std::move(socket))->start();
+        accept();
+    });
+}
+
+} // namespace Wisteria
