LibNet: Don't allocate the length that an answer announces

What callers would see: a target, store or router that answers with a Content-Length beyond any memory ends the process: std::bad_alloc is thrown out of the event loop, and every open request of the router is cut.

Cause: the body of Beast's parser, string_body, reserves the announced length before a byte of it has come.

ReceivedBody holds only what has arrived; the limits of the callers on collected bytes apply as before.

Evidence: hugeAnnouncedLengthAllocatesNothing failed before with "uncaught exception ... std::bad_alloc".

--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -7,6 +7,7 @@
 #include <LibCore/Error.h>
 #include <LibNet/FramingLimit.h>
 #include <LibNet/HttpMessage.h>
+#include <LibNet/ReceivedBody.h>
 #include <LibNet/Socket.h>
 
 #include <boost/asio/io_context.hpp>
@@ -77,7 +78,7 @@
 
 private:
     enum class State { Unconnected, Connecting, Waiting, Idle, Closed };
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
     void resetParser();
     void connect(absl::Duration timeout);
--- a/Tests/LibNet/TestEndlessAnswers.cpp
+++ b/Tests/LibNet/TestEndlessAnswers.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(oneTrailerWithoutEndIsBad);
     CPPUNIT_TEST(bodyWithoutLengthIsBoundedBySize);
     CPPUNIT_TEST(chunksWithoutEndAreBoundedBySize);
+    CPPUNIT_TEST(hugeAnnouncedLengthAllocatesNothing);
     CPPUNIT_TEST(slowAnswerIsBoundedByTheCallsTimeout);
     CPPUNIT_TEST(smallChunksOfALongAnswerAreDelivered);
     CPPUNIT_TEST_SUITE_END();
@@ -75,6 +76,13 @@
         assertBad({detail::chunkedHead, repeated("4\r\nabcd\r\n")}, 3 * maxBodyBytes + detail::maxReadBytes);
     }
 
+    // The announced length is more than any memory.
+    void hugeAnnouncedLengthAllocatesNothing()
+    {
+        assertBad({"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\n", repeated("abcd")},
+                  maxBodyBytes + detail::maxReadBytes);
+    }
+
     // No single read is late, so that only the time of the whole call can end it.
     void slowAnswerIsBoundedByTheCallsTimeout()
     {
