Gateway: Take a rejection from its head, and wait for no more of it

What callers would see: a target that rejects a non-idempotent request as not executed, with a body that has no end, costs the caller the request. A fast body gives 502 (too long, counted as a lost answer), a slow one 504 at the deadline, though another target could have run the request.

Cause: TargetAttempt acted on a rejection only when its answer had ended or its connection was lost. A body over the limit took the path of an attempt that may have run.

Now the head of a rejection ends the attempt. HttpClientConnection::discardRest() keeps the connection when the answer ends within the bytes that have been read, as short rejections do, and closes it otherwise.

FakeEndlessPeer moves to Tests/Support, since the tests of two folders use it.

--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -34,7 +34,18 @@
         fail(TargetFault::InvalidResponse);
         return;
     }
-    m_isStream = m_responseClass == ResponseClass::Executed && m_dialect.isEventStream(head);
+    if (m_responseClass != ResponseClass::Executed) {
+        // The head of a rejection is authoritative. Its body may be slow or have no end.
+        m_connection->discardRest();
+        auto *listener = takeListener();
+        if (listener)
+            listener->attemptNotRun(m_responseClass == ResponseClass::RejectedReplaced
+                                        ? TargetFault::Gone
+                                        : TargetFault::InvalidResponse,
+                                    true);
+        return;
+    }
+    m_isStream = m_dialect.isEventStream(head);
     if (m_isStream && m_listener)
         m_listener->streamOpened(head);
 }
@@ -87,10 +98,6 @@
         return;
     if (m_isStream)
         listener->streamEnded();
-    else if (m_responseClass == ResponseClass::RejectedReplaced)
-        listener->attemptNotRun(TargetFault::Gone, true);
-    else if (m_responseClass == ResponseClass::RejectedFull)
-        listener->attemptNotRun(TargetFault::InvalidResponse, true);
     else
         listener->responseReceived(std::move(m_response));
 }
@@ -100,12 +107,7 @@
     auto *listener = takeListener();
     if (!listener)
         return;
-    // A rejection in the response head is authoritative even if the body is lost.
-    if (m_responseClass == ResponseClass::RejectedReplaced)
-        listener->attemptNotRun(TargetFault::Gone, true);
-    else if (m_responseClass == ResponseClass::RejectedFull)
-        listener->attemptNotRun(TargetFault::InvalidResponse, true);
-    else if (failure == HttpFailure::Refused)
+    if (failure == HttpFailure::Refused)
         listener->attemptNotRun(TargetFault::Gone, false);
     else if (failure == HttpFailure::NotConnected)
         listener->attemptNotRun(TargetFault::Unreachable, false);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -63,6 +63,7 @@
     m_listener = std::move(listener);
     m_sending = std::move(bytes);
     m_headTaken = false;
+    m_discardsRest = false;
     m_framingLimit = {};
     resetParser();
     if (m_state == State::Idle) {
@@ -185,6 +186,8 @@
         if (used == 0)
             break;
     }
+    if (m_state == State::Waiting && m_discardsRest)
+        close();
     return m_state != State::Closed;
 }
 
@@ -239,6 +242,12 @@
     close();
 }
 
+void HttpClientConnection::discardRest()
+{
+    m_listener.reset();
+    m_discardsRest = true;
+}
+
 void HttpClientConnection::fail(HttpFailure failure)
 {
     const auto listener = takeListener();
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -65,6 +65,9 @@
     void send(std::string bytes, std::weak_ptr<HttpAnswerListener>, absl::Duration connectTimeout);
     // Ends the running request by closing the connection.
     void cancel();
+    // Ends the running request from within a call of its listener. The connection is kept if the answer ends
+    // within the bytes that have been read, and closed otherwise.
+    void discardRest();
 
     // The connection can take another request.
     [[nodiscard]] bool isReusable() const { return m_state == State::Idle; }
@@ -106,6 +109,7 @@
     std::string m_sending;
     bool m_isWriting{false};
     bool m_headTaken{false};
+    bool m_discardsRest{false};
     std::optional<Parser> m_parser;
     FramingLimit m_framingLimit;
     // Bytes that the parser needs to see again with more.
--- a/Tests/LibNet/TestEndlessAnswers.cpp
+++ b/Tests/LibNet/TestEndlessAnswers.cpp
@@ -1,6 +1,6 @@
 // Answers that never end: what the client reads before it closes the connection.
 
-#include "FakeEndlessPeer.h"
+#include <Support/FakeEndlessPeer.h>
 
 #include <LibNet/HttpClient.h>
 #include <LibPlatform/MonotonicClock.h>
--- a/Tests/LibNet/FakeEndlessPeer.cpp
+++ b/Tests/Support/FakeEndlessPeer.h
@@ -1,16 +1,63 @@
-// Accepts, reads the request and writes without end.
+// A server on loopback that answers each connection with a fixed beginning and then one piece over and over,
+// until the other side closes.
 
-#include "FakeEndlessPeer.h"
+#pragma once
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <absl/strings/str_cat.h>
 
 #include <array>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
 
 namespace Wisteria {
 
+// What the peer sends.
+struct EndlessAnswer
+{
+    std::string start;
+    // Returns the n-th piece after the beginning.
+    std::function<std::string(std::uint64_t n)> piece;
+    // Pause between two pieces. Without one the peer writes as fast as the connection takes it.
+    std::chrono::milliseconds interval{0};
+};
+
+class FakeEndlessPeer
+{
+public:
+    FakeEndlessPeer(boost::asio::io_context &, EndlessAnswer);
+    ~FakeEndlessPeer();
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    [[nodiscard]] std::string address() const;
+    [[nodiscard]] int connectionCount() const { return m_connectionCount; }
+    [[nodiscard]] int openConnectionCount() const { return m_openConnectionCount; }
+    // Bytes that the kernel has taken, on all connections.
+    [[nodiscard]] std::size_t sentBytes() const { return m_sentBytes; }
+
+private:
+    class Connection;
+
+    void accept();
+
+    boost::asio::io_context &m_context;
+    EndlessAnswer m_answer;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    int m_connectionCount{0};
+    int m_openConnectionCount{0};
+    std::size_t m_sentBytes{0};
+    // Expires with the peer.
+    std::shared_ptr<int> m_lifetime{std::make_shared<int>()};
+};
+
 class FakeEndlessPeer::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
@@ -99,21 +146,21 @@
     bool m_hasEnded{false};
 };
 
-FakeEndlessPeer::FakeEndlessPeer(boost::asio::io_context &context, EndlessAnswer answer)
+inline FakeEndlessPeer::FakeEndlessPeer(boost::asio::io_context &context, EndlessAnswer answer)
     : m_context(context), m_answer(std::move(answer)),
       m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
 {
     accept();
 }
 
-FakeEndlessPeer::~FakeEndlessPeer() = default;
+inline FakeEndlessPeer::~FakeEndlessPeer() = default;
 
-std::string FakeEndlessPeer::address() const
+inline std::string FakeEndlessPeer::address() const
 {
     return absl::StrCat("127.0.0.1:", endpoint().port());
 }
 
-void FakeEndlessPeer::accept()
+inline void FakeEndlessPeer::accept()
 {
     m_acceptor.async_accept([this, lifetime = std::weak_ptr<int>(m_lifetime)](const auto &ec, auto socket) {
         if (ec || lifetime.expired())
