--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -5,7 +5,9 @@
 
 #include <LibCore/Address.h>
 #include <LibCore/Error.h>
+#include <LibNet/FramingLimit.h>
 #include <LibNet/HttpMessage.h>
+#include <LibNet/ReceivedBody.h>
 #include <LibNet/Socket.h>
 
 #include <boost/asio/io_context.hpp>
@@ -31,7 +33,7 @@
     Refused,
     // Closed or reset after the request may have been read.
     ConnectionLost,
-    // The bytes that came are no answer.
+    // The bytes that came are no answer, or more of them than any answer has.
     BadAnswer,
     // Nothing complete came in time; only for calls with a timeout.
     Timeout,
@@ -63,6 +65,9 @@
     void send(std::string bytes, std::weak_ptr<HttpAnswerListener>, absl::Duration connectTimeout);
     // Ends the running request by closing the connection.
     void cancel();
+    // Ends the running request from within a call of its listener. The connection is kept if the answer ends
+    // within the bytes that have been read, and closed otherwise.
+    void discardRest();
 
     // The connection can take another request.
     [[nodiscard]] bool isReusable() const { return m_state == State::Idle; }
@@ -76,8 +81,9 @@
 
 private:
     enum class State { Unconnected, Connecting, Waiting, Idle, Closed };
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
+    void resetParser();
     void connect(absl::Duration timeout);
     void startWriting();
     void read();
@@ -89,6 +95,8 @@
     void takeBody();
     void endAnswer();
     void fail(HttpFailure);
+    // Fails because of the bytes that came.
+    void failBadAnswer(std::string_view reason);
     void close();
     std::shared_ptr<HttpAnswerListener> takeListener();
 
@@ -101,7 +109,9 @@
     std::string m_sending;
     bool m_isWriting{false};
     bool m_headTaken{false};
+    bool m_discardsRest{false};
     std::optional<Parser> m_parser;
+    FramingLimit m_framingLimit;
     // Bytes that the parser needs to see again with more.
     std::string m_unparsed;
     std::array<char, readBufferBytes> m_buf;
