Soak: Let callers stay with routers that stop

Callers of the soak left a router as soon as it was not among the entry points, so that hardly a request reached a router during its stop. A third of the calls now go to routers that stop, on kept connections as long as these are open and on new ones until the router is gone; while none stops, to any router. The promise "a planned stop cuts nothing" is as strict as before.

--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -113,7 +113,7 @@
         return;
     if (now - m_entryPointsAt > detail::entryPointLifetime)
         refreshEntryPoints();
-    if (auto *router = drawEntryPoint()) {
+    if (auto *router = drawRouter()) {
         constexpr int kinds = 4;
         const auto drawn = m_world.random().below(kinds);
         const auto &revoked = m_world.revokedKey();
@@ -139,6 +139,26 @@
     }
 }
 
+SoakRouter *SoakCaller::drawRouter()
+{
+    // Some callers stay with a router that has left the entry points: they use their connections until these
+    // close, and then open others until it is gone.
+    constexpr int callersPerStayingOne = 3;
+    if (m_world.random().below(callersPerStayingOne) != 0)
+        return drawEntryPoint();
+    auto &routers = m_world.routers();
+    const auto first = m_world.random().below(routers.size());
+    SoakRouter *running = nullptr;
+    for (std::size_t n = 0; n < routers.size(); ++n) {
+        auto &it = routers[(first + n) % routers.size()];
+        if (it.isStopping())
+            return &it;
+        if (!running && it.process->isRunning())
+            running = &it;
+    }
+    return running;
+}
+
 SoakRouter *SoakCaller::drawEntryPoint()
 {
     if (m_entryPoints.empty())
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -35,6 +35,8 @@
     void callNext(absl::Time until);
     void refreshEntryPoints();
     void call(SoakRouter &, SoakCallKind, const std::string &key, Ended);
+    // Null when callers know of none.
+    [[nodiscard]] SoakRouter *drawRouter();
     [[nodiscard]] SoakRouter *drawEntryPoint();
     [[nodiscard]] HttpPool &poolOf(const std::string &address);
 
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -45,6 +45,8 @@
     bool isDisturbed{false};
     // The end of the process is wanted.
     bool isEndWanted{false};
+
+    [[nodiscard]] bool isStopping() const { return isEndWanted && process->isRunning(); }
 };
 
 struct SoakEngine
