Soak: Draw frozen engines and answers without end

An engine may be silent for about a second and go on: its link holds the bytes of both directions and accepts nothing for 0.6 to 1.6 s, and then all goes on. It is no disturbance, so that an answer that ends because of it breaks "a planned stop cuts nothing".

Engines and the store can answer with a head or a body that has no end, until the router closes or the fault ends.

There is no proxy for datagrams between routers.

--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -1,4 +1,4 @@
-// Drawing and performing the faults.
+// Drawing the faults, and performing those of routers, engines and the store.
 
 #include "FaultPlan.h"
 
@@ -30,6 +30,13 @@
         {"engine full", [this] { return setEngineMode(FakeEngineMode::Overloaded); }},
         {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Crashing); }},
         {"engine silent", [this] { return setEngineMode(FakeEngineMode::Stalled); }},
+        {"engine frozen and goes on", [this] { return freezeEngine(); }},
+        {"engine answers with a head without end", [this] { return harmEngineLink(LinkFault::EndlessHead); }},
+        {"engine answers with a body without end", [this] { return harmEngineLink(LinkFault::EndlessBody); }},
+        {"store answers with a head without end",
+         [this, store] { return harmRouterLink(store, LinkFault::EndlessHead); }},
+        {"store answers with a body without end",
+         [this, store] { return harmRouterLink(store, LinkFault::EndlessBody); }},
         {"engine link cut", [this] { return harmEngineLink(LinkFault::Cut); }},
         {"engine link cut one way", [this] { return harmEngineLink(LinkFault::CutToServer); }},
         {"engine link delayed", [this] { return harmEngineLink(LinkFault::Delayed); }},
@@ -198,57 +205,6 @@
     return true;
 }
 
-bool FaultPlan::harmEngineLink(LinkFault fault)
-{
-    auto *engine = drawEngine();
-    if (!engine)
-        return false;
-    engine->isDisturbed = true;
-    engine->link->setFault(fault);
-    m_world.after(m_world.drawn(shortestFault, longestFault),
-                  [engine, end = m_world.disturb(DisturbanceKind::Engine, engine->engine->id())] {
-                      engine->link->setFault(LinkFault::None);
-                      engine->isDisturbed = false;
-                      end();
-                  });
-    return true;
-}
-
-bool FaultPlan::harmRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link, LinkFault fault)
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    auto *proxy = (router->*link).get();
-    proxy->setFault(fault);
-    m_world.after(m_world.drawn(shortestFault, longestFault),
-                  [proxy, end = m_world.disturb(DisturbanceKind::Router, router->process->place().id)] {
-                      proxy->setFault(LinkFault::None);
-                      end();
-                  });
-    return true;
-}
-
-bool FaultPlan::silenceRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link)
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    (router->*link)->silenceAll();
-    m_world.disturb(DisturbanceKind::Router, router->process->place().id)();
-    return true;
-}
-
-bool FaultPlan::resetRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link)
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    (router->*link)->resetAll();
-    m_world.disturb(DisturbanceKind::Router, router->process->place().id)();
-    return true;
-}
-
 bool FaultPlan::harmStore(FakeStoreMode mode)
 {
     if (std::exchange(m_isStoreHarmed, true))
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -22,6 +22,10 @@
     static constexpr absl::Duration shortestFault = absl::Milliseconds(300);
     static constexpr absl::Duration longestFault = absl::Milliseconds(3500);
 
+    // For how long a sound engine may be silent and go on.
+    static constexpr absl::Duration shortestSilence = absl::Milliseconds(600);
+    static constexpr absl::Duration longestSilence = absl::Milliseconds(1600);
+
     explicit FaultPlan(SoakWorld &);
 
     // Begins faults until the time has passed; those that run then still end.
@@ -52,6 +56,8 @@
     bool releaseEngine();
     bool setEngineMode(FakeEngineMode);
     bool harmEngineLink(LinkFault);
+    // No disturbance: answers must go on after it.
+    bool freezeEngine();
     bool harmRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link, LinkFault);
     bool silenceRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link);
     bool resetRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link);
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -27,6 +27,8 @@
     Pipe up;
     Pipe down;
     bool isSilent{false};
+    // The proxy answers instead of the server.
+    bool isAnswered{false};
 };
 
 FaultProxy::FaultProxy(boost::asio::io_context &context, const std::string &listenAddress,
@@ -45,7 +47,16 @@
 
 void FaultProxy::setFault(LinkFault fault)
 {
-    m_fault = fault;
+    const bool wasFrozen = std::exchange(m_fault, fault) == LinkFault::Frozen;
+    if (fault == LinkFault::Frozen && !wasFrozen)
+        stopAccepting();
+    if (wasFrozen && fault != LinkFault::Frozen) {
+        m_fillers.clear();
+        boost::system::error_code ec;
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+        VERIFY(!ec);
+        accept();
+    }
     for (const auto &pair : m_pairs) {
         for (auto *pipe : {&pair->up, &pair->down}) {
             if (pipe->isHeld && !holdsBack(*pipe) && !pair->isSilent) {
@@ -89,9 +100,55 @@
     });
 }
 
+void FaultProxy::stopAccepting()
+{
+    boost::system::error_code ec;
+    m_acceptor.cancel(ec);
+    VERIFY(!ec);
+    m_acceptor.listen(shortQueue, ec);
+    VERIFY(!ec);
+    for (int n = 0; n < fillers; ++n) {
+        auto &filler = m_fillers.emplace_back(m_context);
+        // Fails when the fault ends first.
+        filler.async_connect(m_acceptor.local_endpoint(), [](const auto &) {});
+    }
+}
+
+bool FaultProxy::isEndless() const
+{
+    return m_fault == LinkFault::EndlessHead || m_fault == LinkFault::EndlessBody;
+}
+
+void FaultProxy::beginEndless(const std::shared_ptr<Pair> &pair)
+{
+    pair->isAnswered = true;
+    const bool isHead = m_fault == LinkFault::EndlessHead;
+    auto head = std::make_shared<const std::string>(
+        isHead ? "HTTP/1.1 200 OK\r\nX-Padding: " : "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n");
+    boost::asio::async_write(
+        pair->caller, boost::asio::buffer(*head), [this, pair, head](const auto &ec, std::size_t) {
+            if (ec)
+                close(pair);
+            else
+                writeEndless(pair, std::make_shared<const std::string>(endlessChunkBytes, 'x'));
+        });
+}
+
+void FaultProxy::writeEndless(const std::shared_ptr<Pair> &pair, std::shared_ptr<const std::string> chunk)
+{
+    boost::asio::async_write(pair->caller, boost::asio::buffer(*chunk),
+                             [this, pair, chunk](const auto &ec, std::size_t) {
+                                 if (ec || !isEndless())
+                                     close(pair);
+                                 else
+                                     writeEndless(pair, chunk);
+                             });
+}
+
 bool FaultProxy::holdsBack(const Pipe &pipe) const
 {
-    return m_fault == LinkFault::Cut || (m_fault == LinkFault::CutToServer && pipe.isToServer);
+    return m_fault == LinkFault::Cut || m_fault == LinkFault::Frozen
+        || (m_fault == LinkFault::CutToServer && pipe.isToServer);
 }
 
 void FaultProxy::read(const std::shared_ptr<Pair> &pair, Pipe &pipe)
@@ -120,6 +177,13 @@
             close(pair);
             return;
         }
+        if (pipe.isToServer && isEndless() && !pair->isAnswered)
+            beginEndless(pair);
+        if (pair->isAnswered) {
+            // What the server says to earlier requests is dropped.
+            read(pair, pipe);
+            return;
+        }
         if (m_fault != LinkFault::Delayed) {
             pass(pair, pipe, n);
             return;
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -1,4 +1,5 @@
-// A TCP proxy on loopback that delays, resets, silences or cuts the connections through it.
+// A TCP proxy on loopback that delays, resets, silences, freezes or cuts the connections through it, or
+// answers without end.
 
 #pragma once
 
@@ -11,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Wisteria {
 
@@ -22,11 +24,21 @@
     CutToServer,
     // Each read waits before it is passed on.
     Delayed,
+    // As `Cut`, and connections are not accepted: the peer is frozen. All goes on when the fault ends.
+    Frozen,
+    // Each request is answered with a head that has no end, until the caller closes.
+    EndlessHead,
+    // The same with a body.
+    EndlessBody,
 };
 
 class FaultProxy
 {
 public:
+    // The kernel holds one more than the length of the queue.
+    static constexpr int shortQueue = 0;
+    static constexpr int fillers = 2;
+    static constexpr std::size_t endlessChunkBytes = 16384;
     // Of a delayed link, a read. Source: above the links of the users' sheets, below the routers' limits.
     static constexpr std::chrono::milliseconds delay{60};
 
@@ -53,6 +65,12 @@
     };
 
     void accept();
+    // Fills the queue of connections that wait to be accepted, so that further ones get no answer.
+    void stopAccepting();
+    [[nodiscard]] bool isEndless() const;
+    // Answers instead of the server.
+    void beginEndless(const std::shared_ptr<Pair> &);
+    void writeEndless(const std::shared_ptr<Pair> &, std::shared_ptr<const std::string>);
     void read(const std::shared_ptr<Pair> &, Pipe &);
     void pass(const std::shared_ptr<Pair> &, Pipe &, std::size_t n);
     [[nodiscard]] bool holdsBack(const Pipe &) const;
@@ -63,6 +81,8 @@
     boost::asio::ip::tcp::endpoint m_server;
     LinkFault m_fault{LinkFault::None};
     std::set<std::shared_ptr<Pair>> m_pairs;
+    // Connections of this proxy to itself while it accepts none.
+    std::vector<boost::asio::ip::tcp::socket> m_fillers;
 };
 
 } // namespace Wisteria
