Soak: Draw signals and changes in series, and seeds with planned work only

Stops of several routers overlap; a router that stops gets SIGTERM and SIGHUP again; the configuration changes right when a router stops; reloads and changes follow each other with pauses of 5 to 400 ms.

Each third seed draws planned work and frozen engines only.

Planned work moves to a file of its own.

--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -1,4 +1,4 @@
-// Drawing the faults, and performing those of routers, engines and the store.
+// Drawing the faults, and performing those that nobody plans.
 
 #include "FaultPlan.h"
 
@@ -21,8 +21,14 @@
              return router != nullptr;
          }},
         {"router paused", [this] { return pauseRouter(); }},
-        {"router stopped", [this] { return stopRouter(); }},
-        {"router reloaded", [this] { return reloadRouter(); }},
+        {"router stopped", [this] { return stopRouter(); }, true},
+        {"router reloaded", [this] { return reloadRouter(); }, true},
+        {"routers stopped at once", [this] { return stopSeveralRouters(); }, true},
+        {"router stopped with more signals", [this] { return stopRouterWithMoreSignals(); }, true},
+        {"router stopped beside a change", [this] { return stopRouterAndChangeConfiguration(); }, true},
+        {"reloads and changes in series",
+         [this] { return reloadInSeries(2 + static_cast<int>(m_world.random().below(longestSeries))); },
+         true},
         {"engine crashed", [this] { return crashEngine(); }},
         {"engine dark", [this] { return darkenEngine(); }},
         {"domain lost", [this] { return loseDomain(); }},
@@ -30,7 +36,7 @@
         {"engine full", [this] { return setEngineMode(FakeEngineMode::Overloaded); }},
         {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Crashing); }},
         {"engine silent", [this] { return setEngineMode(FakeEngineMode::Stalled); }},
-        {"engine frozen and goes on", [this] { return freezeEngine(); }},
+        {"engine frozen and goes on", [this] { return freezeEngine(); }, true},
         {"engine answers with a head without end", [this] { return harmEngineLink(LinkFault::EndlessHead); }},
         {"engine answers with a body without end", [this] { return harmEngineLink(LinkFault::EndlessBody); }},
         {"store answers with a head without end",
@@ -51,8 +57,12 @@
         {"store mute", [this] { return harmStore(FakeStoreMode::Unresponsive); }},
         {"store history dropped", [this] { return dropHistory(); }},
         {"store restored from a copy", [this] { return restoreStore(); }},
-        {"configuration changed", [this] { return changeConfiguration(); }},
+        {"configuration changed", [this] { return changeConfiguration(); }, true},
     };
+    // Faults of all kinds leave no time in which only planned work goes on.
+    constexpr std::uint64_t seedsPerPlannedOne = 3;
+    if (m_world.options().seed % seedsPerPlannedOne == 0)
+        std::erase_if(m_faults, [](const Fault &it) { return !it.isPlanned; });
 }
 
 void FaultPlan::run(absl::Duration length)
@@ -115,30 +125,6 @@
     return true;
 }
 
-bool FaultPlan::stopRouter()
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    router->isDisturbed = true;
-    router->isEndWanted = true;
-    // Ends with the grace at the latest.
-    constexpr absl::Duration grace = absl::Seconds(8);
-    m_world.after(grace, m_world.disturb(DisturbanceKind::PlannedStop, router->process->place().id));
-    router->process->signal(SIGTERM);
-    return true;
-}
-
-bool FaultPlan::reloadRouter()
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    router->process->writeSettings(1 + m_world.random().fraction());
-    router->process->signal(SIGHUP);
-    return true;
-}
-
 bool FaultPlan::crashEngine()
 {
     auto *engine = drawEngine();
@@ -242,10 +228,4 @@
     return true;
 }
 
-bool FaultPlan::changeConfiguration()
-{
-    m_world.rotateKeys();
-    return true;
-}
-
 } // namespace Wisteria
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -22,6 +22,11 @@
     static constexpr absl::Duration shortestFault = absl::Milliseconds(300);
     static constexpr absl::Duration longestFault = absl::Milliseconds(3500);
 
+    // Reloads and changes of a series, beyond the first two.
+    static constexpr std::uint64_t longestSeries = 5;
+    // Between the signals and changes of a series.
+    static constexpr absl::Duration leastSeriesPause = absl::Milliseconds(5);
+    static constexpr absl::Duration longestSeriesPause = absl::Milliseconds(400);
     // For how long a sound engine may be silent and go on.
     static constexpr absl::Duration shortestSilence = absl::Milliseconds(600);
     static constexpr absl::Duration longestSilence = absl::Milliseconds(1600);
@@ -41,6 +46,8 @@
         std::string name;
         // False when nothing was left to disturb.
         std::function<bool()> begin;
+        // Planned work, or what must go unnoticed.
+        bool isPlanned{false};
     };
 
     void beginNext(absl::Time until);
@@ -50,6 +57,15 @@
     bool pauseRouter();
     bool stopRouter();
     bool reloadRouter();
+    // Stops of several routers that overlap.
+    bool stopSeveralRouters();
+    // SIGTERM again and SIGHUP while the router stops.
+    bool stopRouterWithMoreSignals();
+    bool stopRouterAndChangeConfiguration();
+    // SIGHUP and changes of the configuration with short pauses.
+    bool reloadInSeries(int left);
+    // Null when it is disturbed or down.
+    SoakRouter *beginStop();
     bool crashEngine();
     bool darkenEngine();
     bool loseDomain();
