Tests: Let stand-in engines leave and ask for a pause

An engine can be set to carry Server-Leaving in all its answers while it goes on serving: plain answers, heads of streams, rejections, answers to copy requests. Its rejections in mode Overloaded can carry Retry-After.

--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -249,13 +249,25 @@
 {
     const auto json = nlohmann::json::parse(body);
     if (!m_running.contains(json["id"].get<std::string>())) {
-        connection->respond(makeResponse(404, "application/json", "{}"));
+        respond(connection, makeResponse(404, "application/json", "{}"));
         return;
     }
     const auto handle = absl::StrCat("h", ++m_engineState.lastHandle);
     m_engineState.copies.insert(m_publishedAddress + "/" + handle);
-    connection->respond(
-        makeResponse(200, "application/json", nlohmann::json{{"handle", handle}, {"created", 1}}.dump()));
+    respond(connection,
+            makeResponse(200, "application/json", nlohmann::json{{"handle", handle}, {"created", 1}}.dump()));
+}
+
+void FakeEngine::setCommonFields(HttpResponseHead &head) const
+{
+    if (m_isLeaving)
+        head.fields.set("Server-Leaving", "1");
+}
+
+void FakeEngine::respond(const std::shared_ptr<HttpServerConnection> &connection, HttpResponse response)
+{
+    setCommonFields(response.head);
+    connection->respond(response);
 }
 
 void FakeEngine::handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request)
@@ -271,7 +283,7 @@
     response.head.fields.set("Request-Id", requestId);
     if (fieldValue(request, "Expect-Instance") != m_id) {
         response.head.status = 421;
-        connection->respond(response);
+        respond(connection, std::move(response));
         return;
     }
     if (m_engineState.onRequest)
@@ -281,7 +293,11 @@
     if (m_mode == FakeEngineMode::Overloaded || isCopyMissing) {
         response.head.status = 503;
         response.head.fields.set("Not-Executed", "1");
-        connection->respond(response);
+        if (m_retryAfter && m_mode == FakeEngineMode::Overloaded) {
+            const std::chrono::duration<double> seconds = *m_retryAfter;
+            response.head.fields.set("Retry-After", absl::StrCat(seconds.count()));
+        }
+        respond(connection, std::move(response));
         return;
     }
     response.head.fields.set("Engine-Seal", "seal");
@@ -299,10 +315,11 @@
         if (m_mode == FakeEngineMode::Crashing)
             connection->abort();
         else if (m_mode != FakeEngineMode::Stalled)
-            connection->respond(response);
+            respond(connection, std::move(response));
         return;
     }
     response.head.fields.set("Content-Type", "text/event-stream");
+    setCommonFields(response.head);
     connection->openStream(response.head);
     m_running.insert(requestId);
     sendEventsFrom(connection,
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -9,9 +9,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -154,10 +156,18 @@
     // Aborts all streams, drops the copies held here and continues with the new id.
     void restart(const std::string &id);
     void setMode(FakeEngineMode mode) { m_mode = mode; }
+    // While set, all answers carry Server-Leaving. The engine goes on serving.
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    // Rejections in mode Overloaded carry this as Retry-After.
+    void setRetryAfter(std::optional<std::chrono::milliseconds> after) { m_retryAfter = after; }
+    // Counts all requests, also those that the engine rejects and control requests.
     [[nodiscard]] int requestCount() const { return m_requestCount; }
 
 private:
     void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) override;
+    void respond(const std::shared_ptr<HttpServerConnection> &, HttpResponse);
+    // Sets the header fields that all answers of the engine have.
+    void setCommonFields(HttpResponseHead &) const;
     void sendEventsFrom(const std::shared_ptr<HttpServerConnection> &, int event);
     // Handles /-/kv-move: records a copy of a running request's KV cache under a new handle.
     void copyRun(const std::shared_ptr<HttpServerConnection> &, const std::string &body);
@@ -173,6 +183,8 @@
     int m_restarts{0};
     std::set<std::string> m_running;
     FakeEngineMode m_mode{FakeEngineMode::Healthy};
+    bool m_isLeaving{false};
+    std::optional<std::chrono::milliseconds> m_retryAfter;
     int m_requestCount{0};
     std::unique_ptr<HttpServer> m_server;
 };
