Soak: Let engines say that they leave, and ask for a pause

An engine carries Server-Leaving in all its answers for some time before the store says that it drains; an engine rejects with Retry-After. Two promises from the users' rules: no request that a caller sent later than the bound of a change after a router had passed on such an answer reaches that engine from that router; at most two requests reach an engine from a router between half a second after the rejection and the end of its time. Restarts, pauses and cuts of the router excuse. Requests are matched to routers by their id, read on the links to the engines.

--- /dev/null
+++ b/Tests/Soak/EngineRequests.cpp
@@ -0,0 +1,52 @@
+// Faults of the plan in which engines say what they want of the routers.
+
+#include "FaultPlan.h"
+
+#include <LibPlatform/MonotonicClock.h>
+
+namespace Wisteria {
+
+bool FaultPlan::announceLeaving()
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    engine->isDisturbed = true;
+    engine->engine->setLeaving(true);
+    m_world.promises().signals().noteLeaving(engine->engine->id(), monotonicNow());
+    const absl::Duration serving = 3 * Promises::changeBound;
+    m_world.after(serving, [this, engine] {
+        m_world.publish(*engine, "draining");
+        m_world.noteLeaving(engine->engine->id());
+    });
+    m_world.after(serving + Promises::changeBound + absl::Seconds(2), [this, engine] {
+        engine->engine->setLeaving(false);
+        m_world.restartEngine(*engine);
+    });
+    return true;
+}
+
+bool FaultPlan::askForPause()
+{
+    auto *engine = drawEngine();
+    if (!engine)
+        return false;
+    constexpr std::uint64_t longestPauseS = 4;
+    const auto seconds = 1 + static_cast<int>(m_world.random().below(longestPauseS));
+    const auto id = engine->engine->id();
+    engine->isDisturbed = true;
+    engine->engine->setRetryAfter(std::chrono::seconds(seconds));
+    engine->engine->setMode(FakeEngineMode::Overloaded);
+    m_world.promises().signals().setPause(id, absl::Seconds(seconds));
+    m_world.after(absl::Seconds(seconds),
+                  [this, engine, id, end = m_world.disturb(DisturbanceKind::Engine, id)] {
+                      engine->engine->setMode(FakeEngineMode::Healthy);
+                      engine->engine->setRetryAfter(std::nullopt);
+                      m_world.promises().signals().setPause(id, std::nullopt);
+                      engine->isDisturbed = false;
+                      end();
+                  });
+    return true;
+}
+
+} // namespace Wisteria
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -33,6 +33,8 @@
         {"engine dark", [this] { return darkenEngine(); }},
         {"domain lost", [this] { return loseDomain(); }},
         {"engine released", [this] { return releaseEngine(); }},
+        {"engine says that it leaves", [this] { return announceLeaving(); }},
+        {"engine asks for a pause", [this] { return askForPause(); }},
         {"engine full", [this] { return setEngineMode(FakeEngineMode::Overloaded); }},
         {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Crashing); }},
         {"engine silent", [this] { return setEngineMode(FakeEngineMode::Stalled); }},
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -70,6 +70,9 @@
     bool darkenEngine();
     bool loseDomain();
     bool releaseEngine();
+    // The engine says that it leaves before the store does.
+    bool announceLeaving();
+    bool askForPause();
     bool setEngineMode(FakeEngineMode);
     bool harmEngineLink(LinkFault);
     // No disturbance: answers must go on after it.
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -199,6 +199,8 @@
 
 void FaultProxy::pass(const std::shared_ptr<Pair> &pair, Pipe &pipe, std::size_t n)
 {
+    if (pipe.isToServer && m_observer)
+        m_observer({pipe.buf.data(), n});
     boost::asio::async_write(*pipe.to, boost::asio::buffer(pipe.buf.data(), n),
                              [this, pair, &pipe](const auto &ec, std::size_t) {
                                  if (ec)
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -9,9 +9,11 @@
 
 #include <array>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Wisteria {
@@ -47,6 +49,8 @@
     ~FaultProxy();
 
     void setFault(LinkFault);
+    // Called with the bytes towards the server as they are passed on.
+    void setObserver(std::function<void(std::string_view)> observer) { m_observer = std::move(observer); }
     // Resets the open connections.
     void resetAll();
     // The open connections carry nothing more and are never closed; new ones work.
@@ -81,6 +85,7 @@
     boost::asio::ip::tcp::endpoint m_server;
     LinkFault m_fault{LinkFault::None};
     std::set<std::shared_ptr<Pair>> m_pairs;
+    std::function<void(std::string_view)> m_observer;
     // Connections of this proxy to itself while it accepts none.
     std::vector<boost::asio::ip::tcp::socket> m_fillers;
 };
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -46,6 +46,8 @@
 
 void Promises::judge(const SoakCall &call)
 {
+    if (call.isFromEngine)
+        m_signals.noteAnswered(call.id, call.endedAt);
     if (call.kind == SoakCallKind::Once)
         m_onceCalls.push_back(call.id);
     if (detail::isPromiseOfNotRun(call.status) && !call.isFromEngine) {
@@ -111,6 +113,17 @@
           absl::StrCat(engine, " ", absl::FormatDuration(now - leftAt), " after it left"));
 }
 
+void Promises::judgeArrival(const std::string &request, const std::string &engine, absl::Time now)
+{
+    using Verdict = EngineSignals::Verdict;
+    const auto it = m_signals.judgeArrival(request, engine, changeBound, now);
+    const auto details = absl::StrCat(request, " from ", it.router, " at ", engine);
+    if (it.leaving != Verdict::NotJudged)
+        check(it.leaving == Verdict::Kept, "targets that said they leave get nothing new", details);
+    if (it.pause != Verdict::NotJudged)
+        check(it.pause == Verdict::Kept, "targets that asked for a pause get it", details);
+}
+
 void Promises::judgeRecovered(const SoakCall &call)
 {
     judge(call);
--- a/Tests/Soak/Promises.h
+++ b/Tests/Soak/Promises.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Disturbances.h"
+#include "EngineSignals.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
@@ -52,7 +53,7 @@
     static constexpr absl::Duration contact = absl::Seconds(3);
 
     Promises(const FakeEngineState &fleet, const Disturbances &disturbances)
-        : m_fleet(fleet), m_disturbances(disturbances)
+        : m_fleet(fleet), m_disturbances(disturbances), m_signals(disturbances)
     {
     }
 
@@ -61,6 +62,9 @@
     void judgeRevoked(const SoakCall &, absl::Time revokedAt);
     // A request reached an engine that began to leave at the time.
     void judgeArrivalAtLeaving(const std::string &engine, absl::Time leftAt, absl::Time now);
+    // A caller's request reached an engine, possibly one that had asked for none.
+    void judgeArrival(const std::string &request, const std::string &engine, absl::Time now);
+    [[nodiscard]] EngineSignals &signals() { return m_signals; }
     // A call after all faults have ended.
     void judgeRecovered(const SoakCall &);
     void noteUnexpectedExit(const std::string &router, int exitCode);
@@ -79,6 +83,7 @@
 
     const FakeEngineState &m_fleet;
     const Disturbances &m_disturbances;
+    EngineSignals m_signals;
     // Calls that were told "not run".
     std::vector<std::string> m_refused;
     std::vector<std::string> m_onceCalls;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -216,6 +216,7 @@
     const auto *method = kind == SoakCallKind::Idempotent ? "GET" : "POST";
     const auto *body = kind == SoakCallKind::Idempotent ? "" : "body";
     ++m_open;
+    m_world.promises().signals().noteSent(call.id, call.router, monotonicNow());
     std::make_shared<detail::CallUnderWay>(m_context, std::move(call),
                                            [this, ended = std::move(ended)](const SoakCall &it) {
                                                --m_open;
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -49,6 +49,17 @@
             {"gapAimMs", 700}};
 }
 
+// The value of a field of a head that came in one piece; empty when there is none.
+std::string_view valueIn(std::string_view bytes, std::string_view field)
+{
+    const auto name = "\r\n" + std::string(field) + ": ";
+    const auto at = bytes.find(name);
+    if (at == std::string_view::npos)
+        return {};
+    bytes.remove_prefix(at + name.size());
+    return bytes.substr(0, bytes.find("\r\n"));
+}
+
 } // namespace detail
 
 SoakWorld::SoakWorld(boost::asio::io_context &context, const SoakOptions &options)
@@ -111,6 +122,12 @@
     const auto address = nextAddress();
     engine.link = std::make_unique<FaultProxy>(m_context, address, engine.engine->address());
     engine.engine->setPublishedAddress(address);
+    engine.link->setObserver([this, it = engine.engine.get()](std::string_view bytes) {
+        const auto request = detail::valueIn(bytes, "Request-Id");
+        // What is meant for another engine of the address is rejected there.
+        if (!request.empty() && detail::valueIn(bytes, "Expect-Instance") == it->id())
+            m_promises.judgeArrival(std::string(request), it->id(), monotonicNow());
+    });
     m_engines.push_back(std::move(engine));
     publish(m_engines.back(), "ready");
 }
