--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -15,6 +15,8 @@
 #include <filesystem>
 #include <iostream>
 
+#include <unistd.h>
+
 namespace Wisteria {
 
 namespace detail {
@@ -28,6 +30,22 @@
 // A planned stop lasts as long as the grace.
 constexpr std::chrono::seconds faultTail{9};
 
+// Of a run near the limits of the machine.
+constexpr int mostRouters = 40;
+constexpr double mostCallsPerSecond = 150;
+// A router may take this much, all of them half of the machine's memory.
+constexpr std::uint64_t bytesOfRouter = std::uint64_t{256} << 20U;
+// A long run draws one such seed among so many.
+constexpr int longRunSeeds = 10;
+
+int routersNearLimits()
+{
+    const auto memory = static_cast<std::uint64_t>(sysconf(_SC_PHYS_PAGES))
+        * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    const auto fitting = memory / 2 / bytesOfRouter;
+    return static_cast<int>(std::clamp<std::uint64_t>(fitting, 1, mostRouters));
+}
+
 struct SoakTotals
 {
     absl::btree_map<std::string, std::uint64_t> judged;
@@ -119,6 +137,7 @@
         "seconds", "length of the faults of each seed", cxxopts::value<double>()->default_value("15"))(
         "routers", "how many routers", cxxopts::value<int>()->default_value("4"))(
         "rate", "calls a second", cxxopts::value<double>()->default_value("30"))(
+        "near-limits", "as many routers as the machine bears, and more calls")(
         "folder", "for settings and logs of the routers",
         cxxopts::value<std::string>()->default_value("soak-logs"))("help", "this text");
     try {
@@ -139,6 +158,11 @@
             soak.routers = given["routers"].as<int>();
             soak.length = absl::Seconds(given["seconds"].as<double>());
             soak.callsPerSecond = given["rate"].as<double>();
+            const bool isDrawn = seeds >= detail::longRunSeeds && soak.seed % detail::longRunSeeds == 0;
+            if (isDrawn || given.count("near-limits") != 0) {
+                soak.routers = detail::routersNearLimits();
+                soak.callsPerSecond = detail::mostCallsPerSecond;
+            }
             std::filesystem::create_directories(soak.folder);
             const int violations = detail::runSeed(soak, totals);
             failed += violations > 0 ? 1 : 0;
