--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -1,4 +1,4 @@
-// Drawing and performing the faults.
+// Drawing the faults, and performing those that nobody plans.
 
 #include "FaultPlan.h"
 
@@ -21,15 +21,30 @@
              return router != nullptr;
          }},
         {"router paused", [this] { return pauseRouter(); }},
-        {"router stopped", [this] { return stopRouter(); }},
-        {"router reloaded", [this] { return reloadRouter(); }},
+        {"router stopped", [this] { return stopRouter(); }, true},
+        {"router reloaded", [this] { return reloadRouter(); }, true},
+        {"routers stopped at once", [this] { return stopSeveralRouters(); }, true},
+        {"router stopped with more signals", [this] { return stopRouterWithMoreSignals(); }, true},
+        {"router stopped beside a change", [this] { return stopRouterAndChangeConfiguration(); }, true},
+        {"reloads and changes in series",
+         [this] { return reloadInSeries(2 + static_cast<int>(m_world.random().below(longestSeries))); },
+         true},
         {"engine crashed", [this] { return crashEngine(); }},
         {"engine dark", [this] { return darkenEngine(); }},
         {"domain lost", [this] { return loseDomain(); }},
         {"engine released", [this] { return releaseEngine(); }},
+        {"engine says that it leaves", [this] { return announceLeaving(); }},
+        {"engine asks for a pause", [this] { return askForPause(); }},
         {"engine full", [this] { return setEngineMode(FakeEngineMode::Overloaded); }},
         {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Crashing); }},
         {"engine silent", [this] { return setEngineMode(FakeEngineMode::Stalled); }},
+        {"engine frozen and goes on", [this] { return freezeEngine(); }, true},
+        {"engine answers with a head without end", [this] { return harmEngineLink(LinkFault::EndlessHead); }},
+        {"engine answers with a body without end", [this] { return harmEngineLink(LinkFault::EndlessBody); }},
+        {"store answers with a head without end",
+         [this, store] { return harmRouterLink(store, LinkFault::EndlessHead); }},
+        {"store answers with a body without end",
+         [this, store] { return harmRouterLink(store, LinkFault::EndlessBody); }},
         {"engine link cut", [this] { return harmEngineLink(LinkFault::Cut); }},
         {"engine link cut one way", [this] { return harmEngineLink(LinkFault::CutToServer); }},
         {"engine link delayed", [this] { return harmEngineLink(LinkFault::Delayed); }},
@@ -44,8 +59,12 @@
         {"store mute", [this] { return harmStore(FakeStoreMode::Unresponsive); }},
         {"store history dropped", [this] { return dropHistory(); }},
         {"store restored from a copy", [this] { return restoreStore(); }},
-        {"configuration changed", [this] { return changeConfiguration(); }},
+        {"configuration changed", [this] { return changeConfiguration(); }, true},
     };
+    // Faults of all kinds leave no time in which only planned work goes on.
+    constexpr std::uint64_t seedsPerPlannedOne = 3;
+    if (m_world.options().seed % seedsPerPlannedOne == 0)
+        std::erase_if(m_faults, [](const Fault &it) { return !it.isPlanned; });
 }
 
 void FaultPlan::run(absl::Duration length)
@@ -108,30 +127,6 @@
     return true;
 }
 
-bool FaultPlan::stopRouter()
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    router->isDisturbed = true;
-    router->isEndWanted = true;
-    // Ends with the grace at the latest.
-    constexpr absl::Duration grace = absl::Seconds(8);
-    m_world.after(grace, m_world.disturb(DisturbanceKind::PlannedStop, router->process->place().id));
-    router->process->signal(SIGTERM);
-    return true;
-}
-
-bool FaultPlan::reloadRouter()
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    router->process->writeSettings(1 + m_world.random().fraction());
-    router->process->signal(SIGHUP);
-    return true;
-}
-
 bool FaultPlan::crashEngine()
 {
     auto *engine = drawEngine();
@@ -198,57 +193,6 @@
     return true;
 }
 
-bool FaultPlan::harmEngineLink(LinkFault fault)
-{
-    auto *engine = drawEngine();
-    if (!engine)
-        return false;
-    engine->isDisturbed = true;
-    engine->link->setFault(fault);
-    m_world.after(m_world.drawn(shortestFault, longestFault),
-                  [engine, end = m_world.disturb(DisturbanceKind::Engine, engine->engine->id())] {
-                      engine->link->setFault(LinkFault::None);
-                      engine->isDisturbed = false;
-                      end();
-                  });
-    return true;
-}
-
-bool FaultPlan::harmRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link, LinkFault fault)
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    auto *proxy = (router->*link).get();
-    proxy->setFault(fault);
-    m_world.after(m_world.drawn(shortestFault, longestFault),
-                  [proxy, end = m_world.disturb(DisturbanceKind::Router, router->process->place().id)] {
-                      proxy->setFault(LinkFault::None);
-                      end();
-                  });
-    return true;
-}
-
-bool FaultPlan::silenceRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link)
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    (router->*link)->silenceAll();
-    m_world.disturb(DisturbanceKind::Router, router->process->place().id)();
-    return true;
-}
-
-bool FaultPlan::resetRouterLink(std::unique_ptr<FaultProxy> SoakRouter::*link)
-{
-    auto *router = drawRouter();
-    if (!router)
-        return false;
-    (router->*link)->resetAll();
-    m_world.disturb(DisturbanceKind::Router, router->process->place().id)();
-    return true;
-}
-
 bool FaultPlan::harmStore(FakeStoreMode mode)
 {
     if (std::exchange(m_isStoreHarmed, true))
@@ -286,10 +230,4 @@
     return true;
 }
 
-bool FaultPlan::changeConfiguration()
-{
-    m_world.rotateKeys();
-    return true;
-}
-
 } // namespace Wisteria
