LibNet: Don't send a request on a connection that its peer has closed

A booking was sent on a kept connection whose end had arrived, but not been handled yet by the event loop; it can't be repeated, so its caller got 502. A request that may be repeated cost a retry of the budget.

HttpPool::take() looks at the socket before it hands out an idle connection.

Before, connectionThatItsPeerHasClosedIsNotReused failed (no second connection came).

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -15,6 +15,9 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cerrno>
+
+#include <sys/socket.h>
 
 namespace Wisteria {
 
@@ -236,6 +239,14 @@
         listener->answerEnded();
 }
 
+bool HttpClientConnection::hasUnexpectedInput() const
+{
+    char byte = 0;
+    // MSG_PEEK leaves the byte where it is. native_handle() is not const.
+    const auto fd = const_cast<boost::asio::ip::tcp::socket &>(m_socket).native_handle();
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpClientConnection::cancel()
 {
     m_listener.reset();
@@ -291,10 +302,12 @@
 std::shared_ptr<HttpClientConnection> HttpPool::take(absl::Time now)
 {
     dropOld(now);
-    if (!m_idle.empty()) {
+    while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back().connection);
         m_idle.pop_back();
-        return connection;
+        if (!connection->hasUnexpectedInput())
+            return connection;
+        connection->cancel();
     }
     auto connection = std::make_shared<HttpClientConnection>(m_context, m_endpoint, m_limits);
     connection->setIdleHandler([pool = weak_from_this()](const auto &it) {
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -71,6 +71,9 @@
 
     // The connection can take another request.
     [[nodiscard]] bool isReusable() const { return m_state == State::Idle; }
+    // The peer has closed the idle connection, or has sent bytes that belong to no request. The event loop
+    // may not have handled that yet.
+    [[nodiscard]] bool hasUnexpectedInput() const;
     // Called when an idle connection closes, or when the answer is complete and the connection is idle again.
     void setIdleHandler(std::function<void(const std::shared_ptr<HttpClientConnection> &)> handler)
     {
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
+    CPPUNIT_TEST(connectionThatItsPeerHasClosedIsNotReused);
     CPPUNIT_TEST(garbageAnswerIsBad);
     CPPUNIT_TEST(silentPeerTimesOut);
     CPPUNIT_TEST(refusedConnectIsTold);
@@ -308,6 +309,44 @@
         CPPUNIT_ASSERT(!m_connection->isReusable());
     }
 
+    // The end of the connection has arrived, but the event loop has not handled it yet. A request that may
+    // run only once can't be repeated after it was sent there.
+    void connectionThatItsPeerHasClosedIsNotReused()
+    {
+        boost::asio::ip::tcp::acceptor acceptor(*m_context, {boost::asio::ip::address_v4::loopback(), 0});
+        const auto pool = std::make_shared<HttpPool>(*m_context, acceptor.local_endpoint(), SocketLimits{});
+        HttpCallResult result = tl::unexpected(HttpFailure::Timeout);
+        int ended = 0;
+        const auto call = [&] {
+            callHttp(*m_context, pool->take(monotonicNow()), serializeRequest("GET", "/", {}, ""),
+                     absl::Milliseconds(500), 4096, [&](HttpCallResult answer) {
+                         result = std::move(answer);
+                         ++ended;
+                     });
+        };
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+        std::array<char, 4096> buf{};
+        call();
+        m_context->run_for(std::chrono::milliseconds(20));
+        auto first = acceptor.accept();
+        (void)first.read_some(boost::asio::buffer(buf));
+        boost::asio::write(first, boost::asio::buffer(answer));
+        m_context->run_for(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(ended == 1 && result && result->body == "1");
+
+        first.close();
+        call();
+        acceptor.non_blocking(true);
+        m_context->run_for(std::chrono::milliseconds(20));
+        boost::system::error_code ec;
+        auto second = acceptor.accept(ec);
+        CPPUNIT_ASSERT_MESSAGE(ec.message(), !ec);
+        (void)second.read_some(boost::asio::buffer(buf));
+        boost::asio::write(second, boost::asio::buffer(answer));
+        m_context->run_for(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(ended == 2 && result && result->body == "1");
+    }
+
     void garbageAnswerIsBad()
     {
         CPPUNIT_ASSERT(failureOf("nonsense\r\n\r\n", false) == HttpFailure::BadAnswer);
