--- a/Tests/Support/FakeEndlessPeer.h
+++ b/Tests/Support/FakeEndlessPeer.h
@@ -112,7 +112,7 @@
     {
         if (m_peer.m_answer.interval.count() == 0) {
             // Many pieces at once, as fast as the connection takes them.
-            constexpr std::size_t writeBytes = 64 * 1024;
+            constexpr std::size_t writeBytes = std::size_t{64} * 1024;
             std::string bytes;
             while (bytes.size() < writeBytes)
                 bytes += m_peer.m_answer.piece(m_pieces++);
