--- a/Tests/Platform/TestEndlessAnswersOfStore.cpp
+++ b/Tests/Platform/TestEndlessAnswersOfStore.cpp
@@ -14,6 +14,8 @@
 {
     CPPUNIT_TEST_SUITE(TestEndlessAnswersOfStore);
     CPPUNIT_TEST(slowWatchEndsAfterItsWaitAndTheCallsTimeout);
+    CPPUNIT_TEST(floodEndsAListEarly);
+    CPPUNIT_TEST(dripEndsAListAtItsTimeout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +39,29 @@
             CPPUNIT_ASSERT_EQUAL(0, peer.openConnectionCount());
         }
     }
+
+    void floodEndsAListEarly() { checkListsEnd(floodInterval); }
+    void dripEndsAListAtItsTimeout() { checkListsEnd(dripInterval); }
+
+private:
+    static void checkListsEnd(std::chrono::milliseconds interval)
+    {
+        constexpr absl::Duration callTimeout = absl::Milliseconds(400);
+        constexpr std::size_t maxSentBytes = std::size_t{32} << 20U;
+        boost::asio::io_context context(1);
+        for (const auto &answer : endlessAnswers("HTTP/1.1 200 OK\r\n", interval)) {
+            FakeEndlessPeer peer(context, answer);
+            const auto client =
+                std::move(*Platform::StoreClient::create(context, peer.address(), callTimeout));
+            bool isFailed = false;
+            client->list(DirectoryKind::Targets, ReadConsistency::Linearizable,
+                         [&](const auto &batch) { isFailed = !batch; });
+            context.run_for(absl::ToChronoMilliseconds(callTimeout + absl::Milliseconds(200)));
+            CPPUNIT_ASSERT_MESSAGE(answer.start, isFailed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.start, 0, peer.openConnectionCount());
+            CPPUNIT_ASSERT(peer.sentBytes() < maxSentBytes);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestEndlessAnswersOfStore);
--- a/Tests/Platform/TestEndlessAnswersOfTargets.cpp
+++ b/Tests/Platform/TestEndlessAnswersOfTargets.cpp
@@ -7,8 +7,6 @@
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <vector>
-
 namespace Wisteria {
 
 namespace detail {
@@ -17,28 +15,6 @@
 const std::string streamHead =
     "HTTP/1.1 200 OK\r\nEngine-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
 const std::string rejectedHead = "HTTP/1.1 503 Full\r\nNot-Executed: full\r\n\r\n";
-constexpr std::chrono::milliseconds dripInterval{100};
-constexpr std::chrono::milliseconds flood{0};
-
-std::function<std::string(std::uint64_t)> repeated(const std::string &text)
-{
-    return [text](std::uint64_t) { return text; };
-}
-
-// Beginnings and pieces of answers that have no end.
-std::vector<EndlessAnswer> endlessAnswers(std::chrono::milliseconds interval)
-{
-    const auto chunked = sealedHead + "Transfer-Encoding: chunked\r\n\r\n";
-    return {{"HTTP/1.1 200 ", repeated("OK"), interval},
-            {sealedHead, repeated("X-A: 1\r\n"), interval},
-            {sealedHead + "X-A: ", repeated("a"), interval},
-            {"", repeated("HTTP/1.1 102 Processing\r\n\r\n"), interval},
-            {chunked, repeated("0"), interval},
-            {chunked + "1;a=", repeated("b"), interval},
-            {chunked + "0\r\n", repeated("X-A: 1\r\n"), interval},
-            {chunked, repeated("4\r\nabcd\r\n"), interval},
-            {sealedHead + "\r\n", repeated("abcd"), interval}};
-}
 
 } // namespace detail
 
@@ -66,8 +42,8 @@
     void idempotentRequestIsRepeatedElsewhere()
     {
         int n = 0;
-        for (const auto interval : {detail::flood, detail::dripInterval}) {
-            for (const auto &answer : detail::endlessAnswers(interval)) {
+        for (const auto interval : {floodInterval, dripInterval}) {
+            for (const auto &answer : endlessAnswers(detail::sealedHead, interval)) {
                 replaceTargets({"app-0"}, answer);
                 for (int k = 0; k < 8 && m_peer->connectionCount() == 0; ++k) {
                     CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.start, 200,
@@ -82,7 +58,7 @@
     void atMostOnceRequestFailsAfterFlood()
     {
         int n = 0;
-        for (const auto &answer : detail::endlessAnswers(detail::flood)) {
+        for (const auto &answer : endlessAnswers(detail::sealedHead, floodInterval)) {
             replaceTargets({"app-0", "app-1"}, answer);
             const auto begin = monotonicNow();
             const auto response = call("POST", "/book/x", absl::StrCat("r", n++));
@@ -96,7 +72,7 @@
     // The target may have run it: there is no second attempt, and the deadline of 3 seconds ends the first.
     void atMostOnceRequestEndsAtItsDeadlineDuringDrip()
     {
-        replaceTargets({"app-0", "app-1"}, {"HTTP/1.1 200 ", detail::repeated("OK"), detail::dripInterval});
+        replaceTargets({"app-0", "app-1"}, {"HTTP/1.1 200 ", repeatedPiece("OK"), dripInterval});
         const auto begin = monotonicNow();
         const auto response = call("POST", "/book/x", "r");
         CPPUNIT_ASSERT(response.head.status == 502 || response.head.status == 504);
@@ -107,20 +83,19 @@
 
     void rejectionWithEndlessBodyIsNotExecuted()
     {
-        assertRejectionIsRepeated({detail::rejectedHead, detail::repeated("abcd")});
+        assertRejectionIsRepeated({detail::rejectedHead, repeatedPiece("abcd")});
     }
 
     void rejectionWithSlowBodyIsNotExecuted()
     {
-        assertRejectionIsRepeated({detail::rejectedHead, detail::repeated("abcd"), detail::dripInterval});
+        assertRejectionIsRepeated({detail::rejectedHead, repeatedPiece("abcd"), dripInterval});
     }
 
     void eventWithoutEndIsReplaced()
     {
         int n = 0;
-        for (const auto interval : {detail::flood, detail::dripInterval}) {
-            replaceTargets({"llm-0"},
-                           {detail::streamHead + "id: 1\ndata: ", detail::repeated("a"), interval});
+        for (const auto interval : {floodInterval, dripInterval}) {
+            replaceTargets({"llm-0"}, {detail::streamHead + "id: 1\ndata: ", repeatedPiece("a"), interval});
             for (int k = 0; k < 8 && m_peer->connectionCount() == 0; ++k) {
                 const auto response = call("POST", "/stream/x", absl::StrCat("r", n++));
                 CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
@@ -134,7 +109,7 @@
     {
         const auto stream = m_engineState.completeStream();
         const auto firstEvent = stream.substr(0, stream.find("\n\n") + 2);
-        replaceTargets({"llm-0"}, {detail::streamHead, detail::repeated(firstEvent), detail::dripInterval});
+        replaceTargets({"llm-0"}, {detail::streamHead, repeatedPiece(firstEvent), dripInterval});
         for (int n = 0; n < 8 && m_peer->connectionCount() == 0; ++n)
             CPPUNIT_ASSERT_EQUAL(stream, call("POST", "/stream/x", absl::StrCat("r", n)).body);
         CPPUNIT_ASSERT(m_peer->connectionCount() > 0);
@@ -163,7 +138,7 @@
     void otherRequestsAreAnsweredDuringFlood()
     {
         replaceTargets({"llm-0", "llm-1", "llm-2", "llm-3"},
-                       {detail::streamHead, detail::repeated("id: 1\n\n")});
+                       {detail::streamHead, repeatedPiece("id: 1\n\n")});
         HttpResponse response;
         bool isDone = false;
         startCall("POST", "/stream/x", "r", "key", response, isDone);
--- a/Tests/Support/FakeEndlessPeer.h
+++ b/Tests/Support/FakeEndlessPeer.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Wisteria {
 
@@ -30,6 +31,30 @@
     std::chrono::milliseconds interval{0};
 };
 
+inline constexpr std::chrono::milliseconds floodInterval{0};
+inline constexpr std::chrono::milliseconds dripInterval{100};
+
+inline std::function<std::string(std::uint64_t)> repeatedPiece(const std::string &text)
+{
+    return [text](std::uint64_t) { return text; };
+}
+
+// Answers without end in their status line, fields, interim answers, chunk sizes, chunk extensions, trailers
+// and bodies. `head` is a status line with fields, without the empty line.
+inline std::vector<EndlessAnswer> endlessAnswers(const std::string &head, std::chrono::milliseconds interval)
+{
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    return {{"HTTP/1.1 200 ", repeatedPiece("OK"), interval},
+            {head, repeatedPiece("X-A: 1\r\n"), interval},
+            {head + "X-A: ", repeatedPiece("a"), interval},
+            {"", repeatedPiece("HTTP/1.1 102 Processing\r\n\r\n"), interval},
+            {chunked, repeatedPiece("0"), interval},
+            {chunked + "1;a=", repeatedPiece("b"), interval},
+            {chunked + "0\r\n", repeatedPiece("X-A: 1\r\n"), interval},
+            {chunked, repeatedPiece("4\r\nabcd\r\n"), interval},
+            {head + "\r\n", repeatedPiece("abcd"), interval}};
+}
+
 class FakeEndlessPeer
 {
 public:
