LibNet: Bound what a stream may queue for its caller

Found in the read-through, not seen by a caller. A backlog of 4 MB ends it at once.

Before, streamThatOutrunsItsCallerDoesNotGrowWithoutBound failed (12 MB queued, the connection open).

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -209,8 +209,8 @@
     if (m_isClosed)
         return;
     m_unsent += data;
-    if (unsentBytes() > maxUnsentBytes && !m_sending.empty()
-        && monotonicNow() - m_lastSentAt > streamStallTimeout) {
+    const bool isStalled = !m_sending.empty() && monotonicNow() - m_lastSentAt > streamStallTimeout;
+    if (unsentBytes() > (isStalled ? maxUnsentBytes : maxStreamBacklogBytes)) {
         LOG_EVERY_N(WARNING, 100) << "a caller does not read its answer";
         closeAndReport(ClosureReason::AnswerUnread);
         return;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -53,6 +53,8 @@
     // A stream of which the caller leaves more than this unread, and of which it takes nothing for the time
     // below, ends with its connection.
     static constexpr std::size_t maxUnsentBytes = std::size_t{512} * 1024;
+    // A stream that outruns its caller by this ends at once, since it would use up the memory.
+    static constexpr std::size_t maxStreamBacklogBytes = std::size_t{4} << 20U;
     static constexpr absl::Duration streamStallTimeout = absl::Seconds(1);
     // Bytes that a caller may send ahead while its request is open.
     static constexpr std::size_t maxBytesAhead = std::size_t{64} * 1024;
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(largeAnswerIsDelivered);
     CPPUNIT_TEST(callerThatPausesReadingGetsItsWholeAnswer);
     CPPUNIT_TEST(burstOfAStreamReachesCallerThatReads);
+    CPPUNIT_TEST(streamThatOutrunsItsCallerDoesNotGrowWithoutBound);
     CPPUNIT_TEST(idleTimeoutDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
@@ -228,6 +229,24 @@
         CPPUNIT_ASSERT(readToEnd(socket).text.ends_with("0\r\n\r\n"));
     }
 
+    // A target may send events without end, faster than any caller reads.
+    void streamThatOutrunsItsCallerDoesNotGrowWithoutBound()
+    {
+        m_handler.isHolding = true;
+        boost::asio::ip::tcp::socket socket(*m_context);
+        socket.connect(*parseEndpoint(m_address));
+        boost::asio::write(socket, boost::asio::buffer(detail::shortRequest));
+        m_context->run_for(std::chrono::milliseconds(10));
+        const auto connection = std::exchange(m_handler.held, nullptr);
+        connection->openStream(makeResponse(200, "text/plain", "").head);
+        const std::string piece(std::size_t{64} * 1024, 'x');
+        for (std::size_t n = 0; n < 3 * HttpServerConnection::maxStreamBacklogBytes; n += piece.size())
+            connection->writeStream(piece);
+        CPPUNIT_ASSERT(connection->unsentBytes()
+                       < HttpServerConnection::maxStreamBacklogBytes + 2 * piece.size());
+        CPPUNIT_ASSERT_EQUAL(1, m_handler.callersLeft);
+    }
+
     // The idle time begins when the caller has taken the answer.
     void idleTimeoutDoesNotCutAnswerThatIsBeingSent()
     {
