--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -134,7 +134,8 @@
         });
 }
 
-void FaultProxy::writeEndless(const std::shared_ptr<Pair> &pair, std::shared_ptr<const std::string> chunk)
+void FaultProxy::writeEndless(const std::shared_ptr<Pair> &pair,
+                              const std::shared_ptr<const std::string> &chunk)
 {
     boost::asio::async_write(pair->caller, boost::asio::buffer(*chunk),
                              [this, pair, chunk](const auto &ec, std::size_t) {
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -74,7 +74,7 @@
     [[nodiscard]] bool isEndless() const;
     // Answers instead of the server.
     void beginEndless(const std::shared_ptr<Pair> &);
-    void writeEndless(const std::shared_ptr<Pair> &, std::shared_ptr<const std::string>);
+    void writeEndless(const std::shared_ptr<Pair> &, const std::shared_ptr<const std::string> &);
     void read(const std::shared_ptr<Pair> &, Pipe &);
     void pass(const std::shared_ptr<Pair> &, Pipe &, std::size_t n);
     [[nodiscard]] bool holdsBack(const Pipe &) const;
