--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -320,8 +320,8 @@
         const auto *timer = detail::findAction<ForwardingActions::SetTimer>(actions);
         CPPUNIT_ASSERT(timer && timer->at == silentAt + ForwardedRequest::replacementInterval);
         // A search without a result takes no retry from the budget.
-        const auto *start =
-            detail::findAction<ForwardingActions::StartAttempt>(tickAndReplace(request, timer->at));
+        const auto replaced = tickAndReplace(request, timer->at);
+        const auto *start = detail::findAction<ForwardingActions::StartAttempt>(replaced);
         CPPUNIT_ASSERT(start && start->isReplacement);
     }
 
