Gateway: Log the shared parts of a prompt where an attempt was lost or answered

Change: the adapter reads the parts that other requests may share; attempt_lost has them with the attempt's events and its time since the first one, answering has them for comparison. No decision reads them.

--- a/Libraries/LibForwarding/Request.h
+++ b/Libraries/LibForwarding/Request.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Wisteria {
 
@@ -17,6 +18,9 @@
 // Position of an event in a stream, as numbered by the target. Numbers increase along a stream.
 using EventNumber = StrongId<struct EventNumberTag, std::uint64_t>;
 
+// A part of a prompt. Requests whose prompts share text have the same part.
+using PromptPartId = StrongId<struct PromptPartIdTag, std::uint64_t>;
+
 // Numbers of tokens that a generation reads and writes.
 struct GenerationSize
 {
@@ -38,6 +42,8 @@
     // The caller has already received the stream up to this event.
     std::optional<EventNumber> lastEvent;
     GenerationSize size;
+    // The parts of the prompt that other requests may share, each once. Empty if the caller named none.
+    std::vector<PromptPartId> sharedParts;
 };
 
 } // namespace Wisteria
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -38,6 +38,14 @@
     return "unknown";
 }
 
+nlohmann::json partNames(const std::vector<PromptPartId> &parts)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &it : parts)
+        out.push_back(std::string(absl::StrCat(absl::Hex(it.value()))));
+    return out;
+}
+
 ForwardingParameters makeForwardingParameters(const RoutedRequest &routed)
 {
     ForwardingParameters forwardingParameters;
@@ -432,6 +440,13 @@
 
 void ForwardSession::attemptLost(TargetFault fault)
 {
+    // Tells a request that its target ended on from one that merely ran there.
+    log("attempt_lost",
+        {{"target", m_target ? m_target->value() : ""},
+         {"fault", targetFaultName(fault)},
+         {"events", m_eventCount},
+         {"writing_ms", m_firstEventAt ? absl::ToInt64Milliseconds(monotonicNow() - *m_firstEventAt) : 0},
+         {"parts", detail::partNames(m_routed.request.sharedParts)}});
     noteFault(fault);
     handle(ForwardingEvents::AttemptLost{fault});
 }
@@ -449,7 +464,8 @@
     m_gatewayContext.metrics.observe("first_event_seconds", "", monotonicNow() - m_arrivedAt);
     log("answering",
         {{"target", m_target ? m_target->value() : ""},
-         {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - m_arrivedAt)}});
+         {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - m_arrivedAt)},
+         {"parts", detail::partNames(m_routed.request.sharedParts)}});
     m_caller->openStream(m_response.head);
 }
 
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(TestAdapter);
     CPPUNIT_TEST(requestFieldsAreDecoded);
+    CPPUNIT_TEST(sharedPartsOfPromptAreDecoded);
     CPPUNIT_TEST(malformedRequestIsRejected);
     CPPUNIT_TEST(callerCannotForgeReservedHeaders);
     CPPUNIT_TEST(responseOriginIsClassified);
@@ -39,6 +40,20 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, request->size.maxOutputTokens);
     }
 
+    // The last part belongs to the request itself.
+    void sharedPartsOfPromptAreDecoded()
+    {
+        CPPUNIT_ASSERT(m_dialect.readRequest(callerFields())->sharedParts.empty());
+        auto fields = callerFields();
+        fields.set("Prompt-Prefix", "5c1e07a2:800, 91BD3F06:410,91bd3f06:9,e4402b7d:250");
+        const std::vector<PromptPartId> expected = {PromptPartId(0x5c1e07a2), PromptPartId(0x91bd3f06)};
+        CPPUNIT_ASSERT(m_dialect.readRequest(fields)->sharedParts == expected);
+        fields.set("Prompt-Prefix", "e4402b7d:250");
+        CPPUNIT_ASSERT(m_dialect.readRequest(fields)->sharedParts.empty());
+        fields.set("Prompt-Prefix", "not hexadecimal,x,123456789012345678901234567890:4,");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_dialect.readRequest(fields)->sharedParts.size());
+    }
+
     void malformedRequestIsRejected()
     {
         CPPUNIT_ASSERT(!m_dialect.readRequest({}));
