--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -36,6 +36,8 @@
         return "timed_out";
     case RefusalReason::ResponseLost:
         return "answer_lost";
+    case RefusalReason::PromptBarred:
+        return "prompt_barred";
     case RefusalReason::Stopping:
         return "stopping";
     }
@@ -125,8 +127,11 @@
         ForwardingActions::Refuse refusal{.isNotExecuted = !m_mayHaveExecuted, .reason = reason};
         if (refusal.isNotExecuted) {
             refusal.status = detail::statusServiceUnavailable;
-            // Long enough that the jitter spreads the callers over the time after the backoff.
-            refusal.retryAfter = retryAfter(m_parameters.callerTimeout, backoff / (1 - retryJitter));
+            // Long enough that the jitter spreads the callers over the time after the backoff. A bar outlasts
+            // each caller's timeout, and a shorter time would only bring the request back.
+            refusal.retryAfter = reason == RefusalReason::PromptBarred
+                ? backoff
+                : retryAfter(m_parameters.callerTimeout, backoff / (1 - retryJitter));
             refusal.earliestRetry = backoff;
         } else {
             refusal.status =
@@ -161,6 +166,20 @@
     fail(m_mayHaveExecuted ? RefusalReason::ResponseLost : RefusalReason::NoTimeLeft);
 }
 
+void ForwardedRequest::on(const ForwardingEvents::AttemptBarred &event, absl::Time)
+{
+    // The attempt was not started.
+    --m_executedAttempts;
+    fail(RefusalReason::PromptBarred, event.barTime);
+}
+
+void ForwardedRequest::on(const ForwardingEvents::RunBarred &event, absl::Time)
+{
+    m_actions.emplace_back(ForwardingActions::CancelAttempt{});
+    m_mayHaveExecuted = true;
+    fail(RefusalReason::PromptBarred, event.barTime);
+}
+
 void ForwardedRequest::on(const ForwardingEvents::AttemptSent &event, absl::Time)
 {
     m_firstEventDeadline = m_attemptStartedAt
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -46,6 +46,17 @@
 struct NoTimeLeft
 {
 };
+// Requests with such a prompt are barred, since they end their targets. This attempt was not sent.
+struct AttemptBarred
+{
+    // How long requests like this one are barred.
+    absl::Duration barTime;
+};
+// Requests like the one of the running attempt have become barred.
+struct RunBarred
+{
+    absl::Duration barTime;
+};
 // The attempt was sent to a target that is expected to send its first event after this time.
 struct AttemptSent
 {
@@ -110,11 +121,12 @@
 } // namespace ForwardingEvents
 
 using ForwardingEvent = std::variant<
-    ForwardingEvents::NoTarget, ForwardingEvents::NoTimeLeft, ForwardingEvents::AttemptSent,
-    ForwardingEvents::AttemptNotExecuted, ForwardingEvents::StreamOpened, ForwardingEvents::EventsReceived,
-    ForwardingEvents::StreamCompleted, ForwardingEvents::ResponseReceived, ForwardingEvents::TargetSuspected,
-    ForwardingEvents::ReplacementFound, ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost,
-    ForwardingEvents::CallerDisconnected, ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
+    ForwardingEvents::NoTarget, ForwardingEvents::NoTimeLeft, ForwardingEvents::AttemptBarred,
+    ForwardingEvents::RunBarred, ForwardingEvents::AttemptSent, ForwardingEvents::AttemptNotExecuted,
+    ForwardingEvents::StreamOpened, ForwardingEvents::EventsReceived, ForwardingEvents::StreamCompleted,
+    ForwardingEvents::ResponseReceived, ForwardingEvents::TargetSuspected, ForwardingEvents::ReplacementFound,
+    ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost, ForwardingEvents::CallerDisconnected,
+    ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
 
 // Why the router itself ends a request with an error.
 enum class RefusalReason {
@@ -126,6 +138,7 @@
     RetryBudgetExhausted,
     TimedOut,
     ResponseLost,
+    PromptBarred,
     Stopping,
 };
 
@@ -271,6 +284,8 @@
 
     void on(const ForwardingEvents::NoTarget &, absl::Time now);
     void on(const ForwardingEvents::NoTimeLeft &, absl::Time now);
+    void on(const ForwardingEvents::AttemptBarred &, absl::Time now);
+    void on(const ForwardingEvents::RunBarred &, absl::Time now);
     void on(const ForwardingEvents::AttemptSent &, absl::Time now);
     void on(const ForwardingEvents::AttemptNotExecuted &, absl::Time now);
     void on(const ForwardingEvents::StreamOpened &, absl::Time now);
--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -25,6 +25,8 @@
     Gone,
     Counts,
     IsStoreTrusted,
+    PromptEnds,
+    PromptSurvivals,
     Count
 };
 
@@ -79,6 +81,64 @@
     return out;
 }
 
+nlohmann::json encodeEnds(const std::vector<PromptEvidence::End> &ends)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &it : ends) {
+        nlohmann::json runs = nlohmann::json::array();
+        for (const auto &run : it.runs) {
+            nlohmann::json parts = nlohmann::json::array();
+            for (const auto &part : run)
+                parts.push_back(part.value());
+            runs.push_back(std::move(parts));
+        }
+        out.push_back({it.id.value(), absl::ToInt64Milliseconds(it.age), std::move(runs)});
+    }
+    return out;
+}
+
+nlohmann::json encodeSurvivals(const std::vector<PromptEvidence::Survival> &survivals)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &it : survivals)
+        out.push_back({it.part.value(), absl::ToInt64Milliseconds(it.age)});
+    return out;
+}
+
+// A time in the past. Throws nlohmann::json::exception if it is not a number.
+absl::Duration decodeAge(const nlohmann::json &json)
+{
+    return absl::Milliseconds(std::max<std::int64_t>(json.get<std::int64_t>(), 0));
+}
+
+// Throws nlohmann::json::exception if an element is malformed.
+std::vector<PromptEvidence::End> decodeEnds(const nlohmann::json &json)
+{
+    std::vector<PromptEvidence::End> out;
+    for (const auto &it : json) {
+        PromptEvidence::End end{TargetEndId(it.at(0).get<std::uint64_t>()), decodeAge(it.at(1)), {}};
+        for (const auto &parts : it.at(2)) {
+            PromptParts run;
+            for (const auto &part : parts)
+                run.emplace_back(part.get<std::uint64_t>());
+            std::sort(run.begin(), run.end());
+            run.erase(std::unique(run.begin(), run.end()), run.end());
+            end.runs.push_back(std::move(run));
+        }
+        out.push_back(std::move(end));
+    }
+    return out;
+}
+
+// Throws nlohmann::json::exception if an element is malformed.
+std::vector<PromptEvidence::Survival> decodeSurvivals(const nlohmann::json &json)
+{
+    std::vector<PromptEvidence::Survival> out;
+    for (const auto &it : json)
+        out.push_back({PromptPartId(it.at(0).get<std::uint64_t>()), decodeAge(it.at(1))});
+    return out;
+}
+
 } // namespace detail
 
 PeerReport PeerReport::brief() const
@@ -87,6 +147,7 @@
     out.router = router;
     out.configurationPosition = configurationPosition;
     out.targetsPosition = targetsPosition;
+    out.promptEvidence = promptEvidence;
     return out;
 }
 
@@ -105,7 +166,9 @@
                                  detail::encodeIds(report.faults),
                                  detail::encodeIds(report.gone),
                                  detail::encodeCounts(report.counts),
-                                 report.router.isStoreTrusted};
+                                 report.router.isStoreTrusted,
+                                 detail::encodeEnds(report.promptEvidence.ends),
+                                 detail::encodeSurvivals(report.promptEvidence.survivals)};
     std::string out;
     nlohmann::json::to_cbor(json, out);
     return out;
@@ -142,6 +205,8 @@
                                                                        it.at(2).get<std::uint64_t>()};
         }
         report.router.isStoreTrusted = json.at(detail::IsStoreTrusted).get<bool>();
+        report.promptEvidence.ends = detail::decodeEnds(json.at(detail::PromptEnds));
+        report.promptEvidence.survivals = detail::decodeSurvivals(json.at(detail::PromptSurvivals));
         return report;
     } catch (const nlohmann::json::exception &error) {
         return makeError(ErrorCode::InvalidRequest, error.what());
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -8,6 +8,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/StorePosition.h>
+#include <LibForwarding/PromptQuarantine.h>
 #include <LibForwarding/RouterRegistry.h>
 #include <LibForwarding/ServiceRetryBudget.h>
 #include <LibForwarding/TargetPool.h>
@@ -35,8 +36,10 @@
     std::vector<TargetId> gone;
     // Requests and retries per service since the process started.
     ServiceCounts counts;
+    // Repeated while it matters, so that lost reports and routers that start later don't miss it.
+    PromptEvidence promptEvidence;
 
-    // The part that concerns routers of other groups: liveness and positions.
+    // The part that concerns routers of other groups: liveness, positions and evidence against prompts.
     [[nodiscard]] PeerReport brief() const;
 };
 
--- /dev/null
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -0,0 +1,352 @@
+// Merges evidence and derives verdicts from it.
+
+#include <LibForwarding/PromptQuarantine.h>
+
+#include <LibForwarding/StableHash.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Wisteria {
+
+namespace detail {
+
+// Ages are rounded and delayed on their way. Without a tolerance, a time that routers send back and forth
+// would grow with each report.
+constexpr absl::Duration ageTolerance = absl::Milliseconds(500);
+// Evidence about to expire is not taken from others, which would keep it alive among them.
+constexpr absl::Duration expiryMargin = absl::Seconds(10);
+// Ends that are further apart come from separate requests, which only a trial lets through.
+constexpr absl::Duration trialGap = absl::Seconds(30);
+
+TargetEndId targetEndId(const TargetProcess &process)
+{
+    return TargetEndId(stableHash(absl::StrCat(process.id.value(), "/", process.startedAtMs)));
+}
+
+bool hasPart(const PromptParts &parts, PromptPartId part)
+{
+    return std::binary_search(parts.begin(), parts.end(), part);
+}
+
+// Returns whether the run is new.
+bool addRun(std::vector<PromptParts> &runs, const PromptParts &run)
+{
+    if (run.empty() || runs.size() >= PromptQuarantine::maxRunsPerEnd
+        || std::find(runs.begin(), runs.end(), run) != runs.end())
+        return false;
+    runs.push_back(run);
+    return true;
+}
+
+} // namespace detail
+
+void PromptQuarantine::recordLostRun(const TargetProcess &process, const PromptParts &parts, absl::Time now)
+{
+    if (parts.empty())
+        return;
+    absl::erase_if(m_lostRuns, [now](const auto &it) { return now - it.second.at > confirmationTime; });
+    auto &lost = m_lostRuns.try_emplace(process.id, LostRuns{process, {}, now}).first->second;
+    if (process.isLaterThan(lost.process))
+        lost = LostRuns{process, {}, now};
+    detail::addRun(lost.runs, parts);
+    lost.at = now;
+}
+
+QuarantineChange PromptQuarantine::confirmEnd(const TargetId &id, absl::Time now)
+{
+    QuarantineChange change;
+    const auto it = m_lostRuns.find(id);
+    if (it == m_lostRuns.end())
+        return change;
+    const auto lost = std::move(it->second);
+    m_lostRuns.erase(it);
+    if (now - lost.at <= confirmationTime)
+        change.isNews = addEnd(detail::targetEndId(lost.process), lost.at, lost.runs, now);
+    if (change.isNews)
+        judge(change);
+    return change;
+}
+
+QuarantineChange PromptQuarantine::recordSurvival(const PromptParts &parts, absl::Time now)
+{
+    QuarantineChange change;
+    for (const auto &it : parts)
+        change.isNews = addSurvival(it, now, now) || change.isNews;
+    limitSurvivals();
+    if (change.isNews)
+        judge(change);
+    return change;
+}
+
+bool PromptQuarantine::isCleared(PromptPartId part, absl::Time endAt) const
+{
+    const auto it = m_survivals.find(part);
+    return it != m_survivals.end() && it->second.at + trustTime >= endAt;
+}
+
+bool PromptQuarantine::End::hasPart(PromptPartId part) const
+{
+    return std::any_of(runs.begin(), runs.end(),
+                       [part](const PromptParts &it) { return detail::hasPart(it, part); });
+}
+
+bool PromptQuarantine::End::hasRunWith(const PromptParts &parts) const
+{
+    return std::any_of(runs.begin(), runs.end(), [&parts](const PromptParts &it) {
+        return std::includes(it.begin(), it.end(), parts.begin(), parts.end());
+    });
+}
+
+PromptParts PromptQuarantine::suspectParts(const PromptParts &parts, absl::Time endAt, absl::Time now)
+{
+    PromptParts out;
+    for (const auto &it : parts) {
+        if (!isCleared(it, endAt))
+            out.push_back(it);
+        else
+            // Whoever reported the end does not know yet.
+            m_survivals[it].reportUntil = now + reportTime;
+    }
+    out.resize(std::min(out.size(), maxPartsPerRun));
+    return out;
+}
+
+bool PromptQuarantine::addEnd(TargetEndId id, absl::Time at, const std::vector<PromptParts> &runs,
+                              absl::Time now)
+{
+    const auto known = m_ends.find(id);
+    End end = known == m_ends.end() ? End{.at = at} : known->second;
+    bool isChanged = false;
+    for (const auto &it : runs)
+        isChanged = detail::addRun(end.runs, suspectParts(it, end.at, now)) || isChanged;
+    if (!isChanged)
+        return false;
+    m_ends.insert_or_assign(id, std::move(end));
+    limitEnds();
+    return true;
+}
+
+bool PromptQuarantine::addSurvival(PromptPartId part, absl::Time at, absl::Time now)
+{
+    auto &survival = m_survivals.try_emplace(part, Survival{.at = at}).first->second;
+    survival.at = std::max(survival.at, at);
+    bool wasSuspect = false;
+    for (auto it = m_ends.begin(); it != m_ends.end();) {
+        auto &end = it->second;
+        if (end.hasPart(part) && isCleared(part, end.at)) {
+            wasSuspect = true;
+            for (auto &run : std::exchange(end.runs, {})) {
+                std::erase(run, part);
+                detail::addRun(end.runs, run);
+            }
+        }
+        it = end.runs.empty() ? m_ends.erase(it) : std::next(it);
+    }
+    if (wasSuspect)
+        survival.reportUntil = now + reportTime;
+    return wasSuspect;
+}
+
+PromptEvidence PromptQuarantine::evidence(absl::Time now) const
+{
+    PromptEvidence out;
+    std::vector<std::pair<absl::Time, TargetEndId>> chosen;
+    for (const auto &verdict : m_verdicts) {
+        std::vector<std::pair<absl::Time, TargetEndId>> supporting;
+        for (const auto &[id, end] : m_ends) {
+            if (end.hasRunWith(verdict.parts))
+                supporting.emplace_back(end.at, id);
+        }
+        std::sort(supporting.rbegin(), supporting.rend());
+        supporting.resize(std::min(supporting.size(), endsForVerdict));
+        chosen.insert(chosen.end(), supporting.begin(), supporting.end());
+    }
+    for (const auto &[id, end] : m_ends) {
+        if (now - end.at <= reportTime)
+            chosen.emplace_back(end.at, id);
+    }
+    std::sort(chosen.rbegin(), chosen.rend());
+    chosen.erase(std::unique(chosen.begin(), chosen.end()), chosen.end());
+    chosen.resize(std::min(chosen.size(), maxReportedEnds));
+    for (const auto &[at, id] : chosen)
+        out.ends.push_back({id, now - at, m_ends.at(id).runs});
+    for (const auto &[part, survival] : m_survivals) {
+        if (now < survival.reportUntil && out.survivals.size() < maxReportedSurvivals)
+            out.survivals.push_back({part, now - survival.at});
+    }
+    return out;
+}
+
+QuarantineChange PromptQuarantine::merge(const PromptEvidence &evidence, absl::Time now)
+{
+    QuarantineChange change;
+    for (const auto &it : evidence.survivals) {
+        const auto at = now - it.age;
+        const auto known = m_survivals.find(it.part);
+        if (known == m_survivals.end() || at > known->second.at + detail::ageTolerance)
+            change.isNews = addSurvival(it.part, at, now) || change.isNews;
+    }
+    for (const auto &it : evidence.ends) {
+        if (it.age < verdictLifetime - detail::expiryMargin)
+            change.isNews = addEnd(it.id, now - it.age, it.runs, now) || change.isNews;
+    }
+    limitSurvivals();
+    if (change.isNews)
+        judge(change);
+    return change;
+}
+
+const PromptQuarantine::Verdict *PromptQuarantine::verdictOn(const PromptParts &parts) const
+{
+    for (const auto &it : m_verdicts) {
+        if (std::includes(parts.begin(), parts.end(), it.parts.begin(), it.parts.end()))
+            return &it;
+    }
+    return nullptr;
+}
+
+bool PromptQuarantine::tryStartTrial(const Verdict &verdict, absl::Time now)
+{
+    auto &until = m_trialUntil.try_emplace(verdict.parts.front(), absl::InfinitePast()).first->second;
+    if (now < verdict.nextTrialAt || now < until)
+        return false;
+    until = now + trialTime;
+    return true;
+}
+
+QuarantineChange PromptQuarantine::expire(absl::Time now)
+{
+    QuarantineChange change;
+    const auto n = m_ends.size();
+    for (auto it = m_ends.begin(); it != m_ends.end();) {
+        const auto lifetime = it->second.isExplained ? verdictLifetime : evidenceLifetime;
+        it = now - it->second.at > lifetime ? m_ends.erase(it) : std::next(it);
+    }
+    absl::erase_if(m_trialUntil, [now](const auto &it) { return now >= it.second; });
+    if (m_ends.size() != n)
+        judge(change);
+    return change;
+}
+
+void PromptQuarantine::limitEnds()
+{
+    if (m_ends.size() <= maxEnds)
+        return;
+    // Ends that support a verdict are dropped last.
+    const auto oldest = std::min_element(m_ends.begin(), m_ends.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.second.isExplained, a.second.at) < std::pair(b.second.isExplained, b.second.at);
+    });
+    m_ends.erase(oldest);
+}
+
+void PromptQuarantine::limitSurvivals()
+{
+    if (m_survivals.size() <= maxSurvivals)
+        return;
+    // Half of them, so that this is not done for each new part.
+    std::vector<absl::Time> times;
+    for (const auto &[part, survival] : m_survivals)
+        times.push_back(survival.at);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    absl::erase_if(m_survivals, [at = *middle](const auto &it) { return it.second.at <= at; });
+}
+
+PromptQuarantine::EndsByPart PromptQuarantine::unexplainedEndsByPart() const
+{
+    EndsByPart out;
+    for (const auto &[id, end] : m_ends) {
+        if (end.isExplained)
+            continue;
+        PromptParts parts;
+        for (const auto &it : end.runs)
+            parts.insert(parts.end(), it.begin(), it.end());
+        std::sort(parts.begin(), parts.end());
+        parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+        for (const auto &it : parts)
+            out[it].push_back(id);
+    }
+    return out;
+}
+
+PromptParts PromptQuarantine::commonParts(PromptPartId part, const std::vector<TargetEndId> &ends) const
+{
+    std::optional<PromptParts> common;
+    for (const auto &id : ends) {
+        for (const auto &run : m_ends.at(id).runs) {
+            if (!detail::hasPart(run, part))
+                continue;
+            if (!common)
+                common = run;
+            std::erase_if(*common, [&run](const auto &it) { return !detail::hasPart(run, it); });
+        }
+    }
+    return common.value_or(PromptParts());
+}
+
+PromptQuarantine::Verdict PromptQuarantine::makeVerdict(PromptParts parts,
+                                                        const std::vector<TargetEndId> &ends) const
+{
+    std::vector<absl::Time> times;
+    for (const auto &it : ends)
+        times.push_back(m_ends.at(it).at);
+    std::sort(times.begin(), times.end());
+    int trials = 0;
+    for (std::size_t n = endsForVerdict; n < times.size(); ++n)
+        trials += times[n] - times[n - 1] > detail::trialGap ? 1 : 0;
+    const auto delay = std::min(firstTrialDelay * std::pow(trialDelayFactor, trials), maxTrialDelay);
+    return {std::move(parts), ends.size(), times.back(), times.back() + delay};
+}
+
+std::optional<PromptQuarantine::Verdict> PromptQuarantine::nextVerdict()
+{
+    const auto endsByPart = unexplainedEndsByPart();
+    std::size_t most = 0;
+    for (const auto &[part, ends] : endsByPart)
+        most = std::max(most, ends.size());
+    if (most < endsForVerdict)
+        return std::nullopt;
+    // Of parts with equal evidence, the one whose runs have most in common is judged, so that as few other
+    // requests as possible are barred.
+    PromptParts parts;
+    const std::vector<TargetEndId> *judged = nullptr;
+    for (const auto &[part, ends] : endsByPart) {
+        if (ends.size() != most)
+            continue;
+        auto common = commonParts(part, ends);
+        if (judged && common.size() <= parts.size())
+            continue;
+        parts = std::move(common);
+        judged = &ends;
+    }
+    for (const auto &it : *judged)
+        m_ends.at(it).isExplained = true;
+    return makeVerdict(std::move(parts), *judged);
+}
+
+void PromptQuarantine::judge(QuarantineChange &change)
+{
+    const auto before = std::exchange(m_verdicts, {});
+    for (auto &[id, end] : m_ends)
+        end.isExplained = false;
+    while (auto verdict = nextVerdict())
+        m_verdicts.push_back(std::move(*verdict));
+    const auto has = [](const std::vector<Verdict> &verdicts, const PromptParts &parts) {
+        return std::any_of(verdicts.begin(), verdicts.end(),
+                           [&](const Verdict &it) { return it.parts == parts; });
+    };
+    for (const auto &it : m_verdicts) {
+        if (!has(before, it.parts))
+            change.newVerdicts.push_back(it.parts);
+    }
+    for (const auto &it : before) {
+        if (!has(m_verdicts, it.parts))
+            change.liftedVerdicts.push_back(it.parts);
+    }
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -0,0 +1,195 @@
+// Decides which parts of prompts end the targets that process them, so that requests with such a part are no
+// longer forwarded.
+//
+// Load pattern: one part of a prompt ends each target that begins to write an answer on it. Requests with the
+// part arrive at all routers, no two alike; sound requests share their other parts and run on the same
+// targets when these end. Targets also end for other reasons, many of them at the same moment.
+//
+// Evidence is the end of a target's process together with its suspect runs: requests on which it had not
+// written for long. Each part of a suspect run is suspect, unless a target has written an answer on it and
+// lived on about the same time. A verdict takes several ends, and each end counts for one verdict only: the
+// part with the most ends explains them, and parts that were merely beside it lose theirs. A verdict names
+// all parts that its suspect runs have in common, since any of them may be the cause; a request is barred if
+// it has them all.
+//
+// Routers exchange their evidence, not their verdicts, and merge it in any order and any number of times. A
+// verdict ends when a target writes on the part and lives on. To find out, one router forwards one request
+// with the part after a delay that grows with each further end.
+//
+// Performs no I/O.
+
+#pragma once
+
+#include <LibForwarding/Request.h>
+#include <LibForwarding/TargetNotices.h>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace Wisteria {
+
+// The end of one process of a target, by an id that all routers derive alike.
+using TargetEndId = StrongId<struct TargetEndIdTag, std::uint64_t>;
+
+// Sorted, each part once.
+using PromptParts = std::vector<PromptPartId>;
+
+// What a router tells the others. Ages count from the time of the report.
+struct PromptEvidence
+{
+    struct End
+    {
+        TargetEndId id;
+        absl::Duration age;
+        // Suspect parts of each run.
+        std::vector<PromptParts> runs;
+
+        bool operator==(const End &) const = default;
+    };
+    struct Survival
+    {
+        PromptPartId part;
+        absl::Duration age;
+
+        bool operator==(const Survival &) const = default;
+    };
+
+    std::vector<End> ends;
+    std::vector<Survival> survivals;
+
+    bool operator==(const PromptEvidence &) const = default;
+};
+
+// What changed by new evidence.
+struct QuarantineChange
+{
+    // The other routers should hear of it at once.
+    bool isNews{false};
+    std::vector<PromptParts> newVerdicts;
+    std::vector<PromptParts> liftedVerdicts;
+};
+
+class PromptQuarantine
+{
+public:
+    // Number of ends that a verdict takes. A bystander is rarely on three ending targets in a row without a
+    // sign of life in between.
+    static constexpr std::size_t endsForVerdict = 3;
+    // A target that has written an answer for this long lives on. Targets that end on a part do so with the
+    // first tokens.
+    static constexpr absl::Duration survivalTime = absl::Seconds(1);
+    // A sign of life clears a part of ends that come up to this much later, so that requests whose prompts
+    // are still being processed don't become suspect.
+    static constexpr absl::Duration trustTime = absl::Seconds(2);
+    // Lost connections become evidence if the end of the process is confirmed within this time.
+    static constexpr absl::Duration confirmationTime = absl::Seconds(10);
+    static constexpr absl::Duration evidenceLifetime = absl::Minutes(10);
+    // A verdict without further ends is forgotten after this time, as the memory is bounded.
+    static constexpr absl::Duration verdictLifetime = absl::Hours(24);
+    // Delay from the last end to the first trial; it grows by the factor with each trial that ends a target.
+    static constexpr absl::Duration firstTrialDelay = absl::Seconds(60);
+    static constexpr double trialDelayFactor = 8;
+    static constexpr absl::Duration maxTrialDelay = absl::Hours(12);
+    // Time in which a trial has ended a target or has not.
+    static constexpr absl::Duration trialTime = absl::Seconds(30);
+    // Evidence that supports no verdict is reported for this long.
+    static constexpr absl::Duration reportTime = absl::Seconds(10);
+
+    static constexpr std::size_t maxEnds = 256;
+    static constexpr std::size_t maxRunsPerEnd = 16;
+    static constexpr std::size_t maxPartsPerRun = 32;
+    static constexpr std::size_t maxSurvivals = 4096;
+    static constexpr std::size_t maxReportedEnds = 24;
+    static constexpr std::size_t maxReportedSurvivals = 32;
+
+    // Evidence of this router.
+    //
+    // The connection of a run was lost before the target had written for survivalTime. This becomes evidence
+    // when the end of the process is confirmed.
+    void recordLostRun(const TargetProcess &, const PromptParts &, absl::Time now);
+    // The process that the target's lost runs were sent to has ended.
+    QuarantineChange confirmEnd(const TargetId &, absl::Time now);
+    // The target accepts connections, so its lost runs were single faults.
+    void discardLostRuns(const TargetId &id) { m_lostRuns.erase(id); }
+    // A target has written an answer on these parts and lives on.
+    QuarantineChange recordSurvival(const PromptParts &, absl::Time now);
+
+    // Evidence of other routers.
+    [[nodiscard]] PromptEvidence evidence(absl::Time now) const;
+    QuarantineChange merge(const PromptEvidence &, absl::Time now);
+
+    struct Verdict
+    {
+        // A request is barred if it has all of these parts.
+        PromptParts parts;
+        std::size_t ends{0};
+        absl::Time lastEndAt;
+        absl::Time nextTrialAt;
+    };
+    // The verdict that bars a request with these parts; null if none does.
+    [[nodiscard]] const Verdict *verdictOn(const PromptParts &) const;
+    // Starts the trial of a verdict that is due. False if it isn't due, or a trial is under way.
+    [[nodiscard]] bool tryStartTrial(const Verdict &, absl::Time now);
+    [[nodiscard]] const std::vector<Verdict> &verdicts() const { return m_verdicts; }
+
+    // Drops evidence that is too old.
+    QuarantineChange expire(absl::Time now);
+
+private:
+    struct End
+    {
+        absl::Time at;
+        // Invariant: not empty; each run once, not empty, and without parts that survived near the end.
+        std::vector<PromptParts> runs;
+        // A verdict explains the end.
+        bool isExplained{false};
+
+        [[nodiscard]] bool hasPart(PromptPartId) const;
+        // One run has all of these parts.
+        [[nodiscard]] bool hasRunWith(const PromptParts &) const;
+    };
+    struct LostRuns
+    {
+        TargetProcess process;
+        std::vector<PromptParts> runs;
+        absl::Time at;
+    };
+    struct Survival
+    {
+        absl::Time at;
+        // Other routers have evidence against the part, so it is reported until then.
+        absl::Time reportUntil{absl::InfinitePast()};
+    };
+    using EndsByPart = absl::btree_map<PromptPartId, std::vector<TargetEndId>>;
+
+    // Adds runs to an end. Returns whether that changed anything.
+    bool addEnd(TargetEndId, absl::Time at, const std::vector<PromptParts> &, absl::Time now);
+    bool addSurvival(PromptPartId, absl::Time at, absl::Time now);
+    [[nodiscard]] bool isCleared(PromptPartId, absl::Time endAt) const;
+    // Returns the parts that are not cleared.
+    [[nodiscard]] PromptParts suspectParts(const PromptParts &, absl::Time endAt, absl::Time now);
+    void limitEnds();
+    void limitSurvivals();
+    [[nodiscard]] EndsByPart unexplainedEndsByPart() const;
+    // The parts that all suspect runs with this part have in common.
+    [[nodiscard]] PromptParts commonParts(PromptPartId, const std::vector<TargetEndId> &) const;
+    [[nodiscard]] Verdict makeVerdict(PromptParts, const std::vector<TargetEndId> &) const;
+    // The verdict on the part with the most unexplained ends, if they are enough.
+    [[nodiscard]] std::optional<Verdict> nextVerdict();
+    // Derives the verdicts from the evidence.
+    void judge(QuarantineChange &);
+
+    absl::btree_map<TargetEndId, End> m_ends;
+    absl::flat_hash_map<PromptPartId, Survival> m_survivals;
+    absl::flat_hash_map<TargetId, LostRuns> m_lostRuns;
+    std::vector<Verdict> m_verdicts;
+    // By the first part of the verdict.
+    absl::flat_hash_map<PromptPartId, absl::Time> m_trialUntil;
+};
+
+} // namespace Wisteria
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -22,6 +22,7 @@
 // Fraction of the prompt that a target still processes when it resumes from a copy.
 constexpr double prefillFractionFromCopy = 0.1;
 constexpr int firstServerError = 500;
+constexpr absl::Duration survivalReportInterval = absl::Milliseconds(500);
 
 std::string_view routeKindName(RouteKind kind)
 {
@@ -38,14 +39,6 @@
     return "unknown";
 }
 
-nlohmann::json partNames(const std::vector<PromptPartId> &parts)
-{
-    nlohmann::json out = nlohmann::json::array();
-    for (const auto &it : parts)
-        out.push_back(std::string(absl::StrCat(absl::Hex(it.value()))));
-    return out;
-}
-
 ForwardingParameters makeForwardingParameters(const RoutedRequest &routed)
 {
     ForwardingParameters forwardingParameters;
@@ -152,6 +145,11 @@
     const auto source = action.fromCopy ? findUsableCopy() : std::nullopt;
     const auto holder = m_copies.copy();
     releaseLoad();
+    if (const auto barTime =
+            m_gatewayContext.promptGuard.admit(m_routed.request.sharedParts, monotonicNow())) {
+        handle(ForwardingEvents::AttemptBarred{*barTime});
+        return;
+    }
     if (!source && !action.isReplacement && !canFinishInTime(action.number, action.timeLeft)) {
         handle(ForwardingEvents::NoTimeLeft{});
         return;
@@ -172,8 +170,9 @@
 void ForwardSession::perform(const ForwardingActions::FindReplacement &action)
 {
     const auto now = monotonicNow();
-    bool isFound = action.fromCopy && findUsableCopy();
-    if (!isFound && canFinishInTime(action.number, action.timeLeft)) {
+    const bool isBarred = m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, now).has_value();
+    bool isFound = !isBarred && action.fromCopy && findUsableCopy();
+    if (!isBarred && !isFound && canFinishInTime(action.number, action.timeLeft)) {
         const auto target = m_gatewayContext.targets.choose(requirements(), now);
         isFound = target && m_gatewayContext.targets.isHealthy(*target, now);
     }
@@ -226,6 +225,7 @@
     m_attemptSentAt = now;
     m_firstEventAt.reset();
     m_eventCount = 0;
+    m_nextSurvivalAt = absl::InfiniteFuture();
     m_wasTargetIdle = load.pendingPrefillTokens == 0;
     m_target = record.id;
     m_targetAddress = record.address;
@@ -301,6 +301,7 @@
 void ForwardSession::recordFirstEvent(absl::Time now)
 {
     m_firstEventAt = now;
+    m_nextSurvivalAt = now + PromptQuarantine::survivalTime;
     const bool isFirstAttempt = m_triedTargets.size() == 1 && !m_routed.request.lastEvent;
     if (!isFirstAttempt)
         return;
@@ -329,6 +330,19 @@
     m_gatewayContext.loadChanged();
 }
 
+void ForwardSession::noteSurvival(absl::Time now)
+{
+    m_nextSurvivalAt = now + detail::survivalReportInterval;
+    m_gatewayContext.promptGuard.runSurvived(m_routed.request.sharedParts, now);
+}
+
+void ForwardSession::promptsBarred()
+{
+    const auto barTime = m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, monotonicNow());
+    if (barTime && m_attempt && m_target && !m_firstEventAt)
+        handle(ForwardingEvents::RunBarred{*barTime});
+}
+
 void ForwardSession::releaseLoad()
 {
     if (!m_target)
@@ -402,6 +416,8 @@
     if (!m_firstEventAt)
         recordFirstEvent(now);
     m_eventCount += static_cast<std::int64_t>(events.size());
+    if (now >= m_nextSurvivalAt)
+        noteSurvival(now);
     if (m_lastEventAt)
         m_longestGap = std::max(m_longestGap, now - *m_lastEventAt);
     m_lastEventAt = now;
@@ -416,6 +432,8 @@
 void ForwardSession::streamEnded()
 {
     recordCompletedStream(monotonicNow());
+    if (m_firstEventAt)
+        noteSurvival(monotonicNow());
     handle(ForwardingEvents::StreamCompleted{});
 }
 
@@ -446,7 +464,10 @@
          {"fault", targetFaultName(fault)},
          {"events", m_eventCount},
          {"writing_ms", m_firstEventAt ? absl::ToInt64Milliseconds(monotonicNow() - *m_firstEventAt) : 0},
-         {"parts", detail::partNames(m_routed.request.sharedParts)}});
+         {"parts", partNames(m_routed.request.sharedParts)}});
+    const auto now = monotonicNow();
+    if (m_target && (!m_firstEventAt || now - *m_firstEventAt < PromptQuarantine::survivalTime))
+        m_gatewayContext.promptGuard.runLost(m_targetProcess, m_routed.request.sharedParts, fault, now);
     noteFault(fault);
     handle(ForwardingEvents::AttemptLost{fault});
 }
@@ -465,7 +486,7 @@
     log("answering",
         {{"target", m_target ? m_target->value() : ""},
          {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - m_arrivedAt)},
-         {"parts", detail::partNames(m_routed.request.sharedParts)}});
+         {"parts", partNames(m_routed.request.sharedParts)}});
     m_caller->openStream(m_response.head);
 }
 
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -45,6 +45,9 @@
     void stopNow();
     // Another router or request reported the target as failed.
     void targetFailed(const TargetId &, TargetFault);
+    // Requests with some prompts have become barred. A run that has written nothing yet is cancelled if this
+    // is one of them.
+    void promptsBarred();
     [[nodiscard]] bool isFinished() const { return m_forwardedRequest.isFinished(); }
 
     void headReceived(const HttpResponseHead &) override;
@@ -88,6 +91,8 @@
     // Adds the request's load to the target and, if the route uses copies, to a copy holder.
     void reserveLoad(const TargetId &, bool fromCopy);
     void markPromptProcessed();
+    // Records that the running attempt's target writes on the prompt and lives on.
+    void noteSurvival(absl::Time now);
     [[nodiscard]] ServicePerformance &performance() const;
     void recordFirstEvent(absl::Time now);
     void recordCompletedStream(absl::Time now);
@@ -115,6 +120,7 @@
     // Of the running attempt; unset before its first event.
     std::optional<absl::Time> m_firstEventAt;
     std::int64_t m_eventCount{0};
+    absl::Time m_nextSurvivalAt;
     TargetLoad m_load;
     KvCopyManager m_copies;
     boost::asio::steady_timer m_copyTimer;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -61,11 +61,16 @@
       m_random(static_cast<std::uint64_t>(absl::ToUnixNanos(absl::Now()))
                ^ static_cast<std::uint64_t>(getpid()) ^ absl::HashOf(settings.id)),
       m_log(STDOUT_FILENO, settings.id.value()), m_targets(settings.domain, m_random), m_connections(context),
+      m_promptGuard(
+          settings.id, m_routerRegistry, m_log, m_metrics,
+          {.evidenceChanged = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
+           .verdictAdded = [this] { postToSessions([](ForwardSession &it) { it.promptsBarred(); }); }}),
       m_gatewayContext{.context = context,
                        .dialect = site.dialect,
                        .random = m_random,
                        .targets = m_targets,
                        .connections = m_connections,
+                       .promptGuard = m_promptGuard,
                        .log = m_log,
                        .metrics = m_metrics,
                        .notices =
@@ -356,8 +361,12 @@
                      {"started_at_ms", now.startedAtMs}},
                     monotonicNow());
     }
-    if (replacedTarget)
+    if (before && before->startedAtMs != now.startedAtMs)
+        m_promptGuard.targetEnded(now.id, monotonicNow());
+    if (replacedTarget) {
+        m_promptGuard.targetEnded(*replacedTarget, monotonicNow());
         notifySessions(*replacedTarget, TargetFault::Gone);
+    }
 }
 
 void Gateway::targetRemoved(const TargetId &id)
@@ -435,6 +444,7 @@
     for (const auto &[service, budget] : m_budgets)
         report.counts[service] = budget.counts();
     report.router.isStoreTrusted = m_targetsView.isTrusted(monotonicNow());
+    report.promptEvidence = m_promptGuard.evidence(monotonicNow());
     return report;
 }
 
@@ -470,6 +480,7 @@
         m_targets.setPeerLoads(report.router.id, report.loads, now);
         addReportedCounts(report, now);
     }
+    m_promptGuard.merge(report.promptEvidence, now);
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
 }
@@ -501,10 +512,15 @@
 
 void Gateway::notifySessions(const TargetId &id, TargetFault fault)
 {
-    boost::asio::post(m_context, [this, id, fault] {
+    postToSessions([id, fault](ForwardSession &it) { it.targetFailed(id, fault); });
+}
+
+void Gateway::postToSessions(std::function<void(ForwardSession &)> notify)
+{
+    boost::asio::post(m_context, [this, notify = std::move(notify)] {
         const std::vector<std::shared_ptr<ForwardSession>> sessions(m_sessions.begin(), m_sessions.end());
         for (const auto &it : sessions)
-            it->targetFailed(id, fault);
+            notify(*it);
     });
 }
 
@@ -518,11 +534,14 @@
         const auto now = monotonicNow();
         if (result == ProbeResult::Connected) {
             m_targets.markReachable(id);
+            m_promptGuard.targetReachable(id);
             return;
         }
         const auto fault = result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unreachable;
         m_targets.recordFault(id, fault, now);
         m_log.write("target_verified", {{"target", id.value()}, {"fault", targetFaultName(fault)}}, now);
+        if (fault == TargetFault::Refused)
+            m_promptGuard.targetEnded(id, now);
         targetFailed(id, fault);
     });
 }
@@ -552,6 +571,7 @@
 {
     const auto now = monotonicNow();
     m_connections.dropOld(now);
+    m_promptGuard.expire(now);
     updateTopology();
     const auto groupRouters = m_routerRegistry.aliveCountAmong(m_topology.ownGroup(), now) + 1;
     const bool othersTrusted = m_routerRegistry.isStoreTrustedByOthers(now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -95,6 +95,8 @@
     [[nodiscard]] ServiceRetryBudget &budgetFor(const ServiceName &);
     void targetFailed(const TargetId &, TargetFault);
     void notifySessions(const TargetId &, TargetFault);
+    // Calls the function for each open session, but not from within the current call.
+    void postToSessions(std::function<void(ForwardSession &)>);
     // Probes a target that lost a connection to find out whether it is still reachable.
     void verifyTarget(const TargetId &);
     void addReportedCounts(const PeerReport &, absl::Time now);
@@ -123,8 +125,9 @@
     GatewayMetrics m_metrics;
     TargetPool m_targets;
     TargetConnections m_connections;
-    GatewayContext m_gatewayContext;
     RouterRegistry m_routerRegistry;
+    PromptGuard m_promptGuard;
+    GatewayContext m_gatewayContext;
     RouterRegistry::Member m_self;
     PeerTopology m_topology;
     // Version of the registry's membership that the topology was computed from.
--- a/Libraries/LibGateway/GatewayContext.h
+++ b/Libraries/LibGateway/GatewayContext.h
@@ -6,6 +6,7 @@
 #include <LibForwarding/TargetPool.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/PromptGuard.h>
 #include <LibGateway/StructuredLog.h>
 #include <LibGateway/TargetConnections.h>
 #include <LibGateway/TargetNoticeRecorder.h>
@@ -26,6 +27,7 @@
     RandomSource &random;
     TargetPool &targets;
     TargetConnections &connections;
+    PromptGuard &promptGuard;
     StructuredLog &log;
     GatewayMetrics &metrics;
     // Answers to control requests may arrive after the gateway has been destroyed, so their handlers hold a
--- /dev/null
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -0,0 +1,110 @@
+// Logs verdicts and selects the owner of a trial by rendezvous hashing.
+
+#include <LibGateway/PromptGuard.h>
+
+#include <LibForwarding/StableHash.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace Wisteria {
+
+nlohmann::json partNames(const PromptParts &parts)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &it : parts)
+        out.push_back(std::string(absl::StrCat(absl::Hex(it.value()))));
+    return out;
+}
+
+std::optional<absl::Duration> PromptGuard::admit(const PromptParts &parts, absl::Time now)
+{
+    const auto *verdict = m_quarantine.verdictOn(parts);
+    if (!verdict)
+        return std::nullopt;
+    if (isTrialOwner(*verdict, now) && m_quarantine.tryStartTrial(*verdict, now)) {
+        m_metrics.increment("prompt_trials_total", "");
+        m_log.write("prompt_trial", {{"parts", partNames(verdict->parts)}, {"ends", verdict->ends}}, now);
+        return std::nullopt;
+    }
+    return barOf(parts, now);
+}
+
+std::optional<absl::Duration> PromptGuard::barOf(const PromptParts &parts, absl::Time now) const
+{
+    const auto *verdict = m_quarantine.verdictOn(parts);
+    if (!verdict)
+        return std::nullopt;
+    return std::max(verdict->nextTrialAt - now, PromptQuarantine::trialTime);
+}
+
+void PromptGuard::runLost(const TargetProcess &process, const PromptParts &parts, TargetFault fault,
+                          absl::Time now)
+{
+    if (fault != TargetFault::ConnectionLost && fault != TargetFault::Gone)
+        return;
+    m_quarantine.recordLostRun(process, parts, now);
+    if (fault == TargetFault::Gone)
+        targetEnded(process.id, now);
+}
+
+void PromptGuard::runSurvived(const PromptParts &parts, absl::Time now)
+{
+    report(m_quarantine.recordSurvival(parts, now), now);
+}
+
+void PromptGuard::targetEnded(const TargetId &id, absl::Time now)
+{
+    const auto change = m_quarantine.confirmEnd(id, now);
+    if (change.isNews) {
+        m_metrics.increment("target_ends_with_suspects_total", "");
+        m_log.write("target_ended", {{"target", id.value()}}, now);
+    }
+    report(change, now);
+}
+
+void PromptGuard::merge(const PromptEvidence &evidence, absl::Time now)
+{
+    report(m_quarantine.merge(evidence, now), now);
+}
+
+void PromptGuard::expire(absl::Time now)
+{
+    report(m_quarantine.expire(now), now);
+    m_metrics.setGauge("prompt_verdicts", static_cast<double>(m_quarantine.verdicts().size()));
+}
+
+bool PromptGuard::isTrialOwner(const PromptQuarantine::Verdict &verdict, absl::Time now) const
+{
+    const auto rank = [&verdict](const RouterId &id) {
+        return stableHash(absl::StrCat(verdict.parts.front().value(), "/", id.value()));
+    };
+    const auto members = m_routers.members();
+    return std::none_of(members.begin(), members.end(), [&](const RouterRegistry::Member &it) {
+        return it.phase == RouterPhase::Serving && m_routers.isAlive(it.id, now)
+            && rank(it.id) < rank(m_self);
+    });
+}
+
+void PromptGuard::report(const QuarantineChange &change, absl::Time now)
+{
+    for (const auto &it : change.liftedVerdicts)
+        m_log.write("prompt_bar_lifted", {{"parts", partNames(it)}}, now);
+    for (const auto &it : change.newVerdicts) {
+        m_metrics.increment("prompt_verdicts_total", "");
+        const auto *verdict = m_quarantine.verdictOn(it);
+        m_log.write("prompt_barred",
+                    {{"parts", partNames(it)},
+                     {"ends", verdict->ends},
+                     {"last_end_ms_ago", absl::ToInt64Milliseconds(now - verdict->lastEndAt)},
+                     {"next_trial_ms", absl::ToInt64Milliseconds(verdict->nextTrialAt - now)}},
+                    now);
+    }
+    if (change.isNews)
+        m_callbacks.evidenceChanged();
+    if (!change.newVerdicts.empty())
+        m_callbacks.verdictAdded();
+}
+
+} // namespace Wisteria
--- /dev/null
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -0,0 +1,67 @@
+// Hosts the PromptQuarantine of a gateway: feeds it with what runs and probes show, logs its verdicts, and
+// selects the router that makes a trial.
+
+#pragma once
+
+#include <LibForwarding/PromptQuarantine.h>
+#include <LibForwarding/RouterRegistry.h>
+#include <LibForwarding/TargetPool.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/StructuredLog.h>
+
+#include <functional>
+#include <optional>
+
+namespace Wisteria {
+
+class PromptGuard
+{
+public:
+    struct Callbacks
+    {
+        // The other routers should hear of new evidence at once.
+        std::function<void()> evidenceChanged;
+        // Runs that have become barred should be cancelled.
+        std::function<void()> verdictAdded;
+    };
+
+    PromptGuard(RouterId self, const RouterRegistry &routers, StructuredLog &log, GatewayMetrics &metrics,
+                Callbacks callbacks)
+        : m_self(std::move(self)), m_routers(routers), m_log(log), m_metrics(metrics),
+          m_callbacks(std::move(callbacks))
+    {
+    }
+
+    // Returns how long requests with these parts are barred; empty if the request may be forwarded, also as
+    // the trial of a verdict.
+    [[nodiscard]] std::optional<absl::Duration> admit(const PromptParts &, absl::Time now);
+    // Like admit(), for a run that has already been admitted: no trial is started.
+    [[nodiscard]] std::optional<absl::Duration> barOf(const PromptParts &, absl::Time now) const;
+
+    // A run ended by the fault before its target had written for PromptQuarantine::survivalTime.
+    void runLost(const TargetProcess &, const PromptParts &, TargetFault, absl::Time now);
+    void runSurvived(const PromptParts &, absl::Time now);
+    void targetEnded(const TargetId &, absl::Time now);
+    void targetReachable(const TargetId &id) { m_quarantine.discardLostRuns(id); }
+
+    [[nodiscard]] PromptEvidence evidence(absl::Time now) const { return m_quarantine.evidence(now); }
+    void merge(const PromptEvidence &, absl::Time now);
+    void expire(absl::Time now);
+
+private:
+    // All routers that know the same live routers agree on one.
+    [[nodiscard]] bool isTrialOwner(const PromptQuarantine::Verdict &, absl::Time now) const;
+    void report(const QuarantineChange &, absl::Time now);
+
+    RouterId m_self;
+    const RouterRegistry &m_routers;
+    StructuredLog &m_log;
+    GatewayMetrics &m_metrics;
+    Callbacks m_callbacks;
+    PromptQuarantine m_quarantine;
+};
+
+// Names of the parts, as in requests.
+[[nodiscard]] nlohmann::json partNames(const PromptParts &);
+
+} // namespace Wisteria
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -96,6 +96,8 @@
     CPPUNIT_TEST(suspectedStreamGoesOnWhenAttemptsAreUsedUp);
     CPPUNIT_TEST(suspectedStreamGoesOnWithoutRetryBudget);
     CPPUNIT_TEST(suspicionDoesNotEndNonIdempotentRequest);
+    CPPUNIT_TEST(barredRequestIsRefusedForTheTimeOfTheBar);
+    CPPUNIT_TEST(barredRunIsCancelledAndNotReportedAsNotExecuted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -452,6 +454,40 @@
         CPPUNIT_ASSERT(probes >= 5);
     }
 
+    void barredRequestIsRefusedForTheTimeOfTheBar()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        const auto actions = request.handle(ForwardingEvents::AttemptBarred{absl::Minutes(8)}, m_start);
+        const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal);
+        CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+        CPPUNIT_ASSERT(refusal->isNotExecuted);
+        CPPUNIT_ASSERT(refusal->retryAfter == absl::Minutes(8));
+        CPPUNIT_ASSERT(request.isFinished());
+    }
+
+    // Also when the next attempt is barred after one that has run.
+    void barredRunIsCancelledAndNotReportedAsNotExecuted()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        auto actions = request.handle(ForwardingEvents::RunBarred{absl::Minutes(1)}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::CancelAttempt>(actions));
+        const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->status == 502 && !refusal->retryAfter);
+
+        ForwardedRequest lost(detail::streamParameters(), budget, m_start);
+        (void)lost.begin(m_start);
+        actions = lost.handle(ForwardingEvents::AttemptLost{}, m_start);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(actions));
+        actions = lost.handle(ForwardingEvents::AttemptBarred{absl::Minutes(1)}, m_start);
+        refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && refusal->status == 502 && !refusal->isNotExecuted);
+    }
+
 private:
     // A tick at which the host finds another target. Until then, the running attempt isn't touched.
     static ForwardingActionList tickAndReplace(ForwardedRequest &request, absl::Time now)
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -153,6 +153,9 @@
         CPPUNIT_ASSERT(decoded->faults == report.faults);
         CPPUNIT_ASSERT(decoded->gone == report.gone);
         CPPUNIT_ASSERT(decoded->targetsPosition == report.targetsPosition);
+        CPPUNIT_ASSERT(decoded->promptEvidence == report.promptEvidence);
+        CPPUNIT_ASSERT(decodePeerReport(encodePeerReport(report.brief()))->promptEvidence
+                       == report.promptEvidence);
         CPPUNIT_ASSERT_EQUAL(report.router.reportSequence, decoded->router.reportSequence);
     }
 
@@ -313,6 +316,10 @@
         report.loads[TargetId("t1")] = {.requests = 2, .pendingPrefillTokens = 8000, .memoryTokens = 18000};
         report.faults = {TargetId("t2")};
         report.gone = {TargetId("t3")};
+        report.promptEvidence.ends = {{.id = TargetEndId(~std::uint64_t{0}),
+                                       .age = absl::Milliseconds(1500),
+                                       .runs = {{PromptPartId(4), PromptPartId(7)}, {PromptPartId(7)}}}};
+        report.promptEvidence.survivals = {{.part = PromptPartId(9), .age = absl::Milliseconds(20)}};
         return report;
     }
 
--- /dev/null
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -0,0 +1,402 @@
+// Tests which parts of prompts are barred by the ends of targets: causes, bystanders, other reasons for ends,
+// evidence of several routers, and trials.
+
+#include <LibForwarding/PromptQuarantine.h>
+
+#include <LibCore/Random.h>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace Wisteria {
+
+class TestPromptQuarantine : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestPromptQuarantine);
+    CPPUNIT_TEST(partThatEndsThreeTargetsIsBarred);
+    CPPUNIT_TEST(partOnWhichTargetLivesOnIsNotBarred);
+    CPPUNIT_TEST(survivalOfOtherRequestsClearsSharedParts);
+    CPPUNIT_TEST(earlierSurvivalDoesNotExcuseLaterEnds);
+    CPPUNIT_TEST(partsBesideTheCauseAreNotBarred);
+    CPPUNIT_TEST(requestBesideTheCauseOnEachTargetIsNotBarred);
+    CPPUNIT_TEST(verdictNarrowsToTheCommonPart);
+    CPPUNIT_TEST(twoCausesAreToldApart);
+    CPPUNIT_TEST(lostConnectionsOfLivingTargetsAreNoEvidence);
+    CPPUNIT_TEST(endConfirmedLateIsNoEvidence);
+    CPPUNIT_TEST(lostDomainBarsNothing);
+    CPPUNIT_TEST(evidenceOfSeveralRoutersIsAdded);
+    CPPUNIT_TEST(oneEndSeenByManyRoutersCountsOnce);
+    CPPUNIT_TEST(startedRouterLearnsVerdicts);
+    CPPUNIT_TEST(survivalAtOneRouterClearsPartAtAll);
+    CPPUNIT_TEST(routersAgreeInAnyOrderOfReports);
+    CPPUNIT_TEST(timesDoNotGrowOnTheirWayAround);
+    CPPUNIT_TEST(trialIsMadeOnceAfterItsDelay);
+    CPPUNIT_TEST(delayGrowsWithEachFailedTrial);
+    CPPUNIT_TEST(survivingTrialLiftsVerdict);
+    CPPUNIT_TEST(evidenceExpires);
+    CPPUNIT_TEST(memoryIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void partThatEndsThreeTargetsIsBarred()
+    {
+        PromptQuarantine quarantine;
+        CPPUNIT_ASSERT(end(quarantine, 1, {{1, 9}}).newVerdicts.empty());
+        CPPUNIT_ASSERT(end(quarantine, 2, {{2, 9}}).newVerdicts.empty());
+        CPPUNIT_ASSERT(!isBarred(quarantine, {3, 9}));
+        const auto change = end(quarantine, 3, {{3, 9}});
+        CPPUNIT_ASSERT(change.isNews);
+        CPPUNIT_ASSERT(change.newVerdicts == std::vector<PromptParts>{parts({9})});
+        CPPUNIT_ASSERT(isBarred(quarantine, {4, 9}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {1, 2, 3}));
+    }
+
+    void partOnWhichTargetLivesOnIsNotBarred()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 9; ++n) {
+            (void)end(quarantine, n, {{1, 9}});
+            pass(absl::Seconds(1));
+            (void)quarantine.recordSurvival(parts({1, 9}), m_now);
+        }
+        CPPUNIT_ASSERT(quarantine.verdicts().empty());
+    }
+
+    void survivalOfOtherRequestsClearsSharedParts()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{1, 9}});
+        // Part 1 can't be told from part 9 yet, so that only requests with both are barred.
+        CPPUNIT_ASSERT(isBarred(quarantine, {1, 9}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {1, 5}));
+        (void)quarantine.recordSurvival(parts({1, 5}), m_now);
+        CPPUNIT_ASSERT(isBarred(quarantine, {2, 9}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {1, 5}));
+    }
+
+    // The part was sound until the weights of the targets changed.
+    void earlierSurvivalDoesNotExcuseLaterEnds()
+    {
+        PromptQuarantine quarantine;
+        (void)quarantine.recordSurvival(parts({9}), m_now);
+        pass(PromptQuarantine::trustTime + absl::Milliseconds(1));
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{9}});
+        CPPUNIT_ASSERT(isBarred(quarantine, {9}));
+    }
+
+    void partsBesideTheCauseAreNotBarred()
+    {
+        PromptQuarantine quarantine;
+        (void)end(quarantine, 1, {{9}, {5, 6}});
+        (void)end(quarantine, 2, {{9}, {5}});
+        (void)end(quarantine, 3, {{9}, {5, 6}});
+        (void)end(quarantine, 4, {{9}});
+        CPPUNIT_ASSERT(isBarred(quarantine, {9}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {5}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {5, 6}));
+    }
+
+    // A sound request is sent on to the same targets as the cause, three times. It can't be told from the
+    // cause before the fourth end, and the cause is barred before the fifth all the same.
+    void requestBesideTheCauseOnEachTargetIsNotBarred()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{1, 2, 9}, {5}});
+        (void)end(quarantine, 3, {{1, 3, 9}});
+        CPPUNIT_ASSERT(isBarred(quarantine, {1, 4, 9}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {5}));
+    }
+
+    void verdictNarrowsToTheCommonPart()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{1, 2, 9}});
+        CPPUNIT_ASSERT(!isBarred(quarantine, {3, 9}));
+        const auto change = end(quarantine, 3, {{3, 9}});
+        CPPUNIT_ASSERT(change.newVerdicts == std::vector<PromptParts>{parts({9})});
+        CPPUNIT_ASSERT(change.liftedVerdicts == (std::vector<PromptParts>{parts({1, 2, 9})}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {1, 2}));
+    }
+
+    void twoCausesAreToldApart()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 4; ++n) {
+            (void)end(quarantine, 2 * n, {{10 + n, 8}});
+            (void)end(quarantine, 2 * n + 1, {{20 + n, 9}});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, quarantine.verdicts().size());
+        CPPUNIT_ASSERT(isBarred(quarantine, {8}));
+        CPPUNIT_ASSERT(isBarred(quarantine, {9}));
+    }
+
+    void lostConnectionsOfLivingTargetsAreNoEvidence()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 9; ++n) {
+            quarantine.recordLostRun(process(n), parts({9}), m_now);
+            quarantine.discardLostRuns(process(n).id);
+            CPPUNIT_ASSERT(!quarantine.confirmEnd(process(n).id, m_now).isNews);
+        }
+        CPPUNIT_ASSERT(quarantine.verdicts().empty());
+    }
+
+    void endConfirmedLateIsNoEvidence()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 9; ++n)
+            quarantine.recordLostRun(process(n), parts({9}), m_now);
+        pass(PromptQuarantine::confirmationTime + absl::Milliseconds(1));
+        for (int n = 0; n < 9; ++n)
+            CPPUNIT_ASSERT(!quarantine.confirmEnd(process(n).id, m_now).isNews);
+        CPPUNIT_ASSERT(quarantine.verdicts().empty());
+    }
+
+    // Twelve targets end within a second. Their prompts share the first part, which other targets write on.
+    void lostDomainBarsNothing()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 12; ++n) {
+            (void)quarantine.recordSurvival(parts({1, 500}), m_now);
+            (void)end(quarantine, n, {{1, 100 + n}, {1, 200 + n / 2}});
+            pass(absl::Milliseconds(80));
+        }
+        CPPUNIT_ASSERT(quarantine.verdicts().empty());
+    }
+
+    void evidenceOfSeveralRoutersIsAdded()
+    {
+        PromptQuarantine routers[3];
+        for (int n = 0; n < 3; ++n)
+            (void)end(routers[n], n, {{n, 9}});
+        exchange(routers);
+        for (const auto &it : routers)
+            CPPUNIT_ASSERT(isBarred(it, {9}));
+    }
+
+    void oneEndSeenByManyRoutersCountsOnce()
+    {
+        PromptQuarantine routers[3];
+        for (auto &it : routers)
+            (void)end(it, 1, {{9}});
+        exchange(routers);
+        CPPUNIT_ASSERT(routers[0].verdicts().empty());
+    }
+
+    void startedRouterLearnsVerdicts()
+    {
+        PromptQuarantine before;
+        for (int n = 0; n < 20; ++n)
+            (void)end(before, n, {{9}});
+        pass(absl::Seconds(50));
+        PromptQuarantine started;
+        const auto change = started.merge(before.evidence(m_now), m_now);
+        CPPUNIT_ASSERT(change.newVerdicts == std::vector<PromptParts>{parts({9})});
+        CPPUNIT_ASSERT(started.verdicts()[0].nextTrialAt == before.verdicts()[0].nextTrialAt);
+    }
+
+    void survivalAtOneRouterClearsPartAtAll()
+    {
+        PromptQuarantine routers[2];
+        (void)routers[1].recordSurvival(parts({1}), m_now);
+        for (int n = 0; n < 3; ++n)
+            (void)end(routers[0], n, {{1, n + 10}});
+        CPPUNIT_ASSERT(isBarred(routers[0], {1}));
+        exchange(routers);
+        CPPUNIT_ASSERT(!isBarred(routers[0], {1}));
+        CPPUNIT_ASSERT(!isBarred(routers[1], {1}));
+    }
+
+    // Drawn orders, with duplicates and losses; all routers hear everything in the end.
+    void routersAgreeInAnyOrderOfReports()
+    {
+        int verdicts = 0;
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            SeededRandom random(seed);
+            PromptQuarantine routers[4];
+            for (int n = 0; n < 30; ++n) {
+                auto &router = routers[random.below(4)];
+                const int part = static_cast<int>(random.below(5));
+                if (random.below(6) == 0)
+                    (void)router.recordSurvival(parts({part}), m_now);
+                else
+                    (void)end(router, static_cast<int>(random.below(12)), {{part, 100 + n, 9}});
+                pass(absl::Milliseconds(static_cast<std::int64_t>(random.below(300))));
+                (void)routers[random.below(4)].merge(routers[random.below(4)].evidence(m_now), m_now);
+            }
+            exchange(routers);
+            exchange(routers);
+            for (const auto &it : routers) {
+                CPPUNIT_ASSERT_MESSAGE(absl::StrCat("seed ", seed), isBarred(it, {9}));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(absl::StrCat("seed ", seed), routers[0].verdicts().size(),
+                                             it.verdicts().size());
+                verdicts += static_cast<int>(it.verdicts().size());
+            }
+        }
+        CPPUNIT_ASSERT(verdicts > 0);
+    }
+
+    // Two routers repeat a survival to each other, each time with a delay.
+    void timesDoNotGrowOnTheirWayAround()
+    {
+        PromptQuarantine routers[2];
+        (void)routers[0].recordSurvival(parts({9}), m_now);
+        (void)end(routers[1], 1, {{9}});
+        for (int n = 0; n < 300; ++n) {
+            for (auto &to : routers) {
+                auto &from = &to == routers ? routers[1] : routers[0];
+                const auto evidence = from.evidence(m_now);
+                pass(absl::Milliseconds(20));
+                (void)to.merge(evidence, m_now);
+            }
+        }
+        for (int n = 10; n < 13; ++n)
+            (void)end(routers[n % 2], n, {{9}});
+        exchange(routers);
+        CPPUNIT_ASSERT(isBarred(routers[0], {9}));
+        CPPUNIT_ASSERT(isBarred(routers[1], {9}));
+    }
+
+    void trialIsMadeOnceAfterItsDelay()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{9}});
+        CPPUNIT_ASSERT(!quarantine.tryStartTrial(quarantine.verdicts()[0], m_now));
+        pass(PromptQuarantine::firstTrialDelay);
+        CPPUNIT_ASSERT(quarantine.tryStartTrial(quarantine.verdicts()[0], m_now));
+        CPPUNIT_ASSERT(!quarantine.tryStartTrial(quarantine.verdicts()[0], m_now));
+        CPPUNIT_ASSERT(isBarred(quarantine, {9}));
+    }
+
+    // Three trials, and with them three ends, take more than an hour.
+    void delayGrowsWithEachFailedTrial()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{9}});
+        const auto begin = m_now;
+        auto delay = absl::ZeroDuration();
+        for (int n = 3; n < 8; ++n) {
+            const auto before = std::exchange(delay, quarantine.verdicts()[0].nextTrialAt - m_now);
+            CPPUNIT_ASSERT(delay > before || delay == PromptQuarantine::maxTrialDelay);
+            pass(delay);
+            CPPUNIT_ASSERT(quarantine.tryStartTrial(quarantine.verdicts()[0], m_now));
+            (void)end(quarantine, n, {{9}});
+            if (n == 5)
+                CPPUNIT_ASSERT(m_now - begin > absl::Hours(1));
+        }
+    }
+
+    void survivingTrialLiftsVerdict()
+    {
+        PromptQuarantine routers[2];
+        for (int n = 0; n < 3; ++n)
+            (void)end(routers[0], n, {{9}});
+        exchange(routers);
+        pass(PromptQuarantine::firstTrialDelay);
+        const auto change = routers[0].recordSurvival(parts({9}), m_now);
+        CPPUNIT_ASSERT(change.liftedVerdicts == std::vector<PromptParts>{parts({9})});
+        exchange(routers);
+        CPPUNIT_ASSERT(!isBarred(routers[0], {9}));
+        CPPUNIT_ASSERT(!isBarred(routers[1], {9}));
+    }
+
+    void evidenceExpires()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 2; ++n)
+            (void)end(quarantine, n, {{9}});
+        pass(PromptQuarantine::evidenceLifetime + absl::Seconds(1));
+        (void)quarantine.expire(m_now);
+        (void)end(quarantine, 2, {{9}});
+        CPPUNIT_ASSERT(!isBarred(quarantine, {9}));
+        for (int n = 3; n < 5; ++n)
+            (void)end(quarantine, n, {{9}});
+        pass(PromptQuarantine::evidenceLifetime + absl::Seconds(1));
+        (void)quarantine.expire(m_now);
+        CPPUNIT_ASSERT(isBarred(quarantine, {9}));
+        pass(PromptQuarantine::verdictLifetime);
+        const auto change = quarantine.expire(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, change.liftedVerdicts.size());
+        CPPUNIT_ASSERT(!isBarred(quarantine, {9}));
+    }
+
+    // Callers choose the parts, so that there is no end of them.
+    void memoryIsBounded()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{9}});
+        for (int n = 0; n < 2000; ++n) {
+            PromptParts many;
+            for (int k = 0; k < 100; ++k)
+                many.emplace_back(1000 + 100 * n + k);
+            (void)quarantine.recordSurvival(many, m_now);
+            pass(PromptQuarantine::trustTime + absl::Seconds(1));
+            quarantine.recordLostRun(process(10 + n), many, m_now);
+            (void)quarantine.confirmEnd(process(10 + n).id, m_now);
+        }
+        CPPUNIT_ASSERT(isBarred(quarantine, {9}));
+        const auto evidence = quarantine.evidence(m_now);
+        CPPUNIT_ASSERT(evidence.ends.size() <= PromptQuarantine::maxReportedEnds);
+        for (const auto &it : evidence.ends) {
+            CPPUNIT_ASSERT(it.runs.size() <= PromptQuarantine::maxRunsPerEnd);
+            for (const auto &run : it.runs)
+                CPPUNIT_ASSERT(run.size() <= PromptQuarantine::maxPartsPerRun);
+        }
+    }
+
+private:
+    static PromptParts parts(const std::vector<int> &ids)
+    {
+        PromptParts out;
+        for (const int it : ids)
+            out.emplace_back(static_cast<std::uint64_t>(it));
+        std::sort(out.begin(), out.end());
+        return out;
+    }
+
+    static TargetProcess process(int n)
+    {
+        return {TargetId(absl::StrCat("t", n)), 1, absl::StrCat("10.0.0.", n, ":1")};
+    }
+
+    // The target ends while these requests have just begun on it.
+    QuarantineChange end(PromptQuarantine &quarantine, int target, const std::vector<std::vector<int>> &runs)
+    {
+        for (const auto &it : runs)
+            quarantine.recordLostRun(process(target), parts(it), m_now);
+        return quarantine.confirmEnd(process(target).id, m_now);
+    }
+
+    static bool isBarred(const PromptQuarantine &quarantine, const std::vector<int> &ids)
+    {
+        return quarantine.verdictOn(parts(ids)) != nullptr;
+    }
+
+    template <std::size_t n>
+    void exchange(PromptQuarantine (&routers)[n])
+    {
+        for (const auto &from : routers) {
+            for (auto &to : routers) {
+                if (&to != &from)
+                    (void)to.merge(from.evidence(m_now), m_now);
+            }
+        }
+    }
+
+    void pass(absl::Duration duration) { m_now += duration; }
+
+    absl::Time m_now{absl::UnixEpoch() + absl::Hours(1)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPromptQuarantine);
+
+} // namespace Wisteria
