Tests: Make certain which engine a request reaches first

Cause: up to eight calls (or five seconds of calls) were left to the random choice among targets of equal cost, and none of them chose the one in question.

Change: a stand-in router reports load on the other engines of the service, and the test waits until the gateway has taken the report; the gateway then chooses the engine with certainty, and the others remain for the retry. The checks stay as they are, and now hold for the first call: one call in place of up to eight.

--- a/Tests/Platform/FakeDeployment.cpp
+++ b/Tests/Platform/FakeDeployment.cpp
@@ -55,6 +55,7 @@
 void FakeDeployment::tearDown()
 {
     // Sockets must be destroyed before their event loop.
+    m_peerRouter.reset();
     m_gateway.reset();
     m_client.reset();
     m_engines.clear();
@@ -101,6 +102,7 @@
     settings.retryLimits = {.ratio = 0.8, .minRetriesPerWindow = 150, .window = absl::Seconds(10)};
     Router router;
     router.address = settings.callerListen;
+    router.peerAddress = settings.peerListen;
     router.client = std::move(*Platform::StoreClient::create(*m_context, settings.store, absl::Seconds(1)));
     auto gateway = Gateway::create(*m_context, settings,
                                    {.dialect = m_dialect, .decoder = m_decoder, .store = *router.client});
@@ -113,12 +115,27 @@
 {
     auto router = createRouter("g1");
     m_address = router.address;
+    m_peerAddress = router.peerAddress;
     m_client = std::move(router.client);
     m_gateway = std::move(router.gateway);
     if (readiness == Readiness::Wait)
         CPPUNIT_ASSERT(runUntil([&] { return call("GET", "/-/ready", "").head.status == 200; }));
 }
 
+void FakeDeployment::preferEngine(const std::string &id)
+{
+    // Less than the slots, and little enough to finish in time.
+    constexpr TargetLoad load{.requests = 7, .pendingPrefillTokens = 6000, .memoryTokens = 6000};
+    TargetLoads loads;
+    for (const auto &[name, engine] : m_engines) {
+        if (name != id && engine->service() == m_engines.at(id)->service())
+            loads[TargetId(engine->id())] = load;
+    }
+    m_peerRouter = std::make_unique<FakePeerRouter>(*m_context, absl::StrCat("peer-", ++m_peerRouters));
+    m_peerRouter->report(m_peerAddress, loads);
+    CPPUNIT_ASSERT(runUntil([&] { return m_peerRouter->isAnswered(); }));
+}
+
 void FakeDeployment::startCall(const std::string &method, const std::string &target, const std::string &id,
                                const std::string &key, HttpResponse &response, bool &isDone,
                                const std::string &body)
--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "FakePeerRouter.h"
 #include "FakePlatform.h"
 
 #include <LibGateway/Gateway.h>
@@ -43,10 +44,14 @@
     struct Router
     {
         std::string address;
+        std::string peerAddress;
         std::unique_ptr<Platform::StoreClient> client;
         std::unique_ptr<Gateway> gateway;
     };
     [[nodiscard]] Router createRouter(const std::string &id);
+    // Makes the gateway choose this engine for the next request: another router reports load on all others of
+    // its service.
+    void preferEngine(const std::string &id);
     void startCall(const std::string &method, const std::string &target, const std::string &id,
                    const std::string &key, HttpResponse &response, bool &isDone,
                    const std::string &body = "body");
@@ -75,6 +80,9 @@
     Platform::ObjectDecoder m_decoder;
     std::unique_ptr<Gateway> m_gateway;
     std::string m_address;
+    std::string m_peerAddress;
+    std::unique_ptr<FakePeerRouter> m_peerRouter;
+    int m_peerRouters{0};
     // Sent with calls as Prompt-Prefix, unless it is empty.
     std::string m_prompt;
 };
--- a/Tests/Platform/TestEndlessAnswersOfTargets.cpp
+++ b/Tests/Platform/TestEndlessAnswersOfTargets.cpp
@@ -45,10 +45,9 @@
         for (const auto interval : {floodInterval, dripInterval}) {
             for (const auto &answer : endlessAnswers(detail::sealedHead, interval)) {
                 replaceTargets({"app-0"}, answer);
-                for (int k = 0; k < 8 && m_peer->connectionCount() == 0; ++k) {
-                    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.start, 200,
-                                                 call("GET", "/look/x", absl::StrCat("r", n++)).head.status);
-                }
+                preferEngine("app-0");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.start, 200,
+                                             call("GET", "/look/x", absl::StrCat("r", n++)).head.status);
                 CPPUNIT_ASSERT(m_peer->connectionCount() > 0);
                 CPPUNIT_ASSERT(runUntil([&] { return m_peer->openConnectionCount() == 0; }));
             }
@@ -96,10 +95,9 @@
         int n = 0;
         for (const auto interval : {floodInterval, dripInterval}) {
             replaceTargets({"llm-0"}, {detail::streamHead + "id: 1\ndata: ", repeatedPiece("a"), interval});
-            for (int k = 0; k < 8 && m_peer->connectionCount() == 0; ++k) {
-                const auto response = call("POST", "/stream/x", absl::StrCat("r", n++));
-                CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
-            }
+            preferEngine("llm-0");
+            const auto response = call("POST", "/stream/x", absl::StrCat("r", n++));
+            CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
             CPPUNIT_ASSERT(m_peer->connectionCount() > 0);
             CPPUNIT_ASSERT(runUntil([&] { return m_peer->openConnectionCount() == 0; }));
         }
@@ -110,8 +108,8 @@
         const auto stream = m_engineState.completeStream();
         const auto firstEvent = stream.substr(0, stream.find("\n\n") + 2);
         replaceTargets({"llm-0"}, {detail::streamHead, repeatedPiece(firstEvent), dripInterval});
-        for (int n = 0; n < 8 && m_peer->connectionCount() == 0; ++n)
-            CPPUNIT_ASSERT_EQUAL(stream, call("POST", "/stream/x", absl::StrCat("r", n)).body);
+        preferEngine("llm-0");
+        CPPUNIT_ASSERT_EQUAL(stream, call("POST", "/stream/x", "r").body);
         CPPUNIT_ASSERT(m_peer->connectionCount() > 0);
         CPPUNIT_ASSERT(runUntil([&] { return m_peer->openConnectionCount() == 0; }));
     }
@@ -168,10 +166,8 @@
     void assertRejectionIsRepeated(const EndlessAnswer &answer)
     {
         replaceTargets({"app-0"}, answer);
-        for (int n = 0; n < 8 && m_peer->connectionCount() == 0; ++n) {
-            const auto response = call("POST", "/book/x", absl::StrCat("r", n));
-            CPPUNIT_ASSERT_EQUAL(200, response.head.status);
-        }
+        preferEngine("app-0");
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r").head.status);
         CPPUNIT_ASSERT(m_peer->connectionCount() > 0);
         CPPUNIT_ASSERT(runUntil([&] { return m_peer->openConnectionCount() == 0; }));
     }
--- a/Tests/Platform/TestLeavingEngines.cpp
+++ b/Tests/Platform/TestLeavingEngines.cpp
@@ -167,6 +167,7 @@
     {
         const int before = engine(id).requestCount();
         CPPUNIT_ASSERT(runUntil([&] {
+            preferEngine(id);
             (void)call(method, target, absl::StrCat("reach-", ++m_calls));
             return engine(id).requestCount() > before;
         }));
