Gateway: Don't take the end of an engine for the end of its stream

What callers saw: a stream without length or chunks whose engine ended after the head reached them as a whole, empty answer, and one whose engine ended between two events as a whole answer of the first events.

Cause: such an answer ends at the close of its connection, and the end of a process closes its connections, too. The gateway took each close outside an event for completion.

Change: the HTTP client says whether length and chunks or the close ended an answer. A stream that was closed before its first event is lost. For one that was closed between events the gateway probes the target: if nothing listens there, the stream goes on at another target after its last event. Only a confirmed end clears the parts of a prompt.

Why it works: a process that has ended accepts no connections; one that closed its answer goes on. Plain answers of that form stay as the protocol says: whole at a close, not at a reset.

--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -429,7 +429,32 @@
     m_caller->writeStream(bytes);
 }
 
-void ForwardSession::streamEnded()
+void ForwardSession::streamEnded(AnswerEnd end)
+{
+    if (end == AnswerEnd::Framed)
+        completeStream();
+    else
+        completeStreamIfTargetRuns();
+}
+
+void ForwardSession::completeStreamIfTargetRuns()
+{
+    const ForwardingTarget record{.id = m_targetProcess.id, .address = m_targetProcess.address};
+    m_gatewayContext.connections.probe(
+        record,
+        [weak = weak_from_this(), attempt = std::weak_ptr<TargetAttempt>(m_attempt)](ProbeResult result) {
+            const auto session = weak.lock();
+            const auto ended = attempt.lock();
+            if (!session || !ended || session->m_attempt != ended || session->isFinished())
+                return;
+            if (result == ProbeResult::Refused)
+                session->attemptLost(TargetFault::ConnectionLost);
+            else
+                session->completeStream();
+        });
+}
+
+void ForwardSession::completeStream()
 {
     recordCompletedStream(monotonicNow());
     if (m_firstEventAt)
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -54,7 +54,7 @@
     void attemptNotRun(TargetFault, bool wasRefused) override;
     void streamOpened(const HttpResponseHead &) override;
     void eventsReceived(const std::vector<RawEvent> &) override;
-    void streamEnded() override;
+    void streamEnded(AnswerEnd) override;
     void responseReceived(HttpResponse) override;
     void attemptLost(TargetFault) override;
 
@@ -90,6 +90,9 @@
     void reserveCopyLoad(const std::optional<TargetId> &holder);
     // Adds the request's load to the target and, if the route uses copies, to a copy holder.
     void reserveLoad(const TargetId &, bool fromCopy);
+    void completeStream();
+    // Completes the stream, unless its target's process has ended.
+    void completeStreamIfTargetRuns();
     void markPromptProcessed();
     // Records that the running attempt's target writes on the prompt and lives on.
     void noteSurvival(absl::Time now);
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -71,6 +71,7 @@
         fail(TargetFault::InvalidResponse);
         return;
     }
+    m_hasEvents = m_hasEvents || !events->empty();
     std::vector<RawEvent> newEvents;
     for (auto &it : *events) {
         if (!it.number) {
@@ -90,8 +91,13 @@
         m_listener->eventsReceived(newEvents);
 }
 
-void TargetAttempt::answerEnded()
+void TargetAttempt::answerEnded(AnswerEnd end)
 {
+    if (m_isStream && end == AnswerEnd::ConnectionClosed && !m_hasEvents) {
+        // A generation has at least one event.
+        fail(TargetFault::ConnectionLost);
+        return;
+    }
     if (m_isStream && m_splitter.hasPartialEvent()) {
         fail(TargetFault::InvalidResponse);
         return;
@@ -100,7 +106,7 @@
     if (!listener)
         return;
     if (m_isStream)
-        listener->streamEnded();
+        listener->streamEnded(end);
     else
         listener->responseReceived(std::move(m_response));
 }
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -25,7 +25,7 @@
     virtual void attemptNotRun(TargetFault, bool wasRefused) = 0;
     virtual void streamOpened(const HttpResponseHead &) = 0;
     virtual void eventsReceived(const std::vector<RawEvent> &) = 0;
-    virtual void streamEnded() = 0;
+    virtual void streamEnded(AnswerEnd) = 0;
     virtual void responseReceived(HttpResponse) = 0;
     virtual void attemptLost(TargetFault) = 0;
 };
@@ -49,7 +49,7 @@
 
     void answerHead(const HttpResponseHead &) override;
     void answerBody(std::string_view) override;
-    void answerEnded() override;
+    void answerEnded(AnswerEnd) override;
     void answerFailed(HttpFailure) override;
 
 private:
@@ -66,6 +66,7 @@
     HttpResponse m_response;
     ResponseClass m_responseClass{ResponseClass::Untrusted};
     bool m_isStream{false};
+    bool m_hasEvents{false};
     EventSplitter m_splitter;
 };
 
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -150,7 +150,7 @@
         if (ec == boost::asio::error::eof && m_parser->is_header_done() && m_parser->need_eof()) {
             m_parser->put_eof(parseError);
             if (!parseError) {
-                endAnswer();
+                endAnswer(AnswerEnd::ConnectionClosed);
                 return;
             }
         }
@@ -183,7 +183,7 @@
         if (m_state == State::Waiting && m_headTaken)
             takeBody();
         if (m_state == State::Waiting && m_headTaken && m_parser->is_done()) {
-            endAnswer();
+            endAnswer(AnswerEnd::Framed);
             return m_state != State::Closed;
         }
         if (used == 0)
@@ -224,7 +224,7 @@
         listener->answerBody(data);
 }
 
-void HttpClientConnection::endAnswer()
+void HttpClientConnection::endAnswer(AnswerEnd end)
 {
     const bool isClean = m_parser->keep_alive() && m_unparsed.empty() && !m_isWriting;
     const auto listener = takeListener();
@@ -236,7 +236,7 @@
         close();
     }
     if (listener)
-        listener->answerEnded();
+        listener->answerEnded(end);
 }
 
 bool HttpClientConnection::hasUnexpectedInput() const
@@ -379,7 +379,7 @@
             << "bad answer: the body exceeds " << m_maxBodyBytes << " bytes";
         finish(tl::unexpected(HttpFailure::BadAnswer));
     }
-    void answerEnded() override { finish(std::move(m_response)); }
+    void answerEnded(AnswerEnd) override { finish(std::move(m_response)); }
     void answerFailed(HttpFailure failure) override { finish(tl::unexpected(failure)); }
 
 private:
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -39,6 +39,15 @@
     Timeout,
 };
 
+// What shows that an answer is complete.
+enum class AnswerEnd {
+    // Its length or its last chunk.
+    Framed,
+    // The close of its connection, which the end of the peer's process looks like, too (RFC 9112,
+    // section 6.3).
+    ConnectionClosed,
+};
+
 // Takes an answer as it arrives. The connection calls none of these after answerEnded(), answerFailed() or
 // HttpClientConnection::cancel().
 class HttpAnswerListener
@@ -47,7 +56,7 @@
     virtual ~HttpAnswerListener() = default;
     virtual void answerHead(const HttpResponseHead &) = 0;
     virtual void answerBody(std::string_view data) = 0;
-    virtual void answerEnded() = 0;
+    virtual void answerEnded(AnswerEnd) = 0;
     virtual void answerFailed(HttpFailure) = 0;
 };
 
@@ -96,7 +105,7 @@
     // False when the head was an interim one.
     bool takeHead();
     void takeBody();
-    void endAnswer();
+    void endAnswer(AnswerEnd);
     void fail(HttpFailure);
     // Fails because of the bytes that came.
     void failBadAnswer(std::string_view reason);
--- /dev/null
+++ b/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
@@ -0,0 +1,161 @@
+// End-to-end tests of engines whose answers have neither a length nor chunks: whole ones, and those that the
+// end of the engine or of the connection breaks off.
+
+#include "FakeDeployment.h"
+
+#include <Support/FakeClosingPeer.h>
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+const std::string plainHead = "HTTP/1.1 200 OK\r\nEngine-Seal: seal\r\n\r\n";
+const std::string streamHead =
+    "HTTP/1.1 200 OK\r\nEngine-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
+
+} // namespace detail
+
+class TestAnswersThatEndWithTheirConnection : public FakeDeployment
+{
+    CPPUNIT_TEST_SUITE(TestAnswersThatEndWithTheirConnection);
+    CPPUNIT_TEST(wholeStreamIsDelivered);
+    CPPUNIT_TEST(streamThatEndsAfterItsHeadIsRepeated);
+    CPPUNIT_TEST(streamThatEndsInsideAnEventIsResumed);
+    CPPUNIT_TEST(streamThatIsResetBetweenEventsIsResumed);
+    CPPUNIT_TEST(streamOfEngineThatEndsBetweenEventsIsResumed);
+    CPPUNIT_TEST(engineThatEndsInAnAnswerCountsAgainstItsParts);
+    CPPUNIT_TEST(wholePlainAnswerIsDelivered);
+    CPPUNIT_TEST(plainAnswerThatIsResetIsNotDelivered);
+    CPPUNIT_TEST(rejectionIsNotExecuted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tearDown() override
+    {
+        m_peer.reset();
+        FakeDeployment::tearDown();
+    }
+
+    void wholeStreamIsDelivered()
+    {
+        replaceEngine("llm-0", detail::streamHead + m_engineState.completeStream(), FakeEnding::Close);
+        expectWholeStream();
+        CPPUNIT_ASSERT(m_engineState.runsByRequest.empty());
+    }
+
+    void streamThatEndsAfterItsHeadIsRepeated()
+    {
+        for (const auto ending : {FakeEnding::Close, FakeEnding::Reset, FakeEnding::CloseWithProcess}) {
+            replaceEngine("llm-0", detail::streamHead, ending);
+            expectWholeStream();
+        }
+    }
+
+    void streamThatEndsInsideAnEventIsResumed()
+    {
+        for (const auto ending : {FakeEnding::Close, FakeEnding::Reset, FakeEnding::CloseWithProcess}) {
+            replaceEngine("llm-0", detail::streamHead + beginOfStream(5) + "id: 6\nda", ending);
+            expectWholeStream();
+        }
+    }
+
+    void streamThatIsResetBetweenEventsIsResumed()
+    {
+        replaceEngine("llm-0", detail::streamHead + beginOfStream(5), FakeEnding::Reset);
+        expectWholeStream();
+    }
+
+    // The connection ends as that of a whole stream does, but nothing listens at the engine's address.
+    void streamOfEngineThatEndsBetweenEventsIsResumed()
+    {
+        replaceEngine("llm-0", detail::streamHead + beginOfStream(5), FakeEnding::CloseWithProcess);
+        expectWholeStream();
+    }
+
+    // The end of such an answer is no sign that the engine lives on.
+    void engineThatEndsInAnAnswerCountsAgainstItsParts()
+    {
+        m_prompt = "9:100,77:20";
+        for (const auto &bytes : {detail::streamHead, detail::streamHead + beginOfStream(2)}) {
+            replaceEngine("llm-0", bytes, FakeEnding::CloseWithProcess);
+            m_engineState.eventInterval = std::chrono::milliseconds(100);
+            HttpResponse response;
+            bool isDone = false;
+            startCall("POST", "/stream/x", absl::StrCat("r", m_calls++), "key", response, isDone);
+            CPPUNIT_ASSERT(runUntil([&] { return m_peer->requestCount() > 0; }));
+            m_context->run_for(std::chrono::milliseconds(300));
+            const auto metrics = call("GET", "/metrics", "").body;
+            CPPUNIT_ASSERT(metrics.find("wisteria_target_ends_with_suspects_total 1") != std::string::npos);
+            CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+            CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
+        }
+    }
+
+    void wholePlainAnswerIsDelivered()
+    {
+        replaceEngine("app-0", detail::plainHead + "whole", FakeEnding::Close);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), call("POST", "/book/x", "r").body);
+        CPPUNIT_ASSERT_EQUAL(1, m_peer->requestCount());
+    }
+
+    void plainAnswerThatIsResetIsNotDelivered()
+    {
+        replaceEngine("app-0", detail::plainHead + "whole", FakeEnding::Reset);
+        const auto repeated = call("GET", "/look/x", "r1");
+        CPPUNIT_ASSERT_EQUAL(std::string("answer of r1"), repeated.body);
+        replaceEngine("app-0", detail::plainHead + "whole", FakeEnding::Reset);
+        CPPUNIT_ASSERT_EQUAL(502, call("POST", "/book/x", "r2").head.status);
+        CPPUNIT_ASSERT(!m_engineState.runsByRequest.contains("r2"));
+    }
+
+    void rejectionIsNotExecuted()
+    {
+        for (const auto *status : {"429 Too Many", "503 Full"}) {
+            for (const auto ending : {FakeEnding::Close, FakeEnding::Reset}) {
+                replaceEngine("app-0",
+                              absl::StrCat("HTTP/1.1 ", status, "\r\nNot-Executed: full\r\n\r\nno room"),
+                              ending);
+                const auto id = absl::StrCat("r", m_calls++);
+                CPPUNIT_ASSERT_EQUAL("answer of " + id, call("POST", "/book/x", id).body);
+                CPPUNIT_ASSERT_EQUAL(1, m_peer->requestCount());
+            }
+        }
+    }
+
+private:
+    // Starts a gateway that sends its next request of the service to the peer.
+    void replaceEngine(const std::string &id, const std::string &answer, FakeEnding ending)
+    {
+        m_gateway.reset();
+        m_client.reset();
+        m_peer = std::make_unique<FakeClosingPeer>(*m_context, answer, ending);
+        m_engines[id]->setPublishedAddress(m_peer->address());
+        m_store->put("servers", id, m_engines[id]->storeRecord());
+        startGateway();
+        preferEngine(id);
+    }
+
+    void expectWholeStream()
+    {
+        const auto response = call("POST", "/stream/x", absl::StrCat("r", m_calls++));
+        CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
+        CPPUNIT_ASSERT_EQUAL(1, m_peer->requestCount());
+    }
+
+    [[nodiscard]] std::string beginOfStream(int events) const
+    {
+        auto state = m_engineState;
+        state.eventsPerStream = events;
+        return state.completeStream();
+    }
+
+    std::unique_ptr<FakeClosingPeer> m_peer;
+    int m_calls{0};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAnswersThatEndWithTheirConnection);
+
+} // namespace Wisteria
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -56,7 +56,7 @@
         m_lastAt = now;
         m_call.body += data;
     }
-    void answerEnded() override { finish(true); }
+    void answerEnded(AnswerEnd) override { finish(true); }
     void answerFailed(HttpFailure failure) override
     {
         m_call.isUnread = failure == HttpFailure::NotConnected || failure == HttpFailure::Refused;
