Gateway: Count the end of an engine that restarts at once

Cause: a connect that succeeds was taken as a sign that the process lives on, and discarded the lost run.

Why it works: each start of an engine has a new id or a later start time, which the directory lists within seconds.

Platform/TestRequestsThatCrashEngines::enginesThatRestartAtOnceCount failed before (502 at an engine after four requests). In LibForwarding/TestPromptQuarantine, lostConnectionsOfLivingTargetsAreNoEvidence becomes lostConnectionsWithoutAnEndAreNoEvidence, since living targets aren't told apart by a connect any more; it asserts the same, that such losses give no evidence and no verdict.

--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -71,6 +71,18 @@
     return change;
 }
 
+QuarantineChange PromptQuarantine::confirmEarlierEnds(const TargetProcess &current, absl::Time now)
+{
+    for (const auto &[id, lost] : m_lostRuns) {
+        const bool isEarlier =
+            id == current.id ? current.isLaterThan(lost.process) : current.address == lost.process.address;
+        // An address has one earlier process at most.
+        if (isEarlier)
+            return confirmEnd(TargetId(id), now);
+    }
+    return {};
+}
+
 QuarantineChange PromptQuarantine::recordSurvival(const PromptParts &parts, absl::Time now)
 {
     QuarantineChange change;
--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -114,8 +114,8 @@
     void recordLostRun(const TargetProcess &, const PromptParts &, absl::Time now);
     // The process that the target's lost runs were sent to has ended.
     QuarantineChange confirmEnd(const TargetId &, absl::Time now);
-    // The target accepts connections, so its lost runs were single faults.
-    void discardLostRuns(const TargetId &id) { m_lostRuns.erase(id); }
+    // The directory lists this process, so earlier ones of the target or at its address have ended.
+    QuarantineChange confirmEarlierEnds(const TargetProcess &, absl::Time now);
     // A target has written an answer on these parts and lives on.
     QuarantineChange recordSurvival(const PromptParts &, absl::Time now);
 
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -376,6 +376,9 @@
 {
     const bool isFull = wasRefused && fault != TargetFault::Gone;
     const bool isCopyMissing = m_isFromCopy && isFull;
+    // Another process answered at the address.
+    if (fault == TargetFault::Gone)
+        m_gatewayContext.promptGuard.targetEnded(m_targetProcess.id, monotonicNow());
     if (!isFull)
         noteFault(fault);
     else
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -361,12 +361,9 @@
                      {"started_at_ms", now.startedAtMs}},
                     monotonicNow());
     }
-    if (before && before->startedAtMs != now.startedAtMs)
-        m_promptGuard.targetEnded(now.id, monotonicNow());
-    if (replacedTarget) {
-        m_promptGuard.targetEnded(*replacedTarget, monotonicNow());
+    m_promptGuard.processListed(now.process(), monotonicNow());
+    if (replacedTarget)
         notifySessions(*replacedTarget, TargetFault::Gone);
-    }
 }
 
 void Gateway::targetRemoved(const TargetId &id)
@@ -472,6 +469,7 @@
     }
     for (const auto &it : report.gone) {
         m_targets.markGone(it);
+        m_promptGuard.targetEnded(it, now);
         notifySessions(it, TargetFault::Gone);
     }
     if (order == ReportOrder::Outdated)
@@ -534,7 +532,6 @@
         const auto now = monotonicNow();
         if (result == ProbeResult::Connected) {
             m_targets.markReachable(id);
-            m_promptGuard.targetReachable(id);
             return;
         }
         const auto fault = result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unreachable;
--- a/Libraries/LibGateway/PromptGuard.cpp
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -56,10 +56,20 @@
 
 void PromptGuard::targetEnded(const TargetId &id, absl::Time now)
 {
-    const auto change = m_quarantine.confirmEnd(id, now);
+    reportEnd(m_quarantine.confirmEnd(id, now), "target", id, now);
+}
+
+void PromptGuard::processListed(const TargetProcess &process, absl::Time now)
+{
+    reportEnd(m_quarantine.confirmEarlierEnds(process, now), "replaced_by", process.id, now);
+}
+
+void PromptGuard::reportEnd(const QuarantineChange &change, const char *name, const TargetId &id,
+                            absl::Time now)
+{
     if (change.isNews) {
         m_metrics.increment("target_ends_with_suspects_total", "");
-        m_log.write("target_ended", {{"target", id.value()}}, now);
+        m_log.write("target_ended", {{name, id.value()}}, now);
     }
     report(change, now);
 }
--- a/Libraries/LibGateway/PromptGuard.h
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -42,7 +42,8 @@
     void runLost(const TargetProcess &, const PromptParts &, TargetFault, absl::Time now);
     void runSurvived(const PromptParts &, absl::Time now);
     void targetEnded(const TargetId &, absl::Time now);
-    void targetReachable(const TargetId &id) { m_quarantine.discardLostRuns(id); }
+    // The directory lists this process.
+    void processListed(const TargetProcess &, absl::Time now);
 
     [[nodiscard]] PromptEvidence evidence(absl::Time now) const { return m_quarantine.evidence(now); }
     void merge(const PromptEvidence &, absl::Time now);
@@ -52,6 +53,8 @@
     // All routers that know the same live routers agree on one.
     [[nodiscard]] bool isTrialOwner(const PromptQuarantine::Verdict &, absl::Time now) const;
     void report(const QuarantineChange &, absl::Time now);
+    // `name` says what is known of the end, for the log.
+    void reportEnd(const QuarantineChange &, const char *name, const TargetId &, absl::Time now);
 
     RouterId m_self;
     const RouterRegistry &m_routers;
--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -23,7 +23,8 @@
     CPPUNIT_TEST(requestBesideTheCauseOnEachTargetIsNotBarred);
     CPPUNIT_TEST(verdictNarrowsToTheCommonPart);
     CPPUNIT_TEST(twoCausesAreToldApart);
-    CPPUNIT_TEST(lostConnectionsOfLivingTargetsAreNoEvidence);
+    CPPUNIT_TEST(lostConnectionsWithoutAnEndAreNoEvidence);
+    CPPUNIT_TEST(laterProcessConfirmsEnd);
     CPPUNIT_TEST(endConfirmedLateIsNoEvidence);
     CPPUNIT_TEST(lostDomainBarsNothing);
     CPPUNIT_TEST(evidenceOfSeveralRoutersIsAdded);
@@ -136,17 +137,32 @@
         CPPUNIT_ASSERT(isBarred(quarantine, {9}));
     }
 
-    void lostConnectionsOfLivingTargetsAreNoEvidence()
+    void lostConnectionsWithoutAnEndAreNoEvidence()
     {
         PromptQuarantine quarantine;
         for (int n = 0; n < 9; ++n) {
             quarantine.recordLostRun(process(n), parts({9}), m_now);
-            quarantine.discardLostRuns(process(n).id);
-            CPPUNIT_ASSERT(!quarantine.confirmEnd(process(n).id, m_now).isNews);
+            CPPUNIT_ASSERT(!quarantine.confirmEnd(process(100 + n).id, m_now).isNews);
         }
         CPPUNIT_ASSERT(quarantine.verdicts().empty());
     }
 
+    // Under the same id, or at the same address.
+    void laterProcessConfirmsEnd()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 2; ++n) {
+            auto later = process(n);
+            quarantine.recordLostRun(later, parts({9}), m_now);
+            CPPUNIT_ASSERT(!quarantine.confirmEarlierEnds(later, m_now).isNews);
+            CPPUNIT_ASSERT(!quarantine.confirmEarlierEnds(process(50), m_now).isNews);
+            later.startedAtMs = 2;
+            if (n == 1)
+                later.id = TargetId("another");
+            CPPUNIT_ASSERT(quarantine.confirmEarlierEnds(later, m_now).isNews);
+        }
+    }
+
     void endConfirmedLateIsNoEvidence()
     {
         PromptQuarantine quarantine;
--- a/Tests/Platform/TestRequestsThatCrashEngines.cpp
+++ b/Tests/Platform/TestRequestsThatCrashEngines.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <functional>
 
 namespace Wisteria {
 
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(requestsWithOnePartEndOnlyFewEngines);
     CPPUNIT_TEST(otherRoutersDoNotSendThemOn);
     CPPUNIT_TEST(restartedRouterDoesNotSendThemOn);
+    CPPUNIT_TEST(enginesThatRestartAtOnceCount);
     CPPUNIT_TEST(soundRequestsWithTheSameOtherPartsAreServed);
     CPPUNIT_TEST(requestsOfEnginesThatEndByThemselvesAreServed);
     CPPUNIT_TEST_SUITE_END();
@@ -96,6 +98,21 @@
         CPPUNIT_ASSERT_EQUAL(before, m_engineState.crashingRequests);
     }
 
+    // A connect after the end succeeds, since the next process of the engine listens already.
+    void enginesThatRestartAtOnceCount()
+    {
+        m_restartDelay = std::chrono::milliseconds(0);
+        startGateway();
+        for (int n = 0; n < 4; ++n) {
+            callSound();
+            CPPUNIT_ASSERT(callCrashing().head.status >= 500);
+            m_context->run_for(2 * publishDelay);
+        }
+        const int before = m_engineState.crashingRequests;
+        CPPUNIT_ASSERT_EQUAL(503, callCrashing().head.status);
+        CPPUNIT_ASSERT_EQUAL(before, m_engineState.crashingRequests);
+    }
+
     void soundRequestsWithTheSameOtherPartsAreServed()
     {
         startRouters();
@@ -135,6 +152,8 @@
     // The users' rule counts from the fifth.
     static constexpr int mostEnds = 5;
     static constexpr int routerCount = 3;
+    // From the start of a process to its entry in the store.
+    static constexpr std::chrono::milliseconds publishDelay{100};
 
     void startRouters()
     {
@@ -172,19 +191,25 @@
     // The engine comes back at its address, with a new id.
     void startLater(FakeEngine &engine)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(*m_context, std::chrono::milliseconds(1500));
-        timer->async_wait([this, timer, &engine](const auto &) {
+        startTimer(m_restartDelay, [this, &engine] {
             const auto earlier = engine.id();
             engine.startAgain(absl::StrCat("llm-again-", ++m_starts));
-            m_store->remove("servers", earlier);
-            m_store->put("servers", engine.id(), engine.storeRecord());
+            startTimer(publishDelay, [this, earlier, &engine] {
+                m_store->remove("servers", earlier);
+                m_store->put("servers", engine.id(), engine.storeRecord());
+            });
         });
     }
 
+    void startTimer(std::chrono::milliseconds delay, std::function<void()> action)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(*m_context, delay);
+        timer->async_wait([timer, action = std::move(action)](const auto &) { action(); });
+    }
+
     void endDuringPrefill(const std::string &id)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(*m_context, std::chrono::milliseconds(20));
-        timer->async_wait([this, timer, id](const auto &) {
+        startTimer(std::chrono::milliseconds(20), [this, id] {
             for (auto &[name, engine] : m_engines) {
                 if (engine->id() == id && engine->isRunning())
                     engine->end();
@@ -196,6 +221,7 @@
     int m_crashingCalls{0};
     int m_soundCalls{0};
     int m_starts{0};
+    std::chrono::milliseconds m_restartDelay{1500};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRequestsThatCrashEngines);
