Gateway: Suspect runs that were given up just before their target ended

What callers saw: a sound request got 502, and requests with its shared parts were barred, in 2 of 8 runs of Platform/TestRequestsThatCrashEngines (soundRequestsWithTheSameOtherPartsAreServed).

Cause: the fourth attempt of the crashing request was cancelled by its own verdict, and the engine ended on it all the same. The cancelled run was no evidence, so that a sound request which ran there was the only suspect of this end. Its shared parts, on which nothing had been written yet, then had one end more than the cause.

Evidence: the log of the failed run: attempt 4 of crashing-0 on llm-x11, verdict, sound-0 lost there 50 ms later, verdict on the parts of sound-0.

Why it works: each end has the run that caused it among its suspects, so that the cause has at least as many ends as anything beside it.

runGivenUpBeforeTheEndIsSuspect fails without the change.

--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -56,16 +56,25 @@
     lost.at = now;
 }
 
+bool PromptQuarantine::addLostRuns(TargetEndId id, absl::Time now)
+{
+    const auto it = std::find_if(m_lostRuns.begin(), m_lostRuns.end(), [id](const auto &lost) {
+        return detail::targetEndId(lost.second.process) == id;
+    });
+    if (it == m_lostRuns.end())
+        return false;
+    const auto lost = std::move(it->second);
+    m_lostRuns.erase(it);
+    return now - lost.at <= confirmationTime && addEnd(id, lost.at, lost.runs, now);
+}
+
 QuarantineChange PromptQuarantine::confirmEnd(const TargetId &id, absl::Time now)
 {
     QuarantineChange change;
     const auto it = m_lostRuns.find(id);
     if (it == m_lostRuns.end())
         return change;
-    const auto lost = std::move(it->second);
-    m_lostRuns.erase(it);
-    if (now - lost.at <= confirmationTime)
-        change.isNews = addEnd(detail::targetEndId(lost.process), lost.at, lost.runs, now);
+    change.isNews = addLostRuns(detail::targetEndId(it->second.process), now);
     if (change.isNews)
         judge(change);
     return change;
@@ -205,6 +214,7 @@
     for (const auto &it : evidence.ends) {
         if (it.age < verdictLifetime - detail::expiryMargin)
             change.isNews = addEnd(it.id, now - it.age, it.runs, now) || change.isNews;
+        change.isNews = addLostRuns(it.id, now) || change.isNews;
     }
     limitSurvivals();
     if (change.isNews)
--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -109,8 +109,9 @@
 
     // Evidence of this router.
     //
-    // The connection of a run was lost before the target had written for survivalTime. This becomes evidence
-    // when the end of the process is confirmed.
+    // The connection of a run was lost, or the run was given up, before the target had written for
+    // survivalTime. This becomes evidence when the end of the process is confirmed. A target may end on a run
+    // that has just been given up; without that run, only the bystanders of the end would be suspect.
     void recordLostRun(const TargetProcess &, const PromptParts &, absl::Time now);
     // The process that the target's lost runs were sent to has ended.
     QuarantineChange confirmEnd(const TargetId &, absl::Time now);
@@ -167,6 +168,8 @@
     };
     using EndsByPart = absl::btree_map<PromptPartId, std::vector<TargetEndId>>;
 
+    // Adds the lost runs of the process that ended. Returns whether that changed anything.
+    bool addLostRuns(TargetEndId, absl::Time now);
     // Adds runs to an end. Returns whether that changed anything.
     bool addEnd(TargetEndId, absl::Time at, const std::vector<PromptParts> &, absl::Time now);
     bool addSurvival(PromptPartId, absl::Time at, absl::Time now);
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -336,6 +336,13 @@
     m_gatewayContext.promptGuard.runSurvived(m_routed.request.sharedParts, now);
 }
 
+void ForwardSession::noteLostRun()
+{
+    const auto now = monotonicNow();
+    if (m_target && (!m_firstEventAt || now - *m_firstEventAt < PromptQuarantine::survivalTime))
+        m_gatewayContext.promptGuard.runLost(m_targetProcess, m_routed.request.sharedParts, now);
+}
+
 void ForwardSession::promptsBarred()
 {
     const auto barTime = m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, monotonicNow());
@@ -493,9 +500,9 @@
          {"events", m_eventCount},
          {"writing_ms", m_firstEventAt ? absl::ToInt64Milliseconds(monotonicNow() - *m_firstEventAt) : 0},
          {"parts", partNames(m_routed.request.sharedParts)}});
-    const auto now = monotonicNow();
-    if (m_target && (!m_firstEventAt || now - *m_firstEventAt < PromptQuarantine::survivalTime))
-        m_gatewayContext.promptGuard.runLost(m_targetProcess, m_routed.request.sharedParts, fault, now);
+    noteLostRun();
+    if (fault == TargetFault::Gone)
+        m_gatewayContext.promptGuard.targetEnded(m_targetProcess.id, monotonicNow());
     noteFault(fault);
     handle(ForwardingEvents::AttemptLost{fault});
 }
@@ -504,6 +511,7 @@
 {
     if (m_attempt)
         m_attempt->cancel();
+    noteLostRun();
     if (action.fault)
         noteFault(*action.fault);
 }
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -94,6 +94,8 @@
     // Completes the stream, unless its target's process has ended.
     void completeStreamIfTargetRuns();
     void markPromptProcessed();
+    // Records that the running attempt has ended before its target had written for long.
+    void noteLostRun();
     // Records that the running attempt's target writes on the prompt and lives on.
     void noteSurvival(absl::Time now);
     [[nodiscard]] ServicePerformance &performance() const;
--- a/Libraries/LibGateway/PromptGuard.cpp
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -39,16 +39,6 @@
     return std::max(verdict->nextTrialAt - now, PromptQuarantine::trialTime);
 }
 
-void PromptGuard::runLost(const TargetProcess &process, const PromptParts &parts, TargetFault fault,
-                          absl::Time now)
-{
-    if (fault != TargetFault::ConnectionLost && fault != TargetFault::Gone)
-        return;
-    m_quarantine.recordLostRun(process, parts, now);
-    if (fault == TargetFault::Gone)
-        targetEnded(process.id, now);
-}
-
 void PromptGuard::runSurvived(const PromptParts &parts, absl::Time now)
 {
     report(m_quarantine.recordSurvival(parts, now), now);
--- a/Libraries/LibGateway/PromptGuard.h
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -38,8 +38,11 @@
     // Like admit(), for a run that has already been admitted: no trial is started.
     [[nodiscard]] std::optional<absl::Duration> barOf(const PromptParts &, absl::Time now) const;
 
-    // A run ended by the fault before its target had written for PromptQuarantine::survivalTime.
-    void runLost(const TargetProcess &, const PromptParts &, TargetFault, absl::Time now);
+    // A run was lost or given up before its target had written for PromptQuarantine::survivalTime.
+    void runLost(const TargetProcess &process, const PromptParts &parts, absl::Time now)
+    {
+        m_quarantine.recordLostRun(process, parts, now);
+    }
     void runSurvived(const PromptParts &, absl::Time now);
     void targetEnded(const TargetId &, absl::Time now);
     // The directory lists this process.
--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(twoCausesAreToldApart);
     CPPUNIT_TEST(lostConnectionsWithoutAnEndAreNoEvidence);
     CPPUNIT_TEST(laterProcessConfirmsEnd);
+    CPPUNIT_TEST(runGivenUpBeforeTheEndIsSuspect);
     CPPUNIT_TEST(endConfirmedLateIsNoEvidence);
     CPPUNIT_TEST(lostDomainBarsNothing);
     CPPUNIT_TEST(evidenceOfSeveralRoutersIsAdded);
@@ -163,6 +164,23 @@
         }
     }
 
+    // The cause was cancelled by its verdict just before its fourth target ended, at a router that can't see
+    // this end. Nothing has been written on the other parts yet.
+    void runGivenUpBeforeTheEndIsSuspect()
+    {
+        PromptQuarantine routers[2];
+        for (int n = 0; n < 3; ++n)
+            (void)end(routers[0], n, {{1, 9}});
+        routers[0].recordLostRun(process(3), parts({1, 9}), m_now);
+        (void)end(routers[1], 3, {{1}});
+        exchange(routers);
+        exchange(routers);
+        for (const auto &it : routers) {
+            CPPUNIT_ASSERT(isBarred(it, {1, 9}));
+            CPPUNIT_ASSERT(!isBarred(it, {1}));
+        }
+    }
+
     void endConfirmedLateIsNoEvidence()
     {
         PromptQuarantine quarantine;
