Gateway: Tell a group only what it has not heard of the ends of targets

One end of a target made a fleet of 89 small routers send each other some 8,000 reports of a kilobyte or two, again and again.

Change: an own end is part of three reports, the first of them at once. What was heard in the own group is not repeated; what another group sent is passed on. Each two seconds, and when a router starts, a report has the evidence that supports the verdicts. Brief reports to other groups have recent evidence as before. A survival that clears what others reported is part of one report, and of none if another router was faster.

LibForwarding/TestPromptQuarantine: fleetOfAGroupDoesNotRepeatWhatItHears (80 routers, at most 12 items for one end) and groupHearsNewsFewTimes are new; the exchange of the other cases uses the reports to other groups.

--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -147,7 +147,7 @@
     out.router = router;
     out.configurationPosition = configurationPosition;
     out.targetsPosition = targetsPosition;
-    out.promptEvidence = promptEvidence;
+    out.promptEvidence = promptEvidenceForOthers;
     return out;
 }
 
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -36,8 +36,9 @@
     std::vector<TargetId> gone;
     // Requests and retries per service since the process started.
     ServiceCounts counts;
-    // Repeated while it matters, so that lost reports and routers that start later don't miss it.
     PromptEvidence promptEvidence;
+    // What the brief report has in its place.
+    PromptEvidence promptEvidenceForOthers;
 
     // The part that concerns routers of other groups: liveness, positions and evidence against prompts.
     [[nodiscard]] PeerReport brief() const;
--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -65,7 +65,7 @@
         return false;
     const auto lost = std::move(it->second);
     m_lostRuns.erase(it);
-    return now - lost.at <= confirmationTime && addEnd(id, lost.at, lost.runs, now);
+    return now - lost.at <= confirmationTime && addEnd(id, lost.at, lost.runs, newsReports, now);
 }
 
 QuarantineChange PromptQuarantine::confirmEnd(const TargetId &id, absl::Time now)
@@ -96,7 +96,7 @@
 {
     QuarantineChange change;
     for (const auto &it : parts)
-        change.isNews = addSurvival(it, now, now) || change.isNews;
+        change.isNews = addSurvival(it, now, newsReports, now) || change.isNews;
     limitSurvivals();
     if (change.isNews)
         judge(change);
@@ -129,15 +129,14 @@
         if (!isCleared(it, endAt))
             out.push_back(it);
         else
-            // Whoever reported the end does not know yet.
-            m_survivals[it].reportUntil = now + reportTime;
+            announceSurvival(m_survivals[it], 1, now);
     }
     out.resize(std::min(out.size(), maxPartsPerRun));
     return out;
 }
 
 bool PromptQuarantine::addEnd(TargetEndId id, absl::Time at, const std::vector<PromptParts> &runs,
-                              absl::Time now)
+                              int newsReports, absl::Time now)
 {
     const auto known = m_ends.find(id);
     End end = known == m_ends.end() ? End{.at = at} : known->second;
@@ -146,12 +145,19 @@
         isChanged = detail::addRun(end.runs, suspectParts(it, end.at, now)) || isChanged;
     if (!isChanged)
         return false;
+    end.newsReportsLeft = std::max(end.newsReportsLeft, newsReports);
     m_ends.insert_or_assign(id, std::move(end));
     limitEnds();
     return true;
 }
 
-bool PromptQuarantine::addSurvival(PromptPartId part, absl::Time at, absl::Time now)
+void PromptQuarantine::announceSurvival(Survival &survival, int newsReports, absl::Time now)
+{
+    survival.reportUntil = now + reportTime;
+    survival.newsReportsLeft = std::max(survival.newsReportsLeft, newsReports);
+}
+
+bool PromptQuarantine::addSurvival(PromptPartId part, absl::Time at, int newsReports, absl::Time now)
 {
     auto &survival = m_survivals.try_emplace(part, Survival{.at = at}).first->second;
     survival.at = std::max(survival.at, at);
@@ -168,11 +174,29 @@
         it = end.runs.empty() ? m_ends.erase(it) : std::next(it);
     }
     if (wasSuspect)
-        survival.reportUntil = now + reportTime;
+        announceSurvival(survival, newsReports, now);
     return wasSuspect;
 }
 
-PromptEvidence PromptQuarantine::evidence(absl::Time now) const
+PromptEvidence PromptQuarantine::takeNews(absl::Time now)
+{
+    PromptEvidence out;
+    for (auto &[id, end] : m_ends) {
+        if (end.newsReportsLeft > 0 && out.ends.size() < maxReportedEnds) {
+            --end.newsReportsLeft;
+            out.ends.push_back({id, now - end.at, end.runs});
+        }
+    }
+    for (auto &[part, survival] : m_survivals) {
+        if (survival.newsReportsLeft > 0 && out.survivals.size() < maxReportedSurvivals) {
+            --survival.newsReportsLeft;
+            out.survivals.push_back({part, now - survival.at});
+        }
+    }
+    return out;
+}
+
+PromptEvidence PromptQuarantine::evidence(EvidenceScope scope, absl::Time now) const
 {
     PromptEvidence out;
     std::vector<std::pair<absl::Time, TargetEndId>> chosen;
@@ -187,7 +211,7 @@
         chosen.insert(chosen.end(), supporting.begin(), supporting.end());
     }
     for (const auto &[id, end] : m_ends) {
-        if (now - end.at <= reportTime)
+        if (scope == EvidenceScope::Recent && now - end.at <= reportTime)
             chosen.emplace_back(end.at, id);
     }
     std::sort(chosen.rbegin(), chosen.rend());
@@ -196,24 +220,30 @@
     for (const auto &[at, id] : chosen)
         out.ends.push_back({id, now - at, m_ends.at(id).runs});
     for (const auto &[part, survival] : m_survivals) {
-        if (now < survival.reportUntil && out.survivals.size() < maxReportedSurvivals)
+        if (scope == EvidenceScope::Recent && now < survival.reportUntil
+            && out.survivals.size() < maxReportedSurvivals)
             out.survivals.push_back({part, now - survival.at});
     }
     return out;
 }
 
-QuarantineChange PromptQuarantine::merge(const PromptEvidence &evidence, absl::Time now)
+QuarantineChange PromptQuarantine::merge(const PromptEvidence &evidence, EvidenceSource source,
+                                         absl::Time now)
 {
     QuarantineChange change;
+    const int relays = source == EvidenceSource::OtherGroup ? newsReports : 0;
     for (const auto &it : evidence.survivals) {
         const auto at = now - it.age;
         const auto known = m_survivals.find(it.part);
         if (known == m_survivals.end() || at > known->second.at + detail::ageTolerance)
-            change.isNews = addSurvival(it.part, at, now) || change.isNews;
+            change.isNews = addSurvival(it.part, at, relays, now) || change.isNews;
+        // The group has just heard it.
+        if (source == EvidenceSource::OwnGroup)
+            m_survivals[it.part].newsReportsLeft = 0;
     }
     for (const auto &it : evidence.ends) {
         if (it.age < verdictLifetime - detail::expiryMargin)
-            change.isNews = addEnd(it.id, now - it.age, it.runs, now) || change.isNews;
+            change.isNews = addEnd(it.id, now - it.age, it.runs, relays, now) || change.isNews;
         change.isNews = addLostRuns(it.id, now) || change.isNews;
     }
     limitSurvivals();
--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -68,7 +68,6 @@
 // What changed by new evidence.
 struct QuarantineChange
 {
-    // The other routers should hear of it at once.
     bool isNews{false};
     std::vector<PromptParts> newVerdicts;
     std::vector<PromptParts> liftedVerdicts;
@@ -97,8 +96,10 @@
     static constexpr absl::Duration maxTrialDelay = absl::Hours(12);
     // Time in which a trial has ended a target or has not.
     static constexpr absl::Duration trialTime = absl::Seconds(30);
-    // Evidence that supports no verdict is reported for this long.
+    // Evidence that supports no verdict is reported to other groups for this long.
     static constexpr absl::Duration reportTime = absl::Seconds(10);
+    // Number of reports that news is part of.
+    static constexpr int newsReports = 3;
 
     static constexpr std::size_t maxEnds = 256;
     static constexpr std::size_t maxRunsPerEnd = 16;
@@ -121,8 +122,24 @@
     QuarantineChange recordSurvival(const PromptParts &, absl::Time now);
 
     // Evidence of other routers.
-    [[nodiscard]] PromptEvidence evidence(absl::Time now) const;
-    QuarantineChange merge(const PromptEvidence &, absl::Time now);
+    //
+    // What the routers of the own group have not heard yet. Each item is returned a few times, since reports
+    // get lost.
+    [[nodiscard]] PromptEvidence takeNews(absl::Time now);
+    enum class EvidenceScope {
+        // What supports the verdicts.
+        Verdicts,
+        // Also recent evidence.
+        Recent,
+    };
+    [[nodiscard]] PromptEvidence evidence(EvidenceScope, absl::Time now) const;
+    enum class EvidenceSource {
+        // The sender has told the whole own group.
+        OwnGroup,
+        // The own group has to hear it from this router.
+        OtherGroup,
+    };
+    QuarantineChange merge(const PromptEvidence &, EvidenceSource, absl::Time now);
 
     struct Verdict
     {
@@ -149,6 +166,8 @@
         std::vector<PromptParts> runs;
         // A verdict explains the end.
         bool isExplained{false};
+        // Reports that still have to contain it.
+        int newsReportsLeft{0};
 
         [[nodiscard]] bool hasPart(PromptPartId) const;
         // One run has all of these parts.
@@ -165,14 +184,18 @@
         absl::Time at;
         // Other routers have evidence against the part, so it is reported until then.
         absl::Time reportUntil{absl::InfinitePast()};
+        int newsReportsLeft{0};
     };
     using EndsByPart = absl::btree_map<PromptPartId, std::vector<TargetEndId>>;
 
     // Adds the lost runs of the process that ended. Returns whether that changed anything.
     bool addLostRuns(TargetEndId, absl::Time now);
     // Adds runs to an end. Returns whether that changed anything.
-    bool addEnd(TargetEndId, absl::Time at, const std::vector<PromptParts> &, absl::Time now);
-    bool addSurvival(PromptPartId, absl::Time at, absl::Time now);
+    bool addEnd(TargetEndId, absl::Time at, const std::vector<PromptParts> &, int newsReports,
+                absl::Time now);
+    bool addSurvival(PromptPartId, absl::Time at, int newsReports, absl::Time now);
+    // Whoever reported evidence against the part does not know of the survival yet.
+    static void announceSurvival(Survival &, int newsReports, absl::Time now);
     [[nodiscard]] bool isCleared(PromptPartId, absl::Time endAt) const;
     // Returns the parts that are not cleared.
     [[nodiscard]] PromptParts suspectParts(const PromptParts &, absl::Time endAt, absl::Time now);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -63,7 +63,7 @@
       m_log(STDOUT_FILENO, settings.id.value()), m_targets(settings.domain, m_random), m_connections(context),
       m_promptGuard(
           settings.id, m_routerRegistry, m_log, m_metrics,
-          {.evidenceChanged = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
+          {.endRecorded = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
            .verdictAdded = [this] { postToSessions([](ForwardSession &it) { it.promptsBarred(); }); }}),
       m_gatewayContext{.context = context,
                        .dialect = site.dialect,
@@ -441,7 +441,9 @@
     for (const auto &[service, budget] : m_budgets)
         report.counts[service] = budget.counts();
     report.router.isStoreTrusted = m_targetsView.isTrusted(monotonicNow());
-    report.promptEvidence = m_promptGuard.evidence(monotonicNow());
+    report.promptEvidence = m_promptGuard.evidenceForGroup(monotonicNow());
+    if (m_topology.groupCount() > 1)
+        report.promptEvidenceForOthers = m_promptGuard.evidenceForOthers(monotonicNow());
     return report;
 }
 
@@ -460,6 +462,7 @@
                      {"incarnation", report.router.incarnation.value()},
                      {"phase", static_cast<int>(report.router.phase)}},
                     now);
+        m_promptGuard.routerFound();
         m_peerLink->scheduleReport(ReportUrgency::Urgent);
     }
     // These are not repeated in later reports.
@@ -478,7 +481,10 @@
         m_targets.setPeerLoads(report.router.id, report.loads, now);
         addReportedCounts(report, now);
     }
-    m_promptGuard.merge(report.promptEvidence, now);
+    m_promptGuard.merge(report.promptEvidence,
+                        isInOwnGroup ? PromptQuarantine::EvidenceSource::OwnGroup
+                                     : PromptQuarantine::EvidenceSource::OtherGroup,
+                        now);
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
 }
--- a/Libraries/LibGateway/PromptGuard.cpp
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -60,13 +60,26 @@
     if (change.isNews) {
         m_metrics.increment("target_ends_with_suspects_total", "");
         m_log.write("target_ended", {{name, id.value()}}, now);
+        m_callbacks.endRecorded();
     }
     report(change, now);
 }
 
-void PromptGuard::merge(const PromptEvidence &evidence, absl::Time now)
+PromptEvidence PromptGuard::evidenceForGroup(absl::Time now)
 {
-    report(m_quarantine.merge(evidence, now), now);
+    auto out = m_quarantine.takeNews(now);
+    if (now < m_verdictsDueAt)
+        return out;
+    m_verdictsDueAt = now + verdictInterval;
+    const auto verdicts = m_quarantine.evidence(PromptQuarantine::EvidenceScope::Verdicts, now);
+    out.ends.insert(out.ends.end(), verdicts.ends.begin(), verdicts.ends.end());
+    return out;
+}
+
+void PromptGuard::merge(const PromptEvidence &evidence, PromptQuarantine::EvidenceSource source,
+                        absl::Time now)
+{
+    report(m_quarantine.merge(evidence, source, now), now);
 }
 
 void PromptGuard::expire(absl::Time now)
@@ -101,8 +114,6 @@
                      {"next_trial_ms", absl::ToInt64Milliseconds(verdict->nextTrialAt - now)}},
                     now);
     }
-    if (change.isNews)
-        m_callbacks.evidenceChanged();
     if (!change.newVerdicts.empty())
         m_callbacks.verdictAdded();
 }
--- a/Libraries/LibGateway/PromptGuard.h
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -17,10 +17,14 @@
 class PromptGuard
 {
 public:
+    // Interval at which the evidence of verdicts is repeated, for routers that have missed it. A report goes
+    // to each router of the group.
+    static constexpr absl::Duration verdictInterval = absl::Seconds(2);
+
     struct Callbacks
     {
-        // The other routers should hear of new evidence at once.
-        std::function<void()> evidenceChanged;
+        // The other routers should hear of an end at once.
+        std::function<void()> endRecorded;
         // Runs that have become barred should be cancelled.
         std::function<void()> verdictAdded;
     };
@@ -48,8 +52,15 @@
     // The directory lists this process.
     void processListed(const TargetProcess &, absl::Time now);
 
-    [[nodiscard]] PromptEvidence evidence(absl::Time now) const { return m_quarantine.evidence(now); }
-    void merge(const PromptEvidence &, absl::Time now);
+    // For a report to the own group: news, and now and then what supports the verdicts.
+    [[nodiscard]] PromptEvidence evidenceForGroup(absl::Time now);
+    [[nodiscard]] PromptEvidence evidenceForOthers(absl::Time now) const
+    {
+        return m_quarantine.evidence(PromptQuarantine::EvidenceScope::Recent, now);
+    }
+    // A router has started; the next report contains what supports the verdicts.
+    void routerFound() { m_verdictsDueAt = absl::InfinitePast(); }
+    void merge(const PromptEvidence &, PromptQuarantine::EvidenceSource, absl::Time now);
     void expire(absl::Time now);
 
 private:
@@ -65,6 +76,7 @@
     GatewayMetrics &m_metrics;
     Callbacks m_callbacks;
     PromptQuarantine m_quarantine;
+    absl::Time m_verdictsDueAt{absl::InfinitePast()};
 };
 
 // Names of the parts, as in requests.
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -155,7 +155,7 @@
         CPPUNIT_ASSERT(decoded->targetsPosition == report.targetsPosition);
         CPPUNIT_ASSERT(decoded->promptEvidence == report.promptEvidence);
         CPPUNIT_ASSERT(decodePeerReport(encodePeerReport(report.brief()))->promptEvidence
-                       == report.promptEvidence);
+                       == report.promptEvidenceForOthers);
         CPPUNIT_ASSERT_EQUAL(report.router.reportSequence, decoded->router.reportSequence);
     }
 
@@ -319,6 +319,7 @@
         report.promptEvidence.ends = {{.id = TargetEndId(~std::uint64_t{0}),
                                        .age = absl::Milliseconds(1500),
                                        .runs = {{PromptPartId(4), PromptPartId(7)}, {PromptPartId(7)}}}};
+        report.promptEvidenceForOthers = report.promptEvidence;
         report.promptEvidence.survivals = {{.part = PromptPartId(9), .age = absl::Milliseconds(20)}};
         return report;
     }
--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(delayGrowsWithEachFailedTrial);
     CPPUNIT_TEST(survivingTrialLiftsVerdict);
     CPPUNIT_TEST(evidenceExpires);
+    CPPUNIT_TEST(groupHearsNewsFewTimes);
+    CPPUNIT_TEST(fleetOfAGroupDoesNotRepeatWhatItHears);
     CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -230,7 +232,8 @@
             (void)end(before, n, {{9}});
         pass(absl::Seconds(50));
         PromptQuarantine started;
-        const auto change = started.merge(before.evidence(m_now), m_now);
+        const auto change = started.merge(before.evidence(PromptQuarantine::EvidenceScope::Recent, m_now),
+                                          PromptQuarantine::EvidenceSource::OtherGroup, m_now);
         CPPUNIT_ASSERT(change.newVerdicts == std::vector<PromptParts>{parts({9})});
         CPPUNIT_ASSERT(started.verdicts()[0].nextTrialAt == before.verdicts()[0].nextTrialAt);
     }
@@ -262,7 +265,9 @@
                 else
                     (void)end(router, static_cast<int>(random.below(12)), {{part, 100 + n, 9}});
                 pass(absl::Milliseconds(static_cast<std::int64_t>(random.below(300))));
-                (void)routers[random.below(4)].merge(routers[random.below(4)].evidence(m_now), m_now);
+                (void)routers[random.below(4)].merge(
+                    routers[random.below(4)].evidence(PromptQuarantine::EvidenceScope::Recent, m_now),
+                    PromptQuarantine::EvidenceSource::OtherGroup, m_now);
             }
             exchange(routers);
             exchange(routers);
@@ -285,9 +290,9 @@
         for (int n = 0; n < 300; ++n) {
             for (auto &to : routers) {
                 auto &from = &to == routers ? routers[1] : routers[0];
-                const auto evidence = from.evidence(m_now);
+                const auto evidence = from.evidence(PromptQuarantine::EvidenceScope::Recent, m_now);
                 pass(absl::Milliseconds(20));
-                (void)to.merge(evidence, m_now);
+                (void)to.merge(evidence, PromptQuarantine::EvidenceSource::OtherGroup, m_now);
             }
         }
         for (int n = 10; n < 13; ++n)
@@ -362,6 +367,44 @@
         CPPUNIT_ASSERT(!isBarred(quarantine, {9}));
     }
 
+    void groupHearsNewsFewTimes()
+    {
+        PromptQuarantine quarantine;
+        (void)end(quarantine, 1, {{9}});
+        int n = 0;
+        while (!quarantine.takeNews(m_now).ends.empty())
+            ++n;
+        CPPUNIT_ASSERT_EQUAL(PromptQuarantine::newsReports, n);
+        for (int k = 2; k < 4; ++k)
+            (void)end(quarantine, k, {{9}});
+        CPPUNIT_ASSERT_EQUAL(
+            PromptQuarantine::endsForVerdict,
+            quarantine.evidence(PromptQuarantine::EvidenceScope::Verdicts, m_now).ends.size());
+    }
+
+    // Hundreds of routers that each repeated an end to all others would send its square.
+    void fleetOfAGroupDoesNotRepeatWhatItHears()
+    {
+        std::vector<PromptQuarantine> routers(80);
+        (void)end(routers[0], 1, {{1, 9}});
+        for (auto &it : routers)
+            (void)it.recordSurvival(parts({1}), m_now);
+        int items = 0;
+        for (int round = 0; round < 2 * PromptQuarantine::newsReports; ++round) {
+            for (auto &from : routers) {
+                const auto news = from.takeNews(m_now);
+                items += static_cast<int>(news.ends.size() + news.survivals.size());
+                for (auto &to : routers) {
+                    if (&to != &from)
+                        (void)to.merge(news, PromptQuarantine::EvidenceSource::OwnGroup, m_now);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat(items, " items"), items <= 4 * PromptQuarantine::newsReports);
+        for (const auto &it : routers)
+            CPPUNIT_ASSERT(it.verdicts().empty());
+    }
+
     // Callers choose the parts, so that there is no end of them.
     void memoryIsBounded()
     {
@@ -378,7 +421,7 @@
             (void)quarantine.confirmEnd(process(10 + n).id, m_now);
         }
         CPPUNIT_ASSERT(isBarred(quarantine, {9}));
-        const auto evidence = quarantine.evidence(m_now);
+        const auto evidence = quarantine.evidence(PromptQuarantine::EvidenceScope::Recent, m_now);
         CPPUNIT_ASSERT(evidence.ends.size() <= PromptQuarantine::maxReportedEnds);
         for (const auto &it : evidence.ends) {
             CPPUNIT_ASSERT(it.runs.size() <= PromptQuarantine::maxRunsPerEnd);
@@ -421,7 +464,8 @@
         for (const auto &from : routers) {
             for (auto &to : routers) {
                 if (&to != &from)
-                    (void)to.merge(from.evidence(m_now), m_now);
+                    (void)to.merge(from.evidence(PromptQuarantine::EvidenceScope::Recent, m_now),
+                                   PromptQuarantine::EvidenceSource::OtherGroup, m_now);
             }
         }
     }
