LibNet: Close a connection that outlives its server when a request arrives

A gateway that is destroyed before its connections could do the same.

Cause: HttpServerConnection::onRead parsed a request by the limits of a server that was gone (null); a connection that was accepted as its server went was served by the dead one.

Change: such a connection closes, and a connection accepted late is dropped.

LibNet/TestHttp::requestOnConnectionThatOutlivesItsServerIsNotAnswered crashes before.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -77,6 +77,10 @@
         closeAndReport(ClosureReason::PeerClosed);
         return;
     }
+    if (!m_server) {
+        abort();
+        return;
+    }
     m_unparsed.append(m_buf.data(), n);
     if (!m_hasOpenRequest)
         parse();
@@ -364,14 +368,15 @@
 
 void HttpServer::accept()
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &ec, boost::asio::ip::tcp::socket socket) {
-        if (ec == boost::asio::error::operation_aborted)
+    m_acceptor.async_accept([this, lifetime = std::weak_ptr(m_lifetime)](
+                                const boost::system::error_code &ec, boost::asio::ip::tcp::socket socket) {
+        if (ec == boost::asio::error::operation_aborted || lifetime.expired())
             return;
         if (ec) {
             LOG_EVERY_N(WARNING, 100) << "accept: " << ec.message();
             m_acceptPause.expires_after(detail::acceptPause);
-            m_acceptPause.async_wait([this](const auto &cancelled) {
-                if (!cancelled)
+            m_acceptPause.async_wait([this, lifetime](const auto &cancelled) {
+                if (!cancelled && !lifetime.expired())
                     accept();
             });
             return;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -163,6 +163,8 @@
     SocketLimits m_socketLimits{.unacknowledged = HttpServerConnection::unreadAnswerTimeout};
     bool m_isClosing{false};
     absl::flat_hash_set<HttpServerConnection *> m_connections;
+    // Expires with the server. An accepted connection may be reported after that.
+    std::shared_ptr<bool> m_lifetime{std::make_shared<bool>(true)};
 
     friend class HttpServerConnection;
 };
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(silentPeerTimesOut);
     CPPUNIT_TEST(refusedConnectIsTold);
     CPPUNIT_TEST(damagedRequestsDoNotCrash);
+    CPPUNIT_TEST(requestOnConnectionThatOutlivesItsServerIsNotAnswered);
     CPPUNIT_TEST(connectionFieldsAreRemoved);
     CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +126,23 @@
         m_context.reset();
     }
 
+    void requestOnConnectionThatOutlivesItsServerIsNotAnswered()
+    {
+        boost::asio::ip::tcp::socket caller(*m_context);
+        caller.connect(*parseEndpoint(m_address));
+        m_context->run_for(std::chrono::milliseconds(20));
+        m_server.reset();
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(caller, boost::asio::buffer(request));
+        m_context->restart();
+        m_context->run_for(std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT(m_handler.bodies.empty());
+        char byte = 0;
+        boost::system::error_code ec;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, caller.read_some(boost::asio::buffer(&byte, 1), ec));
+        CPPUNIT_ASSERT(ec);
+    }
+
     void chunkedAndSizedBodiesArrive()
     {
         const auto answer = exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -357,7 +357,11 @@
 {
     const auto lastEvent = detail::parseNumber(std::string(fieldValue(request, "Last-Event-Id")));
     const bool isCrashing = isCrashingRequest(request);
-    m_engineState.crashingRequests += isCrashing ? 1 : 0;
+    if (isCrashing) {
+        ++m_engineState.crashingRequests;
+        if (m_engineState.onCrashingRequest)
+            m_engineState.onCrashingRequest(std::string(fieldValue(request, "Request-Id")));
+    }
     const auto begin = [this, connection, head, isCrashing, event = static_cast<int>(lastEvent) + 1,
                         restarts = m_restarts](const auto &) {
         if (restarts != m_restarts) {
@@ -372,7 +376,8 @@
         connection->abort();
         end();
     };
-    if (m_engineState.prefillTime == std::chrono::milliseconds::zero()) {
+    // The server must not end within its own handler.
+    if (m_engineState.prefillTime == std::chrono::milliseconds::zero() && !isCrashing) {
         begin(boost::system::error_code());
         return;
     }
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -132,6 +132,8 @@
     int ends{0};
     // Called for each request whose Expect-Instance header matches the engine.
     std::function<void(const std::string &engine)> onRequest;
+    // Called when a request with the crashing part reaches an engine.
+    std::function<void(const std::string &request)> onCrashingRequest;
     // Called when an engine has ended.
     std::function<void(class FakeEngine &)> onEnd;
 
--- a/Tests/Soak/EngineRequests.cpp
+++ b/Tests/Soak/EngineRequests.cpp
@@ -1,4 +1,4 @@
-// Faults of the plan in which engines say what they want of the routers.
+// Faults of the plan in which engines say what they want of the routers, or in which requests end them.
 
 #include "FaultPlan.h"
 
@@ -26,6 +26,14 @@
     return true;
 }
 
+bool FaultPlan::sendCrashingRequests()
+{
+    auto &requests = m_world.promises().crashingRequests();
+    requests.startPart();
+    m_world.fleet().crashingPart = requests.currentPart();
+    return true;
+}
+
 bool FaultPlan::askForPause()
 {
     auto *engine = drawEngine();
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -35,6 +35,7 @@
         {"engine released", [this] { return releaseEngine(); }},
         {"engine says that it leaves", [this] { return announceLeaving(); }},
         {"engine asks for a pause", [this] { return askForPause(); }},
+        {"requests crash engines", [this] { return sendCrashingRequests(); }},
         {"engine full", [this] { return setEngineMode(FakeEngineMode::Overloaded); }},
         {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Crashing); }},
         {"engine silent", [this] { return setEngineMode(FakeEngineMode::Stalled); }},
@@ -61,17 +62,25 @@
         {"store restored from a copy", [this] { return restoreStore(); }},
         {"configuration changed", [this] { return changeConfiguration(); }, true},
     };
-    // Faults of all kinds leave no time in which only planned work goes on.
-    constexpr std::uint64_t seedsPerPlannedOne = 3;
-    if (m_world.options().seed % seedsPerPlannedOne == 0)
+    if (isPlannedWorkOnly())
         std::erase_if(m_faults, [](const Fault &it) { return !it.isPlanned; });
 }
 
 void FaultPlan::run(absl::Duration length)
 {
+    // Sound requests come first, as they do where such a request appears.
+    if (!isPlannedWorkOnly())
+        m_world.after(m_world.drawn(length / 8, length / 3), [this] { (void)sendCrashingRequests(); });
     beginNext(monotonicNow() + length);
 }
 
+bool FaultPlan::isPlannedWorkOnly() const
+{
+    // Faults of all kinds leave no time in which only planned work goes on.
+    constexpr std::uint64_t seedsPerPlannedOne = 3;
+    return m_world.options().seed % seedsPerPlannedOne == 0;
+}
+
 void FaultPlan::beginNext(absl::Time until)
 {
     if (monotonicNow() >= until)
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -50,6 +50,7 @@
         bool isPlanned{false};
     };
 
+    [[nodiscard]] bool isPlannedWorkOnly() const;
     void beginNext(absl::Time until);
     [[nodiscard]] SoakRouter *drawRouter();
     [[nodiscard]] SoakEngine *drawEngine();
@@ -74,6 +75,8 @@
     bool announceLeaving();
     bool askForPause();
     bool setEngineMode(FakeEngineMode);
+    // Requests with another part end engines until this is drawn again.
+    bool sendCrashingRequests();
     bool harmEngineLink(LinkFault);
     // No disturbance: answers must go on after it.
     bool freezeEngine();
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -140,6 +140,13 @@
 {
     for (const auto &id : m_refused)
         check(!m_fleet.runsByRequest.contains(id), "not run stays true", id);
+    const auto isInTouch = [this](const auto &router, auto from, auto to) {
+        return wasInTouch(router, from, to);
+    };
+    for (const auto &it : m_crashingRequests.judge(contact, isInTouch)) {
+        check(it.late <= CrashingRequests::mostAfterBound, "requests that crash engines are not sent on",
+              absl::StrCat(it.late, " after the fifth end, ", it.ends, " ended in all"));
+    }
     for (const auto &id : m_onceCalls) {
         const auto it = m_fleet.runsByRequest.find(id);
         check(it == m_fleet.runsByRequest.end() || it->second == 1, "at most once", id);
--- a/Tests/Soak/Promises.h
+++ b/Tests/Soak/Promises.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "CrashingRequests.h"
 #include "Disturbances.h"
 #include "EngineSignals.h"
 
@@ -65,6 +66,7 @@
     // A caller's request reached an engine, possibly one that had asked for none.
     void judgeArrival(const std::string &request, const std::string &engine, absl::Time now);
     [[nodiscard]] EngineSignals &signals() { return m_signals; }
+    [[nodiscard]] CrashingRequests &crashingRequests() { return m_crashingRequests; }
     // A call after all faults have ended.
     void judgeRecovered(const SoakCall &);
     void noteUnexpectedExit(const std::string &router, int exitCode);
@@ -84,6 +86,7 @@
     const FakeEngineState &m_fleet;
     const Disturbances &m_disturbances;
     EngineSignals m_signals;
+    CrashingRequests m_crashingRequests;
     // Calls that were told "not run".
     std::vector<std::string> m_refused;
     std::vector<std::string> m_onceCalls;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -133,6 +133,7 @@
 
 void SoakCaller::callEachRouter(const Ended &ended)
 {
+    m_mayCrashEngines = false;
     for (auto &router : m_world.routers()) {
         for (const auto kind : {SoakCallKind::Stream, SoakCallKind::Once, SoakCallKind::Idempotent})
             call(router, kind, "key", ended);
@@ -200,6 +201,19 @@
              });
 }
 
+std::string SoakCaller::drawPrompt(const SoakCall &call)
+{
+    constexpr int secondParts = 3;
+    constexpr std::uint64_t callsPerCrashingOne = 8;
+    std::string crashing;
+    const auto &part = m_world.fleet().crashingPart;
+    if (!part.empty() && m_mayCrashEngines && m_world.random().below(callsPerCrashingOne) == 0) {
+        crashing = absl::StrCat(part, ":900,");
+        m_world.promises().crashingRequests().noteSent(call.id, call.router);
+    }
+    return absl::StrCat("5a:200,0e", m_calls % secondParts, ":40,", crashing, "77", m_calls, ":20");
+}
+
 void SoakCaller::call(SoakRouter &router, SoakCallKind kind, const std::string &key, Ended ended)
 {
     SoakCall call;
@@ -212,6 +226,8 @@
     fields.set("Authorization", "Bearer " + key);
     fields.set("Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(detail::callerPatience)));
     fields.set("Token-Counts", "1000,140");
+    if (kind == SoakCallKind::Stream)
+        fields.set("Prompt-Prefix", drawPrompt(call));
     const auto path = detail::pathOf(kind);
     const auto *method = kind == SoakCallKind::Idempotent ? "GET" : "POST";
     const auto *body = kind == SoakCallKind::Idempotent ? "" : "body";
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -35,6 +35,8 @@
     void callNext(absl::Time until);
     void refreshEntryPoints();
     void call(SoakRouter &, SoakCallKind, const std::string &key, Ended);
+    // The parts of a stream's prompt. Some have the part that ends engines.
+    [[nodiscard]] std::string drawPrompt(const SoakCall &);
     // Null when callers know of none.
     [[nodiscard]] SoakRouter *drawRouter();
     [[nodiscard]] SoakRouter *drawEntryPoint();
@@ -49,6 +51,8 @@
     std::map<std::string, std::shared_ptr<HttpPool>> m_pools;
     int m_calls{0};
     int m_open{0};
+    // False once all calls must be served.
+    bool m_mayCrashEngines{true};
     std::vector<std::int64_t> m_pausesMs;
     std::map<int, int> m_statuses;
 };
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -72,6 +72,10 @@
         if (const auto it = m_leaving.find(engine); it != m_leaving.end())
             m_promises.judgeArrivalAtLeaving(engine, it->second, monotonicNow());
     };
+    m_fleet.onCrashingRequest = [this](const std::string &request) {
+        m_promises.crashingRequests().noteArrival(request, monotonicNow());
+    };
+    m_fleet.onEnd = [this](FakeEngine &engine) { engineCrashed(engine); };
     for (int n = 0; n < detail::modelEngines; ++n)
         addEngine(n, "llm");
     for (int n = 0; n < detail::plainEngines; ++n)
@@ -176,6 +180,22 @@
     });
 }
 
+void SoakWorld::engineCrashed(FakeEngine &ended)
+{
+    m_promises.crashingRequests().noteEnd(monotonicNow());
+    const auto it = std::find_if(m_engines.begin(), m_engines.end(),
+                                 [&ended](const SoakEngine &other) { return other.engine.get() == &ended; });
+    it->isDisturbed = true;
+    it->link->resetAll();
+    after(detail::entryLag, [this, it, old = ended.id(), end = disturb(DisturbanceKind::Engine, ended.id())] {
+        it->engine->startAgain(absl::StrCat(it->engine->service(), "-r", ++m_engineLives));
+        m_store.remove("servers", old);
+        publish(*it, "ready");
+        it->isDisturbed = false;
+        end();
+    });
+}
+
 void SoakWorld::publish(SoakEngine &it, const std::string &state)
 {
     it.state = state;
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -87,6 +87,8 @@
     // The engine's process ends and starts again under another id; its entry follows later, as a lapsed one.
     void restartEngine(SoakEngine &);
     void publish(SoakEngine &, const std::string &state);
+    // A request has ended the engine's process.
+    void engineCrashed(FakeEngine &);
     // The store comes back from its last copy. Engines and the operator write again what they had written.
     void restoreStore(std::function<void()> end);
     void noteLeaving(const std::string &engine);
