--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -63,7 +63,7 @@
       m_log(STDOUT_FILENO, settings.id.value()), m_targets(settings.domain, m_random), m_connections(context),
       m_promptGuard(
           settings.id, m_routerRegistry, m_log, m_metrics,
-          {.evidenceChanged = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
+          {.endRecorded = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
            .verdictAdded = [this] { postToSessions([](ForwardSession &it) { it.promptsBarred(); }); }}),
       m_gatewayContext{.context = context,
                        .dialect = site.dialect,
@@ -361,12 +361,9 @@
                      {"started_at_ms", now.startedAtMs}},
                     monotonicNow());
     }
-    if (before && before->startedAtMs != now.startedAtMs)
-        m_promptGuard.targetEnded(now.id, monotonicNow());
-    if (replacedTarget) {
-        m_promptGuard.targetEnded(*replacedTarget, monotonicNow());
+    m_promptGuard.processListed(now.process(), monotonicNow());
+    if (replacedTarget)
         notifySessions(*replacedTarget, TargetFault::Gone);
-    }
 }
 
 void Gateway::targetRemoved(const TargetId &id)
@@ -444,7 +441,9 @@
     for (const auto &[service, budget] : m_budgets)
         report.counts[service] = budget.counts();
     report.router.isStoreTrusted = m_targetsView.isTrusted(monotonicNow());
-    report.promptEvidence = m_promptGuard.evidence(monotonicNow());
+    report.promptEvidence = m_promptGuard.evidenceForGroup(monotonicNow());
+    if (m_topology.groupCount() > 1)
+        report.promptEvidenceForOthers = m_promptGuard.evidenceForOthers(monotonicNow());
     return report;
 }
 
@@ -463,6 +462,7 @@
                      {"incarnation", report.router.incarnation.value()},
                      {"phase", static_cast<int>(report.router.phase)}},
                     now);
+        m_promptGuard.routerFound();
         m_peerLink->scheduleReport(ReportUrgency::Urgent);
     }
     // These are not repeated in later reports.
@@ -472,6 +472,7 @@
     }
     for (const auto &it : report.gone) {
         m_targets.markGone(it);
+        m_promptGuard.targetEnded(it, now);
         notifySessions(it, TargetFault::Gone);
     }
     if (order == ReportOrder::Outdated)
@@ -480,7 +481,10 @@
         m_targets.setPeerLoads(report.router.id, report.loads, now);
         addReportedCounts(report, now);
     }
-    m_promptGuard.merge(report.promptEvidence, now);
+    m_promptGuard.merge(report.promptEvidence,
+                        isInOwnGroup ? PromptQuarantine::EvidenceSource::OwnGroup
+                                     : PromptQuarantine::EvidenceSource::OtherGroup,
+                        now);
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
 }
@@ -534,7 +538,6 @@
         const auto now = monotonicNow();
         if (result == ProbeResult::Connected) {
             m_targets.markReachable(id);
-            m_promptGuard.targetReachable(id);
             return;
         }
         const auto fault = result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unreachable;
--- a/Libraries/LibGateway/PromptGuard.cpp
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -39,16 +39,6 @@
     return std::max(verdict->nextTrialAt - now, PromptQuarantine::trialTime);
 }
 
-void PromptGuard::runLost(const TargetProcess &process, const PromptParts &parts, TargetFault fault,
-                          absl::Time now)
-{
-    if (fault != TargetFault::ConnectionLost && fault != TargetFault::Gone)
-        return;
-    m_quarantine.recordLostRun(process, parts, now);
-    if (fault == TargetFault::Gone)
-        targetEnded(process.id, now);
-}
-
 void PromptGuard::runSurvived(const PromptParts &parts, absl::Time now)
 {
     report(m_quarantine.recordSurvival(parts, now), now);
@@ -56,17 +46,40 @@
 
 void PromptGuard::targetEnded(const TargetId &id, absl::Time now)
 {
-    const auto change = m_quarantine.confirmEnd(id, now);
+    reportEnd(m_quarantine.confirmEnd(id, now), "target", id, now);
+}
+
+void PromptGuard::processListed(const TargetProcess &process, absl::Time now)
+{
+    reportEnd(m_quarantine.confirmEarlierEnds(process, now), "replaced_by", process.id, now);
+}
+
+void PromptGuard::reportEnd(const QuarantineChange &change, const char *name, const TargetId &id,
+                            absl::Time now)
+{
     if (change.isNews) {
         m_metrics.increment("target_ends_with_suspects_total", "");
-        m_log.write("target_ended", {{"target", id.value()}}, now);
+        m_log.write("target_ended", {{name, id.value()}}, now);
+        m_callbacks.endRecorded();
     }
     report(change, now);
 }
 
-void PromptGuard::merge(const PromptEvidence &evidence, absl::Time now)
+PromptEvidence PromptGuard::evidenceForGroup(absl::Time now)
+{
+    auto out = m_quarantine.takeNews(now);
+    if (now < m_verdictsDueAt)
+        return out;
+    m_verdictsDueAt = now + verdictInterval;
+    const auto verdicts = m_quarantine.evidence(PromptQuarantine::EvidenceScope::Verdicts, now);
+    out.ends.insert(out.ends.end(), verdicts.ends.begin(), verdicts.ends.end());
+    return out;
+}
+
+void PromptGuard::merge(const PromptEvidence &evidence, PromptQuarantine::EvidenceSource source,
+                        absl::Time now)
 {
-    report(m_quarantine.merge(evidence, now), now);
+    report(m_quarantine.merge(evidence, source, now), now);
 }
 
 void PromptGuard::expire(absl::Time now)
@@ -101,8 +114,6 @@
                      {"next_trial_ms", absl::ToInt64Milliseconds(verdict->nextTrialAt - now)}},
                     now);
     }
-    if (change.isNews)
-        m_callbacks.evidenceChanged();
     if (!change.newVerdicts.empty())
         m_callbacks.verdictAdded();
 }
--- a/Libraries/LibGateway/PromptGuard.h
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -17,10 +17,14 @@
 class PromptGuard
 {
 public:
+    // Interval at which the evidence of verdicts is repeated, for routers that have missed it. A report goes
+    // to each router of the group.
+    static constexpr absl::Duration verdictInterval = absl::Seconds(2);
+
     struct Callbacks
     {
-        // The other routers should hear of new evidence at once.
-        std::function<void()> evidenceChanged;
+        // The other routers should hear of an end at once.
+        std::function<void()> endRecorded;
         // Runs that have become barred should be cancelled.
         std::function<void()> verdictAdded;
     };
@@ -38,20 +42,33 @@
     // Like admit(), for a run that has already been admitted: no trial is started.
     [[nodiscard]] std::optional<absl::Duration> barOf(const PromptParts &, absl::Time now) const;
 
-    // A run ended by the fault before its target had written for PromptQuarantine::survivalTime.
-    void runLost(const TargetProcess &, const PromptParts &, TargetFault, absl::Time now);
+    // A run was lost or given up before its target had written for PromptQuarantine::survivalTime.
+    void runLost(const TargetProcess &process, const PromptParts &parts, absl::Time now)
+    {
+        m_quarantine.recordLostRun(process, parts, now);
+    }
     void runSurvived(const PromptParts &, absl::Time now);
     void targetEnded(const TargetId &, absl::Time now);
-    void targetReachable(const TargetId &id) { m_quarantine.discardLostRuns(id); }
+    // The directory lists this process.
+    void processListed(const TargetProcess &, absl::Time now);
 
-    [[nodiscard]] PromptEvidence evidence(absl::Time now) const { return m_quarantine.evidence(now); }
-    void merge(const PromptEvidence &, absl::Time now);
+    // For a report to the own group: news, and now and then what supports the verdicts.
+    [[nodiscard]] PromptEvidence evidenceForGroup(absl::Time now);
+    [[nodiscard]] PromptEvidence evidenceForOthers(absl::Time now) const
+    {
+        return m_quarantine.evidence(PromptQuarantine::EvidenceScope::Recent, now);
+    }
+    // A router has started; the next report contains what supports the verdicts.
+    void routerFound() { m_verdictsDueAt = absl::InfinitePast(); }
+    void merge(const PromptEvidence &, PromptQuarantine::EvidenceSource, absl::Time now);
     void expire(absl::Time now);
 
 private:
     // All routers that know the same live routers agree on one.
     [[nodiscard]] bool isTrialOwner(const PromptQuarantine::Verdict &, absl::Time now) const;
     void report(const QuarantineChange &, absl::Time now);
+    // `name` says what is known of the end, for the log.
+    void reportEnd(const QuarantineChange &, const char *name, const TargetId &, absl::Time now);
 
     RouterId m_self;
     const RouterRegistry &m_routers;
@@ -59,6 +76,7 @@
     GatewayMetrics &m_metrics;
     Callbacks m_callbacks;
     PromptQuarantine m_quarantine;
+    absl::Time m_verdictsDueAt{absl::InfinitePast()};
 };
 
 // Names of the parts, as in requests.
