--- a/Tests/Platform/TestRequestsThatCrashEngines.cpp
+++ b/Tests/Platform/TestRequestsThatCrashEngines.cpp
@@ -125,6 +125,8 @@
         for (int n = 0; n < 12; ++n) {
             useRouter(n % routerCount);
             callSound();
+            // They begin at the first attempt.
+            CPPUNIT_ASSERT_EQUAL(1, m_engineState.runsByRequest[absl::StrCat("sound-", m_soundCalls - 1)]);
         }
         CPPUNIT_ASSERT_EQUAL(endsBefore, m_engineState.ends);
     }
