Gateway: Let one router of a large fleet make a trial

What callers would see: in a fleet of several groups of routers, a trial of a barred part at each group, and an engine less for each; the users' bound is three requests in all.

Cause: the owner of a trial was the smallest hash among the routers that are alive, but a router rarely hears of those in other groups, so that each group has its own owner.

Change: the owner is chosen among all known routers, alive or not, and takes turns of 30 s; a trial begins in the first half of a turn, so that its end is known before the next. Late reports of an earlier process, and entries of an earlier one, confirm nothing.

oneRouterOfAFleetMakesTrials (295 routers, one owner a turn) is new; the old choice depended on what each router had heard and was not tested.

--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -50,6 +50,8 @@
         return;
     absl::erase_if(m_lostRuns, [now](const auto &it) { return now - it.second.at > confirmationTime; });
     auto &lost = m_lostRuns.try_emplace(process.id, LostRuns{process, {}, now}).first->second;
+    if (lost.process.startedAtMs > process.startedAtMs)
+        return;
     if (process.isLaterThan(lost.process))
         lost = LostRuns{process, {}, now};
     detail::addRun(lost.runs, parts);
@@ -83,8 +85,9 @@
 QuarantineChange PromptQuarantine::confirmEarlierEnds(const TargetProcess &current, absl::Time now)
 {
     for (const auto &[id, lost] : m_lostRuns) {
-        const bool isEarlier =
-            id == current.id ? current.isLaterThan(lost.process) : current.address == lost.process.address;
+        const bool isEarlier = id == current.id
+            ? current.isLaterThan(lost.process)
+            : current.address == lost.process.address && current.startedAtMs >= lost.process.startedAtMs;
         // An address has one earlier process at most.
         if (isEarlier)
             return confirmEnd(TargetId(id), now);
@@ -261,10 +264,22 @@
     return nullptr;
 }
 
+bool PromptQuarantine::isTrialOwner(const Verdict &verdict, const RouterId &self,
+                                    const std::vector<RouterId> &others, absl::Time now)
+{
+    const auto turn = (now - verdict.nextTrialAt) / trialTime;
+    const auto rank = [&verdict, turn](const RouterId &id) {
+        return stableHash(absl::StrCat(verdict.parts.front().value(), "/", turn, "/", id.value()));
+    };
+    return std::none_of(others.begin(), others.end(),
+                        [&](const RouterId &it) { return rank(it) < rank(self); });
+}
+
 bool PromptQuarantine::tryStartTrial(const Verdict &verdict, absl::Time now)
 {
+    const bool isDue = now >= verdict.nextTrialAt && (now - verdict.nextTrialAt) % trialTime < trialTime / 2;
     auto &until = m_trialUntil.try_emplace(verdict.parts.front(), absl::InfinitePast()).first->second;
-    if (now < verdict.nextTrialAt || now < until)
+    if (!isDue || now < until)
         return false;
     until = now + trialTime;
     return true;
@@ -344,6 +359,7 @@
                                                         const std::vector<TargetEndId> &ends) const
 {
     std::vector<absl::Time> times;
+    times.reserve(ends.size());
     for (const auto &it : ends)
         times.push_back(m_ends.at(it).at);
     std::sort(times.begin(), times.end());
--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -151,7 +151,13 @@
     };
     // The verdict that bars a request with these parts; null if none does.
     [[nodiscard]] const Verdict *verdictOn(const PromptParts &) const;
-    // Starts the trial of a verdict that is due. False if it isn't due, or a trial is under way.
+    // Routers take turns in making trials, each for trialTime, so that a trial is made also if some of them
+    // are down or get no request. Routers that know the same others agree on whose turn it is, alive or not:
+    // a router does not hear often enough of those in other groups.
+    [[nodiscard]] static bool isTrialOwner(const Verdict &, const RouterId &self,
+                                           const std::vector<RouterId> &others, absl::Time now);
+    // Starts the trial of a verdict that is due. False if it isn't due, or a trial is under way. Trials begin
+    // in the first half of a turn, so that the next router hears of an end before its own turn.
     [[nodiscard]] bool tryStartTrial(const Verdict &, absl::Time now);
     [[nodiscard]] const std::vector<Verdict> &verdicts() const { return m_verdicts; }
 
--- a/Libraries/LibGateway/PromptGuard.cpp
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -1,9 +1,7 @@
-// Logs verdicts and selects the owner of a trial by rendezvous hashing.
+// Logs verdicts and connects the quarantine with the reports of other routers.
 
 #include <LibGateway/PromptGuard.h>
 
-#include <LibForwarding/StableHash.h>
-
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -23,7 +21,8 @@
     const auto *verdict = m_quarantine.verdictOn(parts);
     if (!verdict)
         return std::nullopt;
-    if (isTrialOwner(*verdict, now) && m_quarantine.tryStartTrial(*verdict, now)) {
+    if (now >= verdict->nextTrialAt && isTrialOwner(*verdict, now)
+        && m_quarantine.tryStartTrial(*verdict, now)) {
         m_metrics.increment("prompt_trials_total", "");
         m_log.write("prompt_trial", {{"parts", partNames(verdict->parts)}, {"ends", verdict->ends}}, now);
         return std::nullopt;
@@ -90,14 +89,12 @@
 
 bool PromptGuard::isTrialOwner(const PromptQuarantine::Verdict &verdict, absl::Time now) const
 {
-    const auto rank = [&verdict](const RouterId &id) {
-        return stableHash(absl::StrCat(verdict.parts.front().value(), "/", id.value()));
-    };
+    std::vector<RouterId> others;
     const auto members = m_routers.members();
-    return std::none_of(members.begin(), members.end(), [&](const RouterRegistry::Member &it) {
-        return it.phase == RouterPhase::Serving && m_routers.isAlive(it.id, now)
-            && rank(it.id) < rank(m_self);
-    });
+    others.reserve(members.size());
+    for (const auto &it : members)
+        others.push_back(it.id);
+    return PromptQuarantine::isTrialOwner(verdict, m_self, others, now);
 }
 
 void PromptGuard::report(const QuarantineChange &change, absl::Time now)
--- a/Libraries/LibGateway/PromptGuard.h
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -1,5 +1,4 @@
-// Hosts the PromptQuarantine of a gateway: feeds it with what runs and probes show, logs its verdicts, and
-// selects the router that makes a trial.
+// Hosts the PromptQuarantine of a gateway: feeds it with what runs and probes show, and logs its verdicts.
 
 #pragma once
 
@@ -64,7 +63,6 @@
     void expire(absl::Time now);
 
 private:
-    // All routers that know the same live routers agree on one.
     [[nodiscard]] bool isTrialOwner(const PromptQuarantine::Verdict &, absl::Time now) const;
     void report(const QuarantineChange &, absl::Time now);
     // `name` says what is known of the end, for the log.
--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Wisteria {
 
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(routersAgreeInAnyOrderOfReports);
     CPPUNIT_TEST(timesDoNotGrowOnTheirWayAround);
     CPPUNIT_TEST(trialIsMadeOnceAfterItsDelay);
+    CPPUNIT_TEST(oneRouterOfAFleetMakesTrials);
     CPPUNIT_TEST(delayGrowsWithEachFailedTrial);
     CPPUNIT_TEST(survivingTrialLiftsVerdict);
     CPPUNIT_TEST(evidenceExpires);
@@ -314,6 +316,34 @@
         CPPUNIT_ASSERT(isBarred(quarantine, {9}));
     }
 
+    // Also where most routers have not been heard of for a while.
+    void oneRouterOfAFleetMakesTrials()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            (void)end(quarantine, n, {{9}});
+        const auto &verdict = quarantine.verdicts()[0];
+        std::vector<RouterId> fleet;
+        for (int n = 0; n < 295; ++n)
+            fleet.emplace_back(absl::StrCat("g", n));
+        std::set<RouterId> owners;
+        pass(PromptQuarantine::firstTrialDelay);
+        for (int turn = 0; turn < 10; ++turn) {
+            int count = 0;
+            for (const auto &it : fleet) {
+                auto others = fleet;
+                std::erase(others, it);
+                if (PromptQuarantine::isTrialOwner(verdict, it, others, m_now)) {
+                    ++count;
+                    owners.insert(it);
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(1, count);
+            pass(PromptQuarantine::trialTime);
+        }
+        CPPUNIT_ASSERT(owners.size() > 1);
+    }
+
     // Three trials, and with them three ends, take more than an hour.
     void delayGrowsWithEachFailedTrial()
     {
@@ -434,6 +464,7 @@
     static PromptParts parts(const std::vector<int> &ids)
     {
         PromptParts out;
+        out.reserve(ids.size());
         for (const int it : ids)
             out.emplace_back(static_cast<std::uint64_t>(it));
         std::sort(out.begin(), out.end());
