--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -323,8 +323,10 @@
         for (int n = 0; n < 3; ++n)
             (void)end(quarantine, n, {{9}});
         const auto &verdict = quarantine.verdicts()[0];
+        constexpr int routers = 295;
         std::vector<RouterId> fleet;
-        for (int n = 0; n < 295; ++n)
+        fleet.reserve(routers);
+        for (int n = 0; n < routers; ++n)
             fleet.emplace_back(absl::StrCat("g", n));
         std::set<RouterId> owners;
         pass(PromptQuarantine::firstTrialDelay);
