Gateway, Tests: Don't let calls of the store end in a view that is gone

Cause: the test destroys a router while the event loop goes on, as no process does. A watch of the store that was answered later called into the destroyed DirectoryView (debugger's trace: StructuredLog::write, DirectoryView::perform, the handler of the watch). The abort was the port of an ended stand-in engine, which another socket had taken.

Change: the handlers of store calls hold a weak lifetime of the view. Tests end a router by endRouter(), which first runs the handlers that are ready. An ended engine keeps its port bound.

--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -107,16 +107,19 @@
 void DirectoryView::perform(const DirectorySyncAction &action)
 {
     if (std::holds_alternative<DirectorySyncActions::StartList>(action)) {
-        m_store.list(m_kind, m_listConsistency, [this](ErrorOr<DirectoryBatch> result) {
-            if (!result) {
-                handle(DirectorySyncEvents::CallFailed{});
-                return;
-            }
-            m_listConsistency = ReadConsistency::Linearizable;
-            stage(result->objects);
-            handle(
-                DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
-        });
+        m_store.list(m_kind, m_listConsistency,
+                     [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
+                         if (lifetime.expired())
+                             return;
+                         if (!result) {
+                             handle(DirectorySyncEvents::CallFailed{});
+                             return;
+                         }
+                         m_listConsistency = ReadConsistency::Linearizable;
+                         stage(result->objects);
+                         handle(DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects),
+                                                                   result->position});
+                     });
     } else if (const auto *watch = std::get_if<DirectorySyncActions::StartWatch>(&action)) {
         if (!m_isWatching) {
             m_isWatchDeferred = true;
@@ -125,7 +128,9 @@
         const double waitFraction =
             detail::minWatchFraction + (1 - detail::minWatchFraction) * m_random.fraction();
         m_store.watch(m_kind, watch->after, waitFraction * detail::maxWatchDuration,
-                      [this](ErrorOr<DirectoryBatch> result) {
+                      [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
+                          if (lifetime.expired())
+                              return;
                           if (!result && result.error().code == ErrorCode::Conflict) {
                               handle(DirectorySyncEvents::RevisionExpired{});
                           } else if (!result) {
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -104,6 +104,8 @@
     ConfigVersion m_configVersion;
     bool m_isWatching{true};
     bool m_isWatchDeferred{false};
+    // Expires with the view. Calls of the store may end after that.
+    std::shared_ptr<bool> m_lifetime{std::make_shared<bool>(true)};
 };
 
 } // namespace Wisteria
--- a/Tests/Platform/FakeDeployment.cpp
+++ b/Tests/Platform/FakeDeployment.cpp
@@ -111,6 +111,15 @@
     return router;
 }
 
+void FakeDeployment::endRouter(std::unique_ptr<Gateway> &gateway,
+                               std::unique_ptr<Platform::StoreClient> &client)
+{
+    m_context->restart();
+    m_context->poll();
+    gateway.reset();
+    client.reset();
+}
+
 void FakeDeployment::startGateway(Readiness readiness)
 {
     auto router = createRouter("g1");
--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -49,6 +49,9 @@
         std::unique_ptr<Gateway> gateway;
     };
     [[nodiscard]] Router createRouter(const std::string &id);
+    // Destroys a router while the event loop goes on. Handlers that are ready run before, since they refer to
+    // it.
+    void endRouter(std::unique_ptr<Gateway> &, std::unique_ptr<Platform::StoreClient> &);
     // Makes the gateway choose this engine for the next request: another router reports load on all others of
     // its service.
     void preferEngine(const std::string &id);
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/Verify.h>
 #include <LibCore/Views.h>
+#include <LibNet/HttpClient.h>
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -240,6 +241,10 @@
 {
     restart(m_id);
     m_server.reset();
+    const auto endpoint = *parseEndpoint(m_address);
+    m_portReservation.emplace(m_context, endpoint.protocol());
+    m_portReservation->set_option(boost::asio::socket_base::reuse_address(true));
+    m_portReservation->bind(endpoint);
     ++m_engineState.ends;
     if (m_engineState.onEnd)
         m_engineState.onEnd(*this);
@@ -251,6 +256,7 @@
     auto server = HttpServer::create(m_context, *Address::parse(m_address), *this, {});
     VERIFY(server.has_value());
     m_server = std::move(*server);
+    m_portReservation.reset();
 }
 
 void FakeEngine::restart(const std::string &id)
@@ -362,8 +368,8 @@
         if (m_engineState.onCrashingRequest)
             m_engineState.onCrashingRequest(std::string(fieldValue(request, "Request-Id")));
     }
-    const auto begin = [this, connection, head, isCrashing, event = static_cast<int>(lastEvent) + 1,
-                        restarts = m_restarts](const auto &) {
+    const std::function<void()> begin = [this, connection, head, isCrashing,
+                                         event = static_cast<int>(lastEvent) + 1, restarts = m_restarts] {
         if (restarts != m_restarts) {
             connection->abort();
             return;
@@ -378,11 +384,11 @@
     };
     // The server must not end within its own handler.
     if (m_engineState.prefillTime == std::chrono::milliseconds::zero() && !isCrashing) {
-        begin(boost::system::error_code());
+        begin();
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_engineState.prefillTime);
-    timer->async_wait([timer, begin](const auto &ec) { begin(ec); });
+    timer->async_wait([timer, begin](const auto &) { begin(); });
 }
 
 void FakeEngine::sendEventsFrom(const std::shared_ptr<HttpServerConnection> &connection, int event)
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -206,6 +206,8 @@
     bool m_isLeaving{false};
     std::optional<std::chrono::milliseconds> m_retryAfter;
     int m_requestCount{0};
+    // Keeps the port of an engine that has ended: bound, so that no other socket gets it, but not listening.
+    std::optional<boost::asio::ip::tcp::socket> m_portReservation;
     std::unique_ptr<HttpServer> m_server;
 };
 
--- a/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
+++ b/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
@@ -129,8 +129,7 @@
     // Starts a gateway that sends its next request of the service to the peer.
     void replaceEngine(const std::string &id, const std::string &answer, FakeEnding ending)
     {
-        m_gateway.reset();
-        m_client.reset();
+        endRouter(m_gateway, m_client);
         m_peer = std::make_unique<FakeClosingPeer>(*m_context, answer, ending);
         m_engines[id]->setPublishedAddress(m_peer->address());
         m_store->put("servers", id, m_engines[id]->storeRecord());
--- a/Tests/Platform/TestEndlessAnswersOfTargets.cpp
+++ b/Tests/Platform/TestEndlessAnswersOfTargets.cpp
@@ -153,8 +153,7 @@
     // Starts a gateway that knows no faults yet, with the peer behind the targets' addresses.
     void replaceTargets(const std::vector<std::string> &ids, const EndlessAnswer &answer)
     {
-        m_gateway.reset();
-        m_client.reset();
+        endRouter(m_gateway, m_client);
         m_peer = std::make_unique<FakeEndlessPeer>(*m_context, answer);
         for (const auto &id : ids) {
             m_engines[id]->setPublishedAddress(m_peer->address());
--- a/Tests/Platform/TestRequestsThatCrashEngines.cpp
+++ b/Tests/Platform/TestRequestsThatCrashEngines.cpp
@@ -88,7 +88,7 @@
             callSound();
             CPPUNIT_ASSERT(callCrashing().head.status >= 500);
         }
-        m_routers[0] = {};
+        endRouter(m_routers[0].gateway, m_routers[0].client);
         m_routers[0] = createRouter("g0");
         useRouter(0);
         m_context->run_for(std::chrono::seconds(1));
