--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -68,6 +68,7 @@
 // What changed by new evidence.
 struct QuarantineChange
 {
+    // Evidence was added or withdrawn.
     bool isNews{false};
     std::vector<PromptParts> newVerdicts;
     std::vector<PromptParts> liftedVerdicts;
@@ -196,9 +197,10 @@
 
     // Adds the lost runs of the process that ended. Returns whether that changed anything.
     bool addLostRuns(TargetEndId, absl::Time now);
-    // Adds runs to an end. Returns whether that changed anything.
+    // Adds runs to an end, which is then part of so many reports. Returns whether that changed anything.
     bool addEnd(TargetEndId, absl::Time at, const std::vector<PromptParts> &, int newsReports,
                 absl::Time now);
+    // Returns whether the part was suspect.
     bool addSurvival(PromptPartId, absl::Time at, int newsReports, absl::Time now);
     // Whoever reported evidence against the part does not know of the survival yet.
     static void announceSurvival(Survival &, int newsReports, absl::Time now);
