--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -368,27 +368,29 @@
         if (m_engineState.onCrashingRequest)
             m_engineState.onCrashingRequest(std::string(fieldValue(request, "Request-Id")));
     }
-    const std::function<void()> begin = [this, connection, head, isCrashing,
-                                         event = static_cast<int>(lastEvent) + 1, restarts = m_restarts] {
-        if (restarts != m_restarts) {
-            connection->abort();
-            return;
-        }
-        connection->openStream(head);
-        if (!isCrashing) {
-            sendEventsFrom(connection, event);
-            return;
-        }
-        connection->abort();
-        end();
-    };
+    const int event = static_cast<int>(lastEvent) + 1;
     // The server must not end within its own handler.
     if (m_engineState.prefillTime == std::chrono::milliseconds::zero() && !isCrashing) {
-        begin();
+        connection->openStream(head);
+        sendEventsFrom(connection, event);
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_engineState.prefillTime);
-    timer->async_wait([timer, begin](const auto &) { begin(); });
+    const auto sharedHead = std::make_shared<const HttpResponseHead>(head);
+    timer->async_wait(
+        [this, timer, connection, sharedHead, isCrashing, event, restarts = m_restarts](const auto &) {
+            if (restarts != m_restarts) {
+                connection->abort();
+                return;
+            }
+            connection->openStream(*sharedHead);
+            if (!isCrashing) {
+                sendEventsFrom(connection, event);
+                return;
+            }
+            connection->abort();
+            end();
+        });
 }
 
 void FakeEngine::sendEventsFrom(const std::shared_ptr<HttpServerConnection> &connection, int event)
