--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -293,9 +293,31 @@
     connection->respond(response);
 }
 
+void FakeEngine::pauseFor(std::chrono::milliseconds duration)
+{
+    m_pausedUntil = std::chrono::steady_clock::now() + duration;
+}
+
+void FakeEngine::runAfterPause(std::function<void()> function)
+{
+    if (std::chrono::steady_clock::now() >= m_pausedUntil) {
+        function();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_pausedUntil);
+    timer->async_wait(
+        [this, timer, function = std::move(function)](const auto &) { runAfterPause(function); });
+}
+
 void FakeEngine::handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request)
 {
     ++m_requestCount;
+    runAfterPause([this, connection, request = std::move(request)] { runRequest(connection, request); });
+}
+
+void FakeEngine::runRequest(const std::shared_ptr<HttpServerConnection> &connection,
+                            const HttpRequest &request)
+{
     const std::string target(request.target().data(), request.target().size());
     if (target == "/-/kv-move") {
         copyRun(connection, request.body());
@@ -394,6 +416,16 @@
 }
 
 void FakeEngine::sendEventsFrom(const std::shared_ptr<HttpServerConnection> &connection, int event)
+{
+    runAfterPause([this, connection, event, restarts = m_restarts] {
+        if (restarts == m_restarts)
+            sendEvent(connection, event);
+        else
+            connection->abort();
+    });
+}
+
+void FakeEngine::sendEvent(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
     const int events = m_engineState.eventsPerStream;
     if (event > events) {
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -172,6 +172,9 @@
     void startAgain(const std::string &id);
     [[nodiscard]] bool isRunning() const { return m_server != nullptr; }
     void setMode(FakeEngineMode mode) { m_mode = mode; }
+    // The engine is silent for this long and then goes on: it handles no request and sends no event. Its
+    // connections stay open and new ones are accepted.
+    void pauseFor(std::chrono::milliseconds);
     // While set, all answers carry Server-Leaving. The engine goes on serving.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     // Rejections in mode Overloaded carry this as Retry-After.
@@ -181,6 +184,9 @@
 
 private:
     void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) override;
+    void runRequest(const std::shared_ptr<HttpServerConnection> &, const HttpRequest &);
+    // Runs the function now, or at the end of the engine's pause.
+    void runAfterPause(std::function<void()>);
     void respond(const std::shared_ptr<HttpServerConnection> &, HttpResponse);
     // Sets the header fields that all answers of the engine have.
     void setCommonFields(HttpResponseHead &) const;
@@ -189,6 +195,7 @@
     void startStream(const std::shared_ptr<HttpServerConnection> &, const HttpResponseHead &,
                      const HttpRequest &);
     void sendEventsFrom(const std::shared_ptr<HttpServerConnection> &, int event);
+    void sendEvent(const std::shared_ptr<HttpServerConnection> &, int event);
     // Handles /-/kv-move: records a copy of a running request's KV cache under a new handle.
     void copyRun(const std::shared_ptr<HttpServerConnection> &, const std::string &body);
 
@@ -206,6 +213,7 @@
     bool m_isLeaving{false};
     std::optional<std::chrono::milliseconds> m_retryAfter;
     int m_requestCount{0};
+    std::chrono::steady_clock::time_point m_pausedUntil;
     // Keeps the port of an engine that has ended: bound, so that no other socket gets it, but not listening.
     std::optional<boost::asio::ip::tcp::socket> m_portReservation;
     std::unique_ptr<HttpServer> m_server;
