--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -401,10 +401,9 @@
 
 void ForwardSession::streamOpened(const HttpResponseHead &head)
 {
-    if (!m_hasStreamHead) {
-        m_hasStreamHead = true;
-        m_response.head = head;
-        removeConnectionFields(m_response.head.fields);
+    if (!m_forwardedRequest.hasResponseStarted()) {
+        m_streamHead = head;
+        removeConnectionFields(m_streamHead.fields);
     }
     handle(ForwardingEvents::StreamOpened{});
 }
@@ -523,13 +522,13 @@
         {{"target", m_target ? m_target->value() : ""},
          {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - m_arrivedAt)},
          {"parts", partNames(m_routed.request.sharedParts)}});
-    m_caller->openStream(m_response.head);
+    m_caller->openStream(m_streamHead);
 }
 
 void ForwardSession::perform(const ForwardingActions::CompleteStream &)
 {
     m_caller->endStream();
-    finish("complete", m_response.head.status);
+    finish("complete", m_streamHead.status);
 }
 
 void ForwardSession::perform(const ForwardingActions::SendResponse &)
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -136,9 +136,10 @@
     // The last attempt for which no replacement was found.
     int m_unreplacedAttempt{0};
     std::vector<TargetId> m_triedTargets;
-    // Response head of the first stream, or the latest complete response.
+    // Of the running attempt's stream; until the response starts, that of the latest attempt with a stream.
+    HttpResponseHead m_streamHead;
+    // The latest complete response of a target.
     HttpResponse m_response;
-    bool m_hasStreamHead{false};
     bool m_isOutcomeLogged{false};
     std::optional<absl::Time> m_interruptedAt;
     // Time of the last event sent to the caller; unset before the first one.
--- a/Tests/Platform/FakePlatform.cpp
+++ b/Tests/Platform/FakePlatform.cpp
@@ -356,6 +356,12 @@
     const std::string holder(fieldValue(request, "Kv-Backup"));
     if (!holder.empty())
         m_engineState.copies.insert(holder + "/" + requestId);
+    if (m_mode == FakeEngineMode::Failing) {
+        response.head.status = 500;
+        response.body = "failure of " + requestId;
+        respond(connection, std::move(response));
+        return;
+    }
     if (!absl::StartsWith(target, "/stream/")) {
         if (m_mode == FakeEngineMode::Crashing)
             connection->abort();
@@ -428,6 +434,10 @@
 void FakeEngine::sendEvent(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
     const int events = m_engineState.eventsPerStream;
+    if (m_mode == FakeEngineMode::LosingStreams) {
+        connection->abort();
+        return;
+    }
     if (event > events) {
         connection->endStream();
         return;
--- a/Tests/Platform/FakePlatform.h
+++ b/Tests/Platform/FakePlatform.h
@@ -149,6 +149,10 @@
     Stalled,
     // Rejects requests with 503 and the Not-Executed header.
     Overloaded,
+    // Runs requests and answers them with 500.
+    Failing,
+    // Aborts connections after the head of a stream.
+    LosingStreams,
 };
 
 class FakeEngine final : private HttpRequestHandler
