--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -53,8 +53,8 @@
 
 ForwardedRequest::ForwardedRequest(const ForwardingParameters &parameters, RetryGate &retryGate,
                                    absl::Time now)
-    : m_parameters(parameters), m_retryGate(retryGate), m_arrivedAt(now), m_lastEvent(parameters.lastEvent),
-      m_attemptStartedAt(now), m_lastEventAt(now), m_nextProbeAt(now)
+    : m_parameters(parameters), m_retryGate(retryGate), m_arrivedAt(now),
+      m_lastEvent(parameters.lastEvent), m_current{.startedAt = now, .lastEventAt = now, .nextProbeAt = now}
 {
 }
 
@@ -76,30 +76,93 @@
     return std::exchange(m_actions, {});
 }
 
-void ForwardedRequest::startAttempt(absl::Time now, bool fromCopy, TargetSearch search)
+bool ForwardedRequest::tryStartRun(RunRole role, absl::Time now, bool fromCopy)
 {
     const auto timeLeft = deadline() - now;
-    if (timeLeft < detail::minUsefulTime) {
-        fail(RefusalReason::TimedOut);
-        return;
-    }
-    m_state = State::Attempting;
-    m_hasEvents = false;
-    m_attemptStartedAt = now;
-    m_lastEventAt = now;
-    m_nextProbeAt = now + firstProbeDelay;
-    m_nextReplacementAt = absl::InfinitePast();
-    m_firstEventDeadline = absl::InfiniteFuture();
+    if (timeLeft < detail::minUsefulTime)
+        return false;
+    const Run run{.startedAt = now, .lastEventAt = now, .nextProbeAt = now + firstProbeDelay};
+    if (role == RunRole::Current)
+        m_current = run;
+    else
+        m_replacement = run;
+    // The host may report that it found no target while it performs StartAttempt, which sets the timer anew.
+    setTimer(now);
     m_actions.emplace_back(ForwardingActions::StartAttempt{.number = ++m_lastAttemptNumber,
                                                            .fromCopy = fromCopy,
                                                            .lastEvent = m_lastEvent,
                                                            .timeLeft = timeLeft,
-                                                           .isReplacement = search == TargetSearch::Done});
+                                                           .role = role});
     ++m_executedAttempts;
+    return true;
+}
+
+void ForwardedRequest::startAttempt(absl::Time now, bool fromCopy)
+{
+    m_state = State::Attempting;
+    m_nextReplacementAt = absl::InfinitePast();
+    m_hasCopy = m_parameters.usesCopies;
+    if (!tryStartRun(RunRole::Current, now, fromCopy))
+        fail(RefusalReason::TimedOut);
+}
+
+void ForwardedRequest::startReplacement(absl::Time now)
+{
+    if (tryStartRun(RunRole::Replacement, now, canUseCopy()))
+        return;
+    m_hasUnusedRetry = true;
+    setTimer(now);
+}
+
+void ForwardedRequest::adoptReplacement(absl::Time now)
+{
+    m_current = *std::exchange(m_replacement, std::nullopt);
     m_hasCopy = m_parameters.usesCopies;
+    m_nextReplacementAt = absl::InfinitePast();
+    m_actions.emplace_back(ForwardingActions::AdoptReplacement{});
     setTimer(now);
 }
 
+void ForwardedRequest::cancelReplacement(std::optional<TargetFault> fault)
+{
+    if (!std::exchange(m_replacement, std::nullopt))
+        return;
+    m_actions.emplace_back(ForwardingActions::CancelAttempt{.fault = fault, .role = RunRole::Replacement});
+}
+
+void ForwardedRequest::keepOnly(RunRole role, absl::Time now)
+{
+    if (role == RunRole::Current) {
+        cancelReplacement();
+        return;
+    }
+    m_actions.emplace_back(ForwardingActions::CancelAttempt{});
+    adoptReplacement(now);
+}
+
+void ForwardedRequest::cancelRuns()
+{
+    cancelReplacement();
+    if (m_state == State::Attempting)
+        m_actions.emplace_back(ForwardingActions::CancelAttempt{});
+}
+
+void ForwardedRequest::replacementNotStarted(absl::Time now)
+{
+    m_replacement.reset();
+    m_hasUnusedRetry = true;
+    setTimer(now);
+}
+
+void ForwardedRequest::replacementEnded(absl::Time now)
+{
+    m_replacement.reset();
+    m_nextReplacementAt = absl::InfinitePast();
+    // The answer to the search sets the next timer.
+    if (!trySeekReplacement(m_suspicion, now))
+        setTimer(now);
+}
+
 void ForwardedRequest::retryOrFail(RefusalReason reason, absl::Time now, bool fromCopy)
 {
     if (m_mayHaveExecuted && !isRetryable(m_parameters.kind)) {
@@ -142,15 +205,25 @@
     finish();
 }
 
+void ForwardedRequest::sendResponse()
+{
+    m_actions.emplace_back(ForwardingActions::SendResponse{});
+    finish();
+}
+
 void ForwardedRequest::finish()
 {
     m_state = State::Finished;
 }
 
-void ForwardedRequest::on(const ForwardingEvents::NoTarget &event, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::NoTarget &event, absl::Time now)
 {
     // The attempt was not started.
     --m_executedAttempts;
+    if (event.role == RunRole::Replacement) {
+        replacementNotStarted(now);
+        return;
+    }
     if (m_mayHaveExecuted)
         fail(RefusalReason::ResponseLost);
     else if (event.backoff)
@@ -159,36 +232,58 @@
         fail(RefusalReason::NoTarget);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::NoTimeLeft &, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::NoTimeLeft &event, absl::Time now)
 {
     // The attempt was not started.
     --m_executedAttempts;
-    fail(m_mayHaveExecuted ? RefusalReason::ResponseLost : RefusalReason::NoTimeLeft);
+    if (event.role == RunRole::Replacement)
+        replacementNotStarted(now);
+    else
+        fail(m_mayHaveExecuted ? RefusalReason::ResponseLost : RefusalReason::NoTimeLeft);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::AttemptBarred &event, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::AttemptBarred &event, absl::Time now)
 {
     // The attempt was not started.
     --m_executedAttempts;
-    fail(RefusalReason::PromptBarred, event.barTime);
+    if (event.role == RunRole::Replacement)
+        replacementNotStarted(now);
+    else
+        fail(RefusalReason::PromptBarred, event.barTime);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::RunBarred &event, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::RunBarred &event, absl::Time now)
 {
-    m_actions.emplace_back(ForwardingActions::CancelAttempt{});
+    if (event.role == RunRole::Replacement) {
+        cancelReplacement();
+        setTimer(now);
+        return;
+    }
+    cancelRuns();
     m_mayHaveExecuted = true;
     fail(RefusalReason::PromptBarred, event.barTime);
 }
 
 void ForwardedRequest::on(const ForwardingEvents::AttemptSent &event, absl::Time)
 {
-    m_firstEventDeadline = m_attemptStartedAt
+    auto &run = event.role == RunRole::Replacement && m_replacement ? *m_replacement : m_current;
+    run.firstEventDeadline = run.startedAt
         + std::max(firstEventTimeoutFactor * event.expectedTimeToFirstEvent, m_parameters.latencyObjective);
 }
 
 void ForwardedRequest::on(const ForwardingEvents::AttemptNotExecuted &event, absl::Time now)
 {
     --m_executedAttempts;
+    if (event.role == RunRole::Replacement) {
+        m_hasCopy = m_hasCopy && !event.isCopyMissing;
+        m_hasUnusedRetry = !event.wasRefused;
+        replacementEnded(now);
+        return;
+    }
+    if (m_replacement) {
+        adoptReplacement(now);
+        return;
+    }
     if (event.isCopyMissing) {
         m_hasCopy = false;
         retryOrFail(RefusalReason::ResponseLost, now, false);
@@ -214,9 +309,10 @@
 void ForwardedRequest::on(const ForwardingEvents::EventsReceived &event, absl::Time now)
 {
     m_mayHaveExecuted = true;
-    m_hasEvents = true;
+    keepOnly(event.role, now);
+    m_current.hasEvents = true;
+    m_current.lastEventAt = now;
     m_lastEvent = event.last;
-    m_lastEventAt = now;
     if (!m_hasResponseStarted) {
         m_hasResponseStarted = true;
         m_actions.emplace_back(ForwardingActions::StartResponse{});
@@ -224,8 +320,9 @@
     setTimer(now);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::StreamCompleted &, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::StreamCompleted &event, absl::Time now)
 {
+    keepOnly(event.role, now);
     if (!m_hasResponseStarted)
         m_actions.emplace_back(ForwardingActions::StartResponse{});
     m_actions.emplace_back(ForwardingActions::CompleteStream{});
@@ -235,46 +332,54 @@
 void ForwardedRequest::on(const ForwardingEvents::ResponseReceived &event, absl::Time now)
 {
     m_mayHaveExecuted = true;
-    if (event.status < detail::firstServerError) {
-        if (m_hasResponseStarted) {
-            // A plain response cannot continue a stream that has started.
-            fail(RefusalReason::ResponseLost);
-            return;
-        }
-        m_actions.emplace_back(ForwardingActions::SendResponse{});
-        finish();
+    const bool isError = event.status >= detail::firstServerError;
+    if (!isError && !m_hasResponseStarted) {
+        keepOnly(event.role, now);
+        sendResponse();
         return;
     }
-    m_hasErrorResponse = true;
-    if (!isRetryable(m_parameters.kind)) {
+    m_hasErrorResponse = m_hasErrorResponse || isError;
+    if (event.role == RunRole::Replacement)
+        replacementEnded(now);
+    else if (m_replacement)
+        adoptReplacement(now);
+    // A plain response cannot continue a stream that has started.
+    else if (!isError || !isRetryable(m_parameters.kind))
         fail(RefusalReason::ResponseLost);
-        return;
-    }
-    retryOrFail(RefusalReason::ResponseLost, now, false);
+    else
+        retryOrFail(RefusalReason::ResponseLost, now, false);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::AttemptLost &, absl::Time now)
+void ForwardedRequest::on(const ForwardingEvents::AttemptLost &event, absl::Time now)
 {
     m_mayHaveExecuted = true;
-    // Engines have no copy of a run that has not sent an event yet.
-    retryOrFail(RefusalReason::ResponseLost, now, canUseCopy());
+    if (event.role == RunRole::Replacement)
+        replacementEnded(now);
+    else if (m_replacement)
+        adoptReplacement(now);
+    else
+        // Engines have no copy of a run that has not sent an event yet.
+        retryOrFail(RefusalReason::ResponseLost, now, canUseCopy());
 }
 
 void ForwardedRequest::on(const ForwardingEvents::TargetSuspected &event, absl::Time now)
 {
-    if (m_state == State::Attempting)
+    const bool isLatestRun = (event.role == RunRole::Replacement) == m_replacement.has_value();
+    if (m_state == State::Attempting && isLatestRun)
         (void)trySeekReplacement(event.fault, now);
 }
 
 void ForwardedRequest::on(const ForwardingEvents::ReplacementFound &, absl::Time now)
 {
-    if (!m_retryGate.tryAcquireRetry(now)) {
+    if (!std::exchange(m_hasUnusedRetry, false) && !m_retryGate.tryAcquireRetry(now)) {
         setTimer(now);
         return;
     }
-    m_actions.emplace_back(ForwardingActions::CancelAttempt{m_suspicion});
-    m_mayHaveExecuted = true;
-    startAttempt(now, canUseCopy(), TargetSearch::Done);
+    if (m_replacement)
+        cancelReplacement(TargetFault::Unresponsive);
+    else
+        m_actions.emplace_back(ForwardingActions::ReportSuspicion{m_suspicion});
+    startReplacement(now);
 }
 
 void ForwardedRequest::on(const ForwardingEvents::NoReplacement &, absl::Time now)
@@ -292,7 +397,8 @@
     if (!isRetryable(m_parameters.kind) || !mayAttemptAgain() || now < m_nextReplacementAt)
         return false;
     m_nextReplacementAt = now + replacementInterval;
-    m_suspicion = fault;
+    if (!m_replacement)
+        m_suspicion = fault;
     m_actions.emplace_back(ForwardingActions::FindReplacement{
         .number = m_lastAttemptNumber + 1, .fromCopy = canUseCopy(), .timeLeft = deadline() - now});
     return true;
@@ -300,16 +406,14 @@
 
 void ForwardedRequest::on(const ForwardingEvents::CallerDisconnected &, absl::Time)
 {
-    if (m_state == State::Attempting)
-        m_actions.emplace_back(ForwardingActions::CancelAttempt{});
+    cancelRuns();
     finish();
 }
 
 void ForwardedRequest::on(const ForwardingEvents::ShutdownRequested &, absl::Time)
 {
-    if (m_state == State::Attempting)
-        m_actions.emplace_back(ForwardingActions::CancelAttempt{});
     m_mayHaveExecuted = m_mayHaveExecuted || m_state == State::Attempting;
+    cancelRuns();
     fail(RefusalReason::Stopping);
 }
 
@@ -318,7 +422,7 @@
     if (m_state != State::Attempting)
         return;
     if (now >= deadline()) {
-        m_actions.emplace_back(ForwardingActions::CancelAttempt{});
+        cancelRuns();
         m_mayHaveExecuted = true;
         fail(RefusalReason::TimedOut);
         return;
@@ -326,29 +430,32 @@
     // The answer to the search sets the next timer.
     if (now >= stallDeadline() && trySeekReplacement(TargetFault::Unresponsive, now))
         return;
-    if (isStream(m_parameters.kind) && !m_hasEvents && now >= m_nextProbeAt) {
-        m_nextProbeAt = now + probeInterval;
-        m_actions.emplace_back(ForwardingActions::ProbeTarget{});
+    auto &run = m_replacement ? *m_replacement : m_current;
+    if (isStream(m_parameters.kind) && !run.hasEvents && now >= run.nextProbeAt) {
+        run.nextProbeAt = now + probeInterval;
+        m_actions.emplace_back(
+            ForwardingActions::ProbeTarget{m_replacement ? RunRole::Replacement : RunRole::Current});
     }
     setTimer(now);
 }
 
 absl::Time ForwardedRequest::stallDeadline() const
 {
+    const auto &run = latestRun();
     if (!isRetryable(m_parameters.kind))
         return absl::InfiniteFuture();
     if (!isStream(m_parameters.kind))
-        return m_attemptStartedAt + plainRequestTimeoutFactor * m_parameters.latencyObjective;
-    if (!m_hasEvents)
-        return m_firstEventDeadline;
-    return m_lastEventAt + stallFractionOfEventGap * m_parameters.maxEventGap;
+        return run.startedAt + plainRequestTimeoutFactor * m_parameters.latencyObjective;
+    if (!run.hasEvents)
+        return run.firstEventDeadline;
+    return run.lastEventAt + stallFractionOfEventGap * m_parameters.maxEventGap;
 }
 
 void ForwardedRequest::setTimer(absl::Time now)
 {
     auto at = deadline();
-    if (isStream(m_parameters.kind) && !m_hasEvents)
-        at = std::min(at, m_nextProbeAt);
+    if (isStream(m_parameters.kind) && !latestRun().hasEvents)
+        at = std::min(at, latestRun().nextProbeAt);
     if (mayAttemptAgain())
         at = std::min(at, std::max(stallDeadline(), m_nextReplacementAt));
     m_actions.emplace_back(ForwardingActions::SetTimer{std::max(at, now)});
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -1,6 +1,9 @@
 // Decides how one request is forwarded, from its arrival to the final response: when an attempt is sent,
 // retried or resumed on another target, and when the request is answered, refused or aborted.
 //
+// A run whose target is suspected goes on beside its replacement until one of the two makes progress: the
+// replacement may be rejected or lost, and the target may only have been silent for a while.
+//
 // A state machine without I/O. The host reports events and performs the returned actions in order. Invariant:
 // the time passed in never goes back. At each `StartAttempt` the host chooses the target from its TargetPool
 // and reports `NoTarget` if none is available.
@@ -34,6 +37,12 @@
     bool usesCopies{false};
 };
 
+enum class RunRole {
+    Current,
+    // Started beside the current run, which is suspected.
+    Replacement,
+};
+
 namespace ForwardingEvents {
 
 // No target is available for the attempt.
@@ -41,26 +50,31 @@
 {
     // Set if all targets of the service want no requests: time until the first one accepts them again.
     std::optional<absl::Duration> backoff;
+    RunRole role{RunRole::Current};
 };
 // No target could finish the request before its deadline. This attempt was not sent.
 struct NoTimeLeft
 {
+    RunRole role{RunRole::Current};
 };
 // Requests with such a prompt are barred, since they end their targets. This attempt was not sent.
 struct AttemptBarred
 {
     // How long requests like this one are barred.
     absl::Duration barTime;
+    RunRole role{RunRole::Current};
 };
 // Requests like the one of the running attempt have become barred.
 struct RunBarred
 {
     absl::Duration barTime;
+    RunRole role{RunRole::Current};
 };
 // The attempt was sent to a target that is expected to send its first event after this time.
 struct AttemptSent
 {
     absl::Duration expectedTimeToFirstEvent;
+    RunRole role{RunRole::Current};
 };
 // The attempt was certainly not executed: either no byte was sent, or the target reported so.
 struct AttemptNotExecuted
@@ -71,6 +85,7 @@
     bool wasRefused{false};
     // The target no longer has the copy that the attempt was to resume from.
     bool isCopyMissing{false};
+    RunRole role{RunRole::Current};
 };
 // The head of the stream was received.
 struct StreamOpened
@@ -79,20 +94,24 @@
 struct EventsReceived
 {
     EventNumber last;
+    RunRole role{RunRole::Current};
 };
 // The stream ended normally.
 struct StreamCompleted
 {
+    RunRole role{RunRole::Current};
 };
 // A complete plain response was received, or a complete error response to a stream request.
 struct ResponseReceived
 {
     int status{200};
+    RunRole role{RunRole::Current};
 };
 // The target of the running attempt may be lost: it is silent, or accepts no connections. It may also go on.
 struct TargetSuspected
 {
     TargetFault fault{TargetFault::Unresponsive};
+    RunRole role{RunRole::Current};
 };
 // Another target or a usable copy is available for the attempt that FindReplacement asked for.
 struct ReplacementFound
@@ -105,6 +124,7 @@
 struct AttemptLost
 {
     TargetFault fault{TargetFault::ConnectionLost};
+    RunRole role{RunRole::Current};
 };
 struct CallerDisconnected
 {
@@ -156,10 +176,10 @@
     std::optional<EventNumber> lastEvent;
     // Time available to the target.
     absl::Duration timeLeft;
-    // The host has already found a target for it.
-    bool isReplacement{false};
+    // For a replacement, the host has already found a target.
+    RunRole role{RunRole::Current};
 };
-// Asks the host whether the attempt could be started elsewhere. The running attempt goes on meanwhile. The
+// Asks the host whether the attempt could be started elsewhere. The current run goes on meanwhile. The
 // host answers with ReplacementFound or NoReplacement before it reports anything else.
 struct FindReplacement
 {
@@ -168,20 +188,30 @@
     bool fromCopy{false};
     absl::Duration timeLeft;
 };
-// Closes the connection of the running attempt.
+// The current run's target is suspected, so new requests should avoid it.
+struct ReportSuspicion
+{
+    TargetFault fault{TargetFault::Unresponsive};
+};
+// Closes the connection of the run's attempt.
 struct CancelAttempt
 {
     // Set if the attempt is cancelled because of a target fault.
     std::optional<TargetFault> fault;
+    RunRole role{RunRole::Current};
+};
+// The replacement becomes the current run; the current one has ended.
+struct AdoptReplacement
+{
 };
-// Forwards the head of the stream to the caller.
+// Forwards the head of the current run's stream to the caller.
 struct StartResponse
 {
 };
 struct CompleteStream
 {
 };
-// Forwards the buffered response of the target to the caller.
+// Forwards the latest complete response of a target to the caller.
 struct SendResponse
 {
 };
@@ -209,15 +239,16 @@
 // it does not.
 struct ProbeTarget
 {
+    RunRole role{RunRole::Current};
 };
 
 } // namespace ForwardingActions
 
-using ForwardingAction = std::variant<ForwardingActions::StartAttempt, ForwardingActions::FindReplacement,
-                                      ForwardingActions::CancelAttempt, ForwardingActions::StartResponse,
-                                      ForwardingActions::CompleteStream, ForwardingActions::SendResponse,
-                                      ForwardingActions::Refuse, ForwardingActions::AbortResponse,
-                                      ForwardingActions::SetTimer, ForwardingActions::ProbeTarget>;
+using ForwardingAction = std::variant<
+    ForwardingActions::StartAttempt, ForwardingActions::FindReplacement, ForwardingActions::ReportSuspicion,
+    ForwardingActions::CancelAttempt, ForwardingActions::AdoptReplacement, ForwardingActions::StartResponse,
+    ForwardingActions::CompleteStream, ForwardingActions::SendResponse, ForwardingActions::Refuse,
+    ForwardingActions::AbortResponse, ForwardingActions::SetTimer, ForwardingActions::ProbeTarget>;
 using ForwardingActionList = std::vector<ForwardingAction>;
 
 // Decides whether a request may be retried, based on all requests of its service.
@@ -300,48 +331,71 @@
     void on(const ForwardingEvents::ShutdownRequested &, absl::Time now);
     void on(const ForwardingEvents::Tick &, absl::Time now);
 
-    enum class TargetSearch { Pending, Done };
+    // Progress of one attempt on its target.
+    struct Run
+    {
+        absl::Time startedAt;
+        // The run has sent an event.
+        bool hasEvents{false};
+        // Equals `startedAt` before the first event.
+        absl::Time lastEventAt;
+        absl::Time nextProbeAt;
+        // The run is suspected if no event arrives before this time.
+        absl::Time firstEventDeadline{absl::InfiniteFuture()};
+    };
 
-    void startAttempt(absl::Time now, bool fromCopy, TargetSearch = TargetSearch::Pending);
-    // Looks for another target before the running attempt is given up, since a silent target may go on. False
-    // if the attempt can't be replaced now.
+    void startAttempt(absl::Time now, bool fromCopy);
+    void startReplacement(absl::Time now);
+    // Starts no run if too little time is left for it.
+    [[nodiscard]] bool tryStartRun(RunRole, absl::Time now, bool fromCopy);
+    // The current run has ended, or has been given up for its replacement.
+    void adoptReplacement(absl::Time now);
+    void cancelReplacement(std::optional<TargetFault> = std::nullopt);
+    // This run has made progress; the other one, if any, is cancelled.
+    void keepOnly(RunRole, absl::Time now);
+    void cancelRuns();
+    // The host has not sent the replacement to any target.
+    void replacementNotStarted(absl::Time now);
+    // The replacement has ended without progress. Another one is looked for.
+    void replacementEnded(absl::Time now);
+    // Looks for another target while the suspected run goes on. False if none can be started now.
     [[nodiscard]] bool trySeekReplacement(TargetFault, absl::Time now);
     [[nodiscard]] bool mayAttemptAgain() const;
-    // A retry can resume from the copy of the running attempt's KV cache.
-    [[nodiscard]] bool canUseCopy() const { return m_hasCopy && m_hasEvents; }
+    // A retry can resume from the copy of the current run's KV cache.
+    [[nodiscard]] bool canUseCopy() const { return m_hasCopy && m_current.hasEvents; }
     // Retries the request if it is retryable and attempts and budget allow it, and fails it otherwise.
     void retryOrFail(RefusalReason, absl::Time now, bool fromCopy);
     // `backoff` is the time until a target accepts the request again.
     void fail(RefusalReason, absl::Duration backoff = absl::ZeroDuration());
+    void sendResponse();
     void finish();
     void setTimer(absl::Time now);
+    // The run that is suspected next: the replacement, if there is one.
+    [[nodiscard]] const Run &latestRun() const { return m_replacement ? *m_replacement : m_current; }
     [[nodiscard]] absl::Time stallDeadline() const;
 
     ForwardingParameters m_parameters;
     RetryGate &m_retryGate;
     absl::Time m_arrivedAt;
     State m_state{State::Waiting};
-    // Number of attempts that may have been executed, including the running one.
+    // Number of attempts that may have been executed, including the running ones.
     int m_executedAttempts{0};
     // Counts all attempts, including those that were not executed.
     int m_lastAttemptNumber{0};
     // An attempt may have been executed, so the request can no longer be reported as not executed.
     bool m_mayHaveExecuted{false};
     bool m_hasResponseStarted{false};
-    // The running attempt has sent an event.
-    bool m_hasEvents{false};
-    // A copy of the last attempt's KV cache may exist.
+    // A copy of the current run's KV cache may exist.
     bool m_hasCopy{false};
     bool m_hasErrorResponse{false};
     std::optional<EventNumber> m_lastEvent;
-    absl::Time m_attemptStartedAt;
-    absl::Time m_lastEventAt;
-    absl::Time m_nextProbeAt;
+    Run m_current;
+    std::optional<Run> m_replacement;
     // Why a replacement is looked for.
     TargetFault m_suspicion{TargetFault::Unresponsive};
     absl::Time m_nextReplacementAt{absl::InfinitePast()};
-    // The running attempt is suspected if no event arrives before this time.
-    absl::Time m_firstEventDeadline{absl::InfiniteFuture()};
+    // A retry was taken from the budget for a replacement that reached no target.
+    bool m_hasUnusedRetry{false};
     ForwardingActionList m_actions;
 };
 
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -75,12 +75,7 @@
 {
 }
 
-ForwardSession::~ForwardSession()
-{
-    if (m_attempt)
-        m_attempt->cancel();
-    releaseLoad();
-}
+ForwardSession::~ForwardSession() = default;
 
 void ForwardSession::start()
 {
@@ -100,23 +95,31 @@
 {
     if (fault != TargetFault::ConnectionLost)
         handleCopyEvent(KvCopyEvents::TargetLost{id});
-    if (m_target != id || !m_attempt)
+    const auto role =
+        m_replacement && m_replacement->target() == id ? RunRole::Replacement : RunRole::Current;
+    const auto *run = runOf(role).get();
+    if (!run || run->target() != id)
         return;
     if (fault == TargetFault::Gone) {
         // The generation ended with the target's process, even if no connection reset was received.
-        m_attempt->cancel();
-        attemptLost(fault);
+        runLost(role, fault);
         return;
     }
     if (!isRetryable(m_routed.route->kind))
         return;
-    const auto probe = [self = shared_from_this(), attempt = m_attempt.get()] {
-        if (self->m_attempt.get() == attempt)
-            self->perform(ForwardingActions::ProbeTarget{});
+    const auto probe = [self = shared_from_this(), attempt = std::weak_ptr(run->attempt())] {
+        if (const auto running = attempt.lock(); running && !self->isFinished())
+            self->perform(ForwardingActions::ProbeTarget{self->roleOf(*running)});
     };
     boost::asio::post(m_gatewayContext.context, probe);
 }
 
+RunRole ForwardSession::roleOf(const TargetAttempt &attempt) const
+{
+    return m_replacement && m_replacement->attempt().get() == &attempt ? RunRole::Replacement
+                                                                       : RunRole::Current;
+}
+
 void ForwardSession::handle(const ForwardingEvent &event)
 {
     perform(m_forwardedRequest.handle(event, monotonicNow()));
@@ -144,14 +147,14 @@
 {
     const auto source = action.fromCopy ? findUsableCopy() : std::nullopt;
     const auto holder = m_copies.copy();
-    releaseLoad();
+    runOf(action.role).reset();
     if (const auto barTime =
             m_gatewayContext.promptGuard.admit(m_routed.request.sharedParts, monotonicNow())) {
-        handle(ForwardingEvents::AttemptBarred{*barTime});
+        handle(ForwardingEvents::AttemptBarred{*barTime, action.role});
         return;
     }
-    if (!source && !action.isReplacement && !canFinishInTime(action.number, action.timeLeft)) {
-        handle(ForwardingEvents::NoTimeLeft{});
+    if (!source && action.role == RunRole::Current && !canFinishInTime(action.number, action.timeLeft)) {
+        handle(ForwardingEvents::NoTimeLeft{action.role});
         return;
     }
     const auto target = source ? std::optional(holder->holder)
@@ -160,7 +163,8 @@
     if (!record) {
         const auto now = monotonicNow();
         const auto end = m_gatewayContext.targets.earliestBackoffEnd(m_routed.service->name, now);
-        handle(ForwardingEvents::NoTarget{.backoff = end ? std::optional(*end - now) : std::nullopt});
+        handle(ForwardingEvents::NoTarget{.backoff = end ? std::optional(*end - now) : std::nullopt,
+                                          .role = action.role});
         return;
     }
     m_triedTargets.push_back(*target);
@@ -183,7 +187,7 @@
     m_gatewayContext.metrics.increment("replacements_missing_total", "");
     // The search is repeated while the target is silent.
     if (std::exchange(m_unreplacedAttempt, action.number) != action.number)
-        log("no_replacement", {{"number", action.number}, {"target", m_target ? m_target->value() : ""}});
+        log("no_replacement", {{"number", action.number}, {"target", targetName()}});
     handle(ForwardingEvents::NoReplacement{});
 }
 
@@ -220,19 +224,16 @@
     const auto now = monotonicNow();
     const auto load = m_gatewayContext.targets.loadOf(record.id, now);
     const auto wait = m_gatewayContext.targets.expectedWait(record.id, requirements(), now);
-    handle(
-        ForwardingEvents::AttemptSent{wait + performance().prefillTime(m_routed.request.size.promptTokens)});
-    m_attemptSentAt = now;
-    m_firstEventAt.reset();
-    m_eventCount = 0;
-    m_nextSurvivalAt = absl::InfiniteFuture();
-    m_wasTargetIdle = load.pendingPrefillTokens == 0;
-    m_target = record.id;
-    m_targetAddress = record.address;
-    m_targetProcess = record.process();
-    m_isFromCopy = source.has_value();
-    reserveLoad(record.id, m_isFromCopy);
-    handleCopyEvent(KvCopyEvents::AttemptStarted{m_copyHolder});
+    handle(ForwardingEvents::AttemptSent{wait + performance().prefillTime(m_routed.request.size.promptTokens),
+                                         action.role});
+    auto &run = runOf(action.role);
+    run = std::make_unique<TargetRun>(
+        m_gatewayContext, record,
+        TargetRun::Origin{.isFromCopy = source.has_value(), .wasTargetIdle = load.pendingPrefillTokens == 0},
+        now);
+    reserveLoad(*run);
+    if (action.role == RunRole::Current)
+        handleCopyEvent(KvCopyEvents::AttemptStarted{run->copyHolder()});
     AttemptParameters parameters;
     parameters.target = record.id;
     parameters.timeLeft = action.timeLeft;
@@ -241,8 +242,8 @@
     parameters.lastEvent = action.lastEvent;
     parameters.resumeFrom = source;
     parameters.priority = m_routed.route->priority;
-    if (m_copyHolder) {
-        if (const auto *holder = m_gatewayContext.targets.find(*m_copyHolder))
+    if (run->copyHolder()) {
+        if (const auto *holder = m_gatewayContext.targets.find(*run->copyHolder()))
             parameters.copyHolder = holder->address;
     }
     HttpFields fields = m_routed.message.base();
@@ -250,15 +251,18 @@
     m_gatewayContext.dialect.writeTargetFields(fields, m_routed.request, parameters);
     const auto method = m_routed.message.method_string();
     const auto target = m_routed.message.target();
-    m_attempt = std::make_shared<TargetAttempt>(m_gatewayContext.dialect, m_routed.request.id, *this);
-    m_attempt->setLastEvent(action.lastEvent);
+    const auto attempt =
+        std::make_shared<TargetAttempt>(m_gatewayContext.dialect, m_routed.request.id, *this);
+    attempt->setLastEvent(action.lastEvent);
+    run->setAttempt(attempt);
     log("attempt",
         {{"number", action.number},
          {"target", record.id.value()},
          {"domain", record.domain.value()},
-         {"from_copy", m_isFromCopy},
+         {"replaces", action.role == RunRole::Replacement ? targetName() : ""},
+         {"from_copy", source.has_value()},
          {"copy_handle", source ? source->handle : ""},
-         {"copy_holder", m_copyHolder ? m_copyHolder->value() : ""},
+         {"copy_holder", run->copyHolder() ? run->copyHolder()->value() : ""},
          {"last_event", action.lastEvent ? action.lastEvent->value() : 0},
          {"load_requests", load.requests},
          {"load_unread", load.pendingPrefillTokens},
@@ -266,30 +270,33 @@
          {"time_left_ms", absl::ToInt64Milliseconds(action.timeLeft)}});
     auto connection = m_gatewayContext.connections.take(record, now);
     if (!connection) {
-        boost::asio::post(m_gatewayContext.context, [self = shared_from_this(), attempt = m_attempt.get()] {
-            if (self->m_attempt.get() == attempt)
-                self->attemptNotRun(TargetFault::Unreachable, false);
-        });
+        boost::asio::post(m_gatewayContext.context,
+                          [self = shared_from_this(), weak = std::weak_ptr(attempt)] {
+                              const auto running = weak.lock();
+                              if (running && !self->isFinished())
+                                  self->attemptNotRun(*running, TargetFault::Unreachable, false);
+                          });
         return;
     }
-    m_attempt->start(std::move(connection),
-                     serializeRequest({method.data(), method.size()}, {target.data(), target.size()}, fields,
-                                      m_routed.message.body()),
-                     TargetConnections::connectTimeout);
+    attempt->start(std::move(connection),
+                   serializeRequest({method.data(), method.size()}, {target.data(), target.size()}, fields,
+                                    m_routed.message.body()),
+                   TargetConnections::connectTimeout);
 }
 
-void ForwardSession::reserveLoad(const TargetId &target, bool fromCopy)
+void ForwardSession::reserveLoad(TargetRun &run)
 {
     const auto &size = m_routed.request.size;
-    m_load = {.requests = 1,
-              .pendingPrefillTokens = fromCopy
-                  ? static_cast<std::int64_t>(detail::prefillFractionFromCopy
-                                              * static_cast<double>(size.promptTokens))
-                  : size.promptTokens,
-              .memoryTokens = size.memoryTokens()};
-    m_gatewayContext.targets.addLoad(target, m_load);
-    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.supportsCopies)
-        reserveCopyLoad(m_gatewayContext.targets.chooseCopyHolder(requirements(), target, monotonicNow()));
+    run.reserve({.requests = 1,
+                 .pendingPrefillTokens = run.origin().isFromCopy
+                     ? static_cast<std::int64_t>(detail::prefillFractionFromCopy
+                                                 * static_cast<double>(size.promptTokens))
+                     : size.promptTokens,
+                 .memoryTokens = size.memoryTokens()});
+    if (m_routed.route->kind != RouteKind::ResumableStream || !m_routed.service->engine.supportsCopies)
+        return;
+    run.reserveCopy(m_gatewayContext.targets.chooseCopyHolder(requirements(), run.target(), monotonicNow()),
+                    size.memoryTokens());
     m_gatewayContext.loadChanged();
 }
 
@@ -298,36 +305,26 @@
     return m_gatewayContext.targets.performance(m_routed.service->name);
 }
 
-void ForwardSession::recordFirstEvent(absl::Time now)
+void ForwardSession::recordFirstEvent(const TargetRun &run, absl::Time now)
 {
-    m_firstEventAt = now;
     m_nextSurvivalAt = now + PromptQuarantine::survivalTime;
     const bool isFirstAttempt = m_triedTargets.size() == 1 && !m_routed.request.lastEvent;
     if (!isFirstAttempt)
         return;
     performance().recordPrompt(m_routed.request.size.promptTokens);
-    if (m_wasTargetIdle)
-        performance().recordPrefill(m_routed.request.size.promptTokens, now - m_attemptSentAt);
+    if (run.origin().wasTargetIdle)
+        performance().recordPrefill(m_routed.request.size.promptTokens, now - run.sentAt());
 }
 
-void ForwardSession::recordCompletedStream(absl::Time now)
+void ForwardSession::recordCompletedStream(const TargetRun &run, absl::Time now)
 {
     const bool isFirstAttempt = m_triedTargets.size() == 1 && !m_routed.request.lastEvent;
-    if (!isFirstAttempt || !m_firstEventAt)
+    if (!isFirstAttempt || !run.firstEventAt())
         return;
     performance().recordGeneration({.expectedOutputTokens = m_routed.request.size.expectedOutputTokens,
-                                    .events = m_eventCount,
-                                    .total = now - m_attemptSentAt,
-                                    .decoding = now - *m_firstEventAt});
-}
-
-void ForwardSession::markPromptProcessed()
-{
-    if (m_load.pendingPrefillTokens == 0 || !m_target)
-        return;
-    m_gatewayContext.targets.subtractLoad(
-        *m_target, {.pendingPrefillTokens = std::exchange(m_load.pendingPrefillTokens, 0)});
-    m_gatewayContext.loadChanged();
+                                    .events = run.eventCount(),
+                                    .total = now - run.sentAt(),
+                                    .decoding = run.writingTime(now)});
 }
 
 void ForwardSession::noteSurvival(absl::Time now)
@@ -336,35 +333,28 @@
     m_gatewayContext.promptGuard.runSurvived(m_routed.request.sharedParts, now);
 }
 
-void ForwardSession::noteLostRun()
+void ForwardSession::noteLostRun(const TargetRun &run)
 {
     const auto now = monotonicNow();
-    if (m_target && (!m_firstEventAt || now - *m_firstEventAt < PromptQuarantine::survivalTime))
-        m_gatewayContext.promptGuard.runLost(m_targetProcess, m_routed.request.sharedParts, now);
+    if (!run.firstEventAt() || run.writingTime(now) < PromptQuarantine::survivalTime)
+        m_gatewayContext.promptGuard.runLost(run.process(), m_routed.request.sharedParts, now);
 }
 
 void ForwardSession::promptsBarred()
 {
     const auto barTime = m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, monotonicNow());
-    if (barTime && m_attempt && m_target && !m_firstEventAt)
-        handle(ForwardingEvents::RunBarred{*barTime});
-}
-
-void ForwardSession::releaseLoad()
-{
-    if (!m_target)
+    if (!barTime)
         return;
-    m_gatewayContext.targets.subtractLoad(*m_target, std::exchange(m_load, {}));
-    reserveCopyLoad(std::nullopt);
-    m_target.reset();
-    m_gatewayContext.loadChanged();
+    for (const auto role : {RunRole::Replacement, RunRole::Current}) {
+        if (const auto *run = runOf(role).get(); run && !run->firstEventAt())
+            handle(ForwardingEvents::RunBarred{*barTime, role});
+    }
 }
 
-void ForwardSession::noteFault(TargetFault fault)
+void ForwardSession::noteFault(const TargetRun &run, TargetFault fault)
 {
-    if (!m_target)
-        return;
-    const auto target = *m_target;
+    // The notification may end the run.
+    const auto target = run.target();
     m_gatewayContext.targets.recordFault(target, fault, monotonicNow());
     m_gatewayContext.metrics.increment("target_faults_total",
                                        absl::StrCat("fault=\"", abslView(targetFaultName(fault)), "\""));
@@ -374,63 +364,58 @@
     m_gatewayContext.targetFailed(target, fault);
 }
 
-void ForwardSession::headReceived(const HttpResponseHead &head)
+void ForwardSession::headReceived(const TargetAttempt &attempt, const HttpResponseHead &head)
 {
-    m_gatewayContext.notices->record(m_targetProcess, head, monotonicNow());
+    m_gatewayContext.notices->record(runOf(roleOf(attempt))->process(), head, monotonicNow());
 }
 
-void ForwardSession::attemptNotRun(TargetFault fault, bool wasRefused)
+void ForwardSession::attemptNotRun(const TargetAttempt &attempt, TargetFault fault, bool wasRefused)
 {
+    const auto role = roleOf(attempt);
+    const auto &run = *runOf(role);
     const bool isFull = wasRefused && fault != TargetFault::Gone;
-    const bool isCopyMissing = m_isFromCopy && isFull;
+    const bool isCopyMissing = run.origin().isFromCopy && isFull;
     // Another process answered at the address.
     if (fault == TargetFault::Gone)
-        m_gatewayContext.promptGuard.targetEnded(m_targetProcess.id, monotonicNow());
+        m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
     if (!isFull)
-        noteFault(fault);
+        noteFault(run, fault);
     else
-        log("target_full", {{"target", m_target ? m_target->value() : ""}, {"copy_missing", isCopyMissing}});
-    if (isCopyMissing && m_target) {
+        log("target_full", {{"target", run.target().value()}, {"copy_missing", isCopyMissing}});
+    if (isCopyMissing) {
         // A rejected resume is taken to mean that the target no longer has the copy. The target is healthy,
         // so it may process the prompt from the start.
-        std::erase(m_triedTargets, *m_target);
+        std::erase(m_triedTargets, run.target());
     }
+    if (role == RunRole::Replacement)
+        m_replacement.reset();
     handle(ForwardingEvents::AttemptNotExecuted{
-        .fault = fault, .wasRefused = wasRefused, .isCopyMissing = isCopyMissing});
+        .fault = fault, .wasRefused = wasRefused, .isCopyMissing = isCopyMissing, .role = role});
 }
 
-void ForwardSession::streamOpened(const HttpResponseHead &head)
+void ForwardSession::streamOpened(const TargetAttempt &attempt, const HttpResponseHead &head)
 {
-    if (!m_forwardedRequest.hasResponseStarted()) {
-        m_streamHead = head;
-        removeConnectionFields(m_streamHead.fields);
-    }
+    runOf(roleOf(attempt))->setStreamHead(head);
     handle(ForwardingEvents::StreamOpened{});
 }
 
-void ForwardSession::eventsReceived(const std::vector<RawEvent> &events)
+void ForwardSession::eventsReceived(const TargetAttempt &attempt, const std::vector<RawEvent> &events)
 {
-    markPromptProcessed();
-    if (m_target)
-        m_gatewayContext.targets.recordSuccess(*m_target);
-    if (m_interruptedAt && m_forwardedRequest.hasResponseStarted()) {
-        m_gatewayContext.metrics.observe("resume_seconds", "", monotonicNow() - *m_interruptedAt);
-        log("resumed",
-            {{"target", m_target ? m_target->value() : ""},
-             {"from_copy", m_isFromCopy},
-             {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - *m_interruptedAt)}});
-    }
-    m_interruptedAt.reset();
     const auto now = monotonicNow();
-    if (!m_firstEventAt)
-        recordFirstEvent(now);
-    m_eventCount += static_cast<std::int64_t>(events.size());
+    const auto role = roleOf(attempt);
+    auto &run = *runOf(role);
+    m_gatewayContext.targets.recordSuccess(run.target());
+    if (run.recordEvents(events.size(), now))
+        recordFirstEvent(run, now);
     if (now >= m_nextSurvivalAt)
         noteSurvival(now);
     if (m_lastEventAt)
         m_longestGap = std::max(m_longestGap, now - *m_lastEventAt);
     m_lastEventAt = now;
-    handle(ForwardingEvents::EventsReceived{*events.back().number});
+    if (m_interruptedAt && m_forwardedRequest.hasResponseStarted())
+        recordResumption(run, now);
+    m_interruptedAt.reset();
+    handle(ForwardingEvents::EventsReceived{*events.back().number, role});
     handleCopyEvent(KvCopyEvents::FirstEventReceived{});
     std::string bytes;
     for (const auto &it : events)
@@ -438,97 +423,138 @@
     m_caller->writeStream(bytes);
 }
 
-void ForwardSession::streamEnded(AnswerEnd end)
+void ForwardSession::recordResumption(const TargetRun &run, absl::Time now)
+{
+    m_gatewayContext.metrics.observe("resume_seconds", "", now - *m_interruptedAt);
+    log("resumed",
+        {{"target", run.target().value()},
+         {"from_copy", run.origin().isFromCopy},
+         {"after_ms", absl::ToInt64Milliseconds(now - *m_interruptedAt)}});
+}
+
+void ForwardSession::streamEnded(const TargetAttempt &attempt, AnswerEnd end)
 {
+    const auto role = roleOf(attempt);
     if (end == AnswerEnd::Framed)
-        completeStream();
+        completeStream(role);
     else
-        completeStreamIfTargetRuns();
+        completeStreamIfTargetRuns(*runOf(role));
 }
 
-void ForwardSession::completeStreamIfTargetRuns()
+void ForwardSession::completeStreamIfTargetRuns(const TargetRun &run)
 {
-    const ForwardingTarget record{.id = m_targetProcess.id, .address = m_targetProcess.address};
+    const ForwardingTarget record{.id = run.target(), .address = run.process().address};
     m_gatewayContext.connections.probe(
-        record,
-        [weak = weak_from_this(), attempt = std::weak_ptr<TargetAttempt>(m_attempt)](ProbeResult result) {
+        record, [weak = weak_from_this(), attempt = std::weak_ptr(run.attempt())](ProbeResult result) {
             const auto session = weak.lock();
             const auto ended = attempt.lock();
-            if (!session || !ended || session->m_attempt != ended || session->isFinished())
+            if (!session || !ended || session->isFinished())
                 return;
             if (result == ProbeResult::Refused)
-                session->attemptLost(TargetFault::ConnectionLost);
+                session->attemptLost(*ended, TargetFault::ConnectionLost);
             else
-                session->completeStream();
+                session->completeStream(session->roleOf(*ended));
         });
 }
 
-void ForwardSession::completeStream()
+void ForwardSession::completeStream(RunRole role)
 {
-    recordCompletedStream(monotonicNow());
-    if (m_firstEventAt)
+    const auto &run = *runOf(role);
+    recordCompletedStream(run, monotonicNow());
+    if (run.firstEventAt())
         noteSurvival(monotonicNow());
-    handle(ForwardingEvents::StreamCompleted{});
+    handle(ForwardingEvents::StreamCompleted{role});
 }
 
-void ForwardSession::responseReceived(HttpResponse response)
+void ForwardSession::responseReceived(const TargetAttempt &attempt, HttpResponse response)
 {
-    if (m_target) {
-        if (response.head.status < detail::firstServerError) {
-            m_gatewayContext.targets.recordSuccess(*m_target);
-            if (!isStream(m_routed.route->kind))
-                performance().recordPlainResponse(monotonicNow() - m_attemptSentAt);
-        } else {
-            m_gatewayContext.targets.recordFault(*m_target, TargetFault::InvalidResponse, monotonicNow());
-        }
+    const auto role = roleOf(attempt);
+    const auto &run = *runOf(role);
+    if (response.head.status < detail::firstServerError) {
+        m_gatewayContext.targets.recordSuccess(run.target());
+        if (!isStream(m_routed.route->kind))
+            performance().recordPlainResponse(monotonicNow() - run.sentAt());
+    } else {
+        m_gatewayContext.targets.recordFault(run.target(), TargetFault::InvalidResponse, monotonicNow());
     }
     const int status = response.head.status;
-    if (!m_forwardedRequest.hasResponseStarted()) {
-        m_response = std::move(response);
-        removeConnectionFields(m_response.head.fields);
-    }
-    handle(ForwardingEvents::ResponseReceived{status});
+    m_response = std::move(response);
+    removeConnectionFields(m_response.head.fields);
+    if (role == RunRole::Replacement && status >= detail::firstServerError)
+        m_replacement.reset();
+    handle(ForwardingEvents::ResponseReceived{status, role});
+}
+
+void ForwardSession::attemptLost(const TargetAttempt &attempt, TargetFault fault)
+{
+    runLost(roleOf(attempt), fault);
 }
 
-void ForwardSession::attemptLost(TargetFault fault)
+void ForwardSession::runLost(RunRole role, TargetFault fault)
 {
+    auto &run = *runOf(role);
+    run.cancel();
     // Tells a request that its target ended on from one that merely ran there.
     log("attempt_lost",
-        {{"target", m_target ? m_target->value() : ""},
+        {{"target", run.target().value()},
          {"fault", targetFaultName(fault)},
-         {"events", m_eventCount},
-         {"writing_ms", m_firstEventAt ? absl::ToInt64Milliseconds(monotonicNow() - *m_firstEventAt) : 0},
+         {"replacement", role == RunRole::Replacement},
+         {"events", run.eventCount()},
+         {"writing_ms", absl::ToInt64Milliseconds(run.writingTime(monotonicNow()))},
          {"parts", partNames(m_routed.request.sharedParts)}});
-    noteLostRun();
+    noteLostRun(run);
     if (fault == TargetFault::Gone)
-        m_gatewayContext.promptGuard.targetEnded(m_targetProcess.id, monotonicNow());
-    noteFault(fault);
-    handle(ForwardingEvents::AttemptLost{fault});
+        m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
+    noteFault(run, fault);
+    if (role == RunRole::Replacement)
+        m_replacement.reset();
+    handle(ForwardingEvents::AttemptLost{fault, role});
+}
+
+void ForwardSession::perform(const ForwardingActions::ReportSuspicion &action)
+{
+    if (m_run)
+        noteFault(*m_run, action.fault);
 }
 
 void ForwardSession::perform(const ForwardingActions::CancelAttempt &action)
 {
-    if (m_attempt)
-        m_attempt->cancel();
-    noteLostRun();
+    auto &run = runOf(action.role);
+    if (!run)
+        return;
+    run->cancel();
+    noteLostRun(*run);
     if (action.fault)
-        noteFault(*action.fault);
+        noteFault(*run, *action.fault);
+    if (action.role == RunRole::Replacement) {
+        log("replacement_cancelled", {{"target", run->target().value()}});
+        run.reset();
+    }
+}
+
+void ForwardSession::perform(const ForwardingActions::AdoptReplacement &)
+{
+    m_run = std::move(m_replacement);
+    handleCopyEvent(KvCopyEvents::AttemptStarted{m_run->copyHolder()});
+    log("replacement_adopted", {{"target", targetName()}, {"events", m_run->eventCount()}});
 }
 
 void ForwardSession::perform(const ForwardingActions::StartResponse &)
 {
     m_gatewayContext.metrics.observe("first_event_seconds", "", monotonicNow() - m_arrivedAt);
     log("answering",
-        {{"target", m_target ? m_target->value() : ""},
+        {{"target", targetName()},
          {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - m_arrivedAt)},
          {"parts", partNames(m_routed.request.sharedParts)}});
-    m_caller->openStream(m_streamHead);
+    m_caller->openStream(*m_run->streamHead());
 }
 
 void ForwardSession::perform(const ForwardingActions::CompleteStream &)
 {
+    // The caller may turn out to have left, which ends the run.
+    const int status = m_run->streamHead()->status;
     m_caller->endStream();
-    finish("complete", m_streamHead.status);
+    finish("complete", status);
 }
 
 void ForwardSession::perform(const ForwardingActions::SendResponse &)
@@ -564,15 +590,14 @@
     });
 }
 
-void ForwardSession::perform(const ForwardingActions::ProbeTarget &)
+void ForwardSession::perform(const ForwardingActions::ProbeTarget &action)
 {
-    if (!m_target || !m_attempt)
-        return;
-    const auto *record = m_gatewayContext.targets.find(*m_target);
+    const auto *run = runOf(action.role).get();
+    const auto *record = run ? m_gatewayContext.targets.find(run->target()) : nullptr;
     if (!record)
         return;
     const auto probe = std::make_shared<std::function<void(int)>>();
-    *probe = [weak = weak_from_this(), attempt = std::weak_ptr<TargetAttempt>(m_attempt), record = *record,
+    *probe = [weak = weak_from_this(), attempt = std::weak_ptr(run->attempt()), record = *record,
               self = std::weak_ptr<std::function<void(int)>>(probe)](int number) {
         const auto session = weak.lock();
         const auto retry = self.lock();
@@ -581,14 +606,15 @@
         session->m_gatewayContext.connections.probe(
             record, [session, attempt, retry, number](ProbeResult result) {
                 const auto running = attempt.lock();
-                if (result == ProbeResult::Connected || !running || session->m_attempt != running)
+                if (result == ProbeResult::Connected || !running || session->isFinished())
                     return;
                 if (result == ProbeResult::TimedOut && number < detail::maxProbeAttempts) {
                     (*retry)(number + 1);
                     return;
                 }
                 session->handle(ForwardingEvents::TargetSuspected{
-                    result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unresponsive});
+                    result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unresponsive,
+                    session->roleOf(*running)});
             });
     };
     (*probe)(1);
@@ -601,8 +627,8 @@
     m_timer.cancel();
     m_copyTimer.cancel();
     handleCopyEvent(KvCopyEvents::AttemptEnded{});
-    releaseLoad();
-    m_attempt.reset();
+    m_replacement.reset();
+    m_run.reset();
     m_gatewayContext.metrics.increment("requests_total",
                                        absl::StrCat("kind=\"",
                                                     abslView(detail::routeKindName(m_routed.route->kind)),
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -7,12 +7,14 @@
 #include <LibForwarding/RouteTable.h>
 #include <LibGateway/GatewayContext.h>
 #include <LibGateway/TargetAttempt.h>
+#include <LibGateway/TargetRun.h>
 #include <LibNet/HttpServer.h>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace Wisteria {
 
@@ -50,20 +52,22 @@
     void promptsBarred();
     [[nodiscard]] bool isFinished() const { return m_forwardedRequest.isFinished(); }
 
-    void headReceived(const HttpResponseHead &) override;
-    void attemptNotRun(TargetFault, bool wasRefused) override;
-    void streamOpened(const HttpResponseHead &) override;
-    void eventsReceived(const std::vector<RawEvent> &) override;
-    void streamEnded(AnswerEnd) override;
-    void responseReceived(HttpResponse) override;
-    void attemptLost(TargetFault) override;
+    void headReceived(const TargetAttempt &, const HttpResponseHead &) override;
+    void attemptNotRun(const TargetAttempt &, TargetFault, bool wasRefused) override;
+    void streamOpened(const TargetAttempt &, const HttpResponseHead &) override;
+    void eventsReceived(const TargetAttempt &, const std::vector<RawEvent> &) override;
+    void streamEnded(const TargetAttempt &, AnswerEnd) override;
+    void responseReceived(const TargetAttempt &, HttpResponse) override;
+    void attemptLost(const TargetAttempt &, TargetFault) override;
 
 private:
     void handle(const ForwardingEvent &);
     void perform(const ForwardingActionList &);
     void perform(const ForwardingActions::StartAttempt &);
     void perform(const ForwardingActions::FindReplacement &);
+    void perform(const ForwardingActions::ReportSuspicion &);
     void perform(const ForwardingActions::CancelAttempt &);
+    void perform(const ForwardingActions::AdoptReplacement &);
     void perform(const ForwardingActions::StartResponse &);
     void perform(const ForwardingActions::CompleteStream &);
     void perform(const ForwardingActions::SendResponse &);
@@ -72,6 +76,14 @@
     void perform(const ForwardingActions::SetTimer &);
     void perform(const ForwardingActions::ProbeTarget &);
 
+    [[nodiscard]] std::unique_ptr<TargetRun> &runOf(RunRole role)
+    {
+        return role == RunRole::Replacement ? m_replacement : m_run;
+    }
+    // The run with this attempt. Attempts of other runs have been cancelled and report nothing.
+    [[nodiscard]] RunRole roleOf(const TargetAttempt &) const;
+    // Target of the current run, for the log; empty if there is none.
+    [[nodiscard]] std::string targetName() const { return m_run ? m_run->target().value() : ""; }
     [[nodiscard]] TargetRequirements requirements() const;
     // False when the generation cannot finish before the caller's deadline, so that its prompt need not be
     // processed.
@@ -87,22 +99,22 @@
     // Sends a control request and records what the target says of itself in the answer. A target that backs
     // off is sent none, which counts as not connected.
     void sendControlRequest(const ForwardingTarget &, const ControlRequest &, HttpCallHandler);
-    void reserveCopyLoad(const std::optional<TargetId> &holder);
-    // Adds the request's load to the target and, if the route uses copies, to a copy holder.
-    void reserveLoad(const TargetId &, bool fromCopy);
-    void completeStream();
+    // Adds the request's load to the run's target and, if the route uses copies, to a copy holder.
+    void reserveLoad(TargetRun &);
+    void completeStream(RunRole);
     // Completes the stream, unless its target's process has ended.
-    void completeStreamIfTargetRuns();
-    void markPromptProcessed();
-    // Records that the running attempt has ended before its target had written for long.
-    void noteLostRun();
-    // Records that the running attempt's target writes on the prompt and lives on.
+    void completeStreamIfTargetRuns(const TargetRun &);
+    void runLost(RunRole, TargetFault);
+    // Records that the run has ended before its target had written for long.
+    void noteLostRun(const TargetRun &);
+    // Records that the current run's target writes on the prompt and lives on.
     void noteSurvival(absl::Time now);
     [[nodiscard]] ServicePerformance &performance() const;
-    void recordFirstEvent(absl::Time now);
-    void recordCompletedStream(absl::Time now);
-    void releaseLoad();
-    void noteFault(TargetFault);
+    void recordFirstEvent(const TargetRun &, absl::Time now);
+    // The stream goes on after an interruption.
+    void recordResumption(const TargetRun &, absl::Time now);
+    void recordCompletedStream(const TargetRun &, absl::Time now);
+    void noteFault(const TargetRun &, TargetFault);
     void finish(std::string_view outcome, int status);
     void log(std::string_view event, nlohmann::json fields) const;
 
@@ -112,32 +124,16 @@
     ForwardedRequest m_forwardedRequest;
     boost::asio::steady_timer m_timer;
     absl::Time m_arrivedAt;
-    std::shared_ptr<TargetAttempt> m_attempt;
-    // Target of the running attempt; empty between attempts.
-    std::optional<TargetId> m_target;
-    // Address of that target, which identifies the copies that it created.
-    std::string m_targetAddress;
-    // Process that the running attempt was sent to.
-    TargetProcess m_targetProcess;
-    // The target had no unprocessed prompt of another request when the attempt was sent.
-    bool m_wasTargetIdle{false};
-    absl::Time m_attemptSentAt;
-    // Of the running attempt; unset before its first event.
-    std::optional<absl::Time> m_firstEventAt;
-    std::int64_t m_eventCount{0};
-    absl::Time m_nextSurvivalAt;
-    TargetLoad m_load;
+    // Null before the first attempt. A run that has ended stays until the next one starts.
+    std::unique_ptr<TargetRun> m_run;
+    // Runs beside `m_run`, which is suspected.
+    std::unique_ptr<TargetRun> m_replacement;
+    absl::Time m_nextSurvivalAt{absl::InfiniteFuture()};
     KvCopyManager m_copies;
     boost::asio::steady_timer m_copyTimer;
-    // Target whose load includes the copy.
-    std::optional<TargetId> m_copyHolder;
-    TargetLoad m_copyLoad;
-    bool m_isFromCopy{false};
     // The last attempt for which no replacement was found.
     int m_unreplacedAttempt{0};
     std::vector<TargetId> m_triedTargets;
-    // Of the running attempt's stream; until the response starts, that of the latest attempt with a stream.
-    HttpResponseHead m_streamHead;
     // The latest complete response of a target.
     HttpResponse m_response;
     bool m_isOutcomeLogged{false};
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -35,19 +35,7 @@
     if (!copy || !m_gatewayContext.targets.isHealthy(copy->holder, monotonicNow()))
         return std::nullopt;
     const auto *holder = m_gatewayContext.targets.find(copy->holder);
-    return CopySource{copy->handle.empty() ? holder->address : m_targetAddress, copy->handle};
-}
-
-void ForwardSession::reserveCopyLoad(const std::optional<TargetId> &holder)
-{
-    if (m_copyHolder)
-        m_gatewayContext.targets.subtractLoad(*m_copyHolder, std::exchange(m_copyLoad, {}));
-    m_copyHolder = holder;
-    if (!m_copyHolder)
-        return;
-    m_copyLoad = {
-        .requests = 0, .pendingPrefillTokens = 0, .memoryTokens = m_routed.request.size.memoryTokens()};
-    m_gatewayContext.targets.addLoad(*m_copyHolder, m_copyLoad);
+    return CopySource{copy->handle.empty() ? holder->address : m_run->process().address, copy->handle};
 }
 
 void ForwardSession::sendControlRequest(const ForwardingTarget &record, const ControlRequest &request,
@@ -79,17 +67,17 @@
 {
     const auto now = monotonicNow();
     auto holder = action.holder;
-    if (m_target && (!holder || !m_gatewayContext.targets.isHealthy(*holder, now)))
-        holder = m_gatewayContext.targets.chooseCopyHolder(requirements(), *m_target, now);
+    if (m_run && (!holder || !m_gatewayContext.targets.isHealthy(*holder, now)))
+        holder = m_gatewayContext.targets.chooseCopyHolder(requirements(), m_run->target(), now);
     const auto *to = holder ? m_gatewayContext.targets.find(*holder) : nullptr;
-    const auto *from = m_target ? m_gatewayContext.targets.find(*m_target) : nullptr;
+    const auto *from = m_run ? m_gatewayContext.targets.find(m_run->target()) : nullptr;
     if (!to || !from) {
         boost::asio::post(m_gatewayContext.context, [self = shared_from_this(), call = action.callId] {
             self->handleCopyEvent(KvCopyEvents::CopyFailed{call});
         });
         return;
     }
-    reserveCopyLoad(holder);
+    m_run->reserveCopy(holder, m_routed.request.size.memoryTokens());
     const auto controlRequest = m_gatewayContext.dialect.makeCopyRequest(m_routed.request.id, to->address);
     sendControlRequest(
         *from, controlRequest,
@@ -114,7 +102,7 @@
 
 void ForwardSession::perform(const KvCopyActions::DeleteCopy &action)
 {
-    const auto *from = m_target ? m_gatewayContext.targets.find(*m_target) : nullptr;
+    const auto *from = m_run ? m_gatewayContext.targets.find(m_run->target()) : nullptr;
     if (!from)
         return;
     // NOTE: The response is ignored because a copy that is not released expires on its own.
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -23,7 +23,7 @@
     auto *listener = takeListener();
     m_connection->cancel();
     if (listener)
-        listener->attemptLost(fault);
+        listener->attemptLost(*this, fault);
 }
 
 void TargetAttempt::answerHead(const HttpResponseHead &head)
@@ -36,13 +36,14 @@
     }
     // A 421 comes from the process that replaced the target.
     if (m_responseClass != ResponseClass::RejectedReplaced && m_listener)
-        m_listener->headReceived(head);
+        m_listener->headReceived(*this, head);
     if (m_responseClass != ResponseClass::Executed) {
         // The head of a rejection is authoritative. Its body may be slow or have no end.
         m_connection->discardRest();
         auto *listener = takeListener();
         if (listener)
-            listener->attemptNotRun(m_responseClass == ResponseClass::RejectedReplaced
+            listener->attemptNotRun(*this,
+                                    m_responseClass == ResponseClass::RejectedReplaced
                                         ? TargetFault::Gone
                                         : TargetFault::InvalidResponse,
                                     true);
@@ -50,7 +51,7 @@
     }
     m_isStream = m_dialect.isEventStream(head);
     if (m_isStream && m_listener)
-        m_listener->streamOpened(head);
+        m_listener->streamOpened(*this, head);
 }
 
 void TargetAttempt::answerBody(std::string_view data)
@@ -88,7 +89,7 @@
         newEvents.push_back(std::move(it));
     }
     if (!newEvents.empty() && m_listener)
-        m_listener->eventsReceived(newEvents);
+        m_listener->eventsReceived(*this, newEvents);
 }
 
 void TargetAttempt::answerEnded(AnswerEnd end)
@@ -106,9 +107,9 @@
     if (!listener)
         return;
     if (m_isStream)
-        listener->streamEnded(end);
+        listener->streamEnded(*this, end);
     else
-        listener->responseReceived(std::move(m_response));
+        listener->responseReceived(*this, std::move(m_response));
 }
 
 void TargetAttempt::answerFailed(HttpFailure failure)
@@ -117,13 +118,13 @@
     if (!listener)
         return;
     if (failure == HttpFailure::Refused)
-        listener->attemptNotRun(TargetFault::Refused, false);
+        listener->attemptNotRun(*this, TargetFault::Refused, false);
     else if (failure == HttpFailure::NotConnected)
-        listener->attemptNotRun(TargetFault::Unreachable, false);
+        listener->attemptNotRun(*this, TargetFault::Unreachable, false);
     else if (failure == HttpFailure::BadAnswer)
-        listener->attemptLost(TargetFault::InvalidResponse);
+        listener->attemptLost(*this, TargetFault::InvalidResponse);
     else
-        listener->attemptLost(TargetFault::ConnectionLost);
+        listener->attemptLost(*this, TargetFault::ConnectionLost);
 }
 
 } // namespace Wisteria
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -13,6 +13,8 @@
 
 namespace Wisteria {
 
+class TargetAttempt;
+
 // Exactly one of attemptNotRun, streamEnded, responseReceived and attemptLost is called, as the last call,
 // unless the attempt is cancelled. headReceived may be called once before it, and before streamOpened.
 class AttemptListener
@@ -20,14 +22,14 @@
 public:
     virtual ~AttemptListener() = default;
     // The target itself answered, with a response of any kind.
-    virtual void headReceived(const HttpResponseHead &) = 0;
+    virtual void headReceived(const TargetAttempt &, const HttpResponseHead &) = 0;
     // `wasRefused` means that a target received the request and rejected it without executing it.
-    virtual void attemptNotRun(TargetFault, bool wasRefused) = 0;
-    virtual void streamOpened(const HttpResponseHead &) = 0;
-    virtual void eventsReceived(const std::vector<RawEvent> &) = 0;
-    virtual void streamEnded(AnswerEnd) = 0;
-    virtual void responseReceived(HttpResponse) = 0;
-    virtual void attemptLost(TargetFault) = 0;
+    virtual void attemptNotRun(const TargetAttempt &, TargetFault, bool wasRefused) = 0;
+    virtual void streamOpened(const TargetAttempt &, const HttpResponseHead &) = 0;
+    virtual void eventsReceived(const TargetAttempt &, const std::vector<RawEvent> &) = 0;
+    virtual void streamEnded(const TargetAttempt &, AnswerEnd) = 0;
+    virtual void responseReceived(const TargetAttempt &, HttpResponse) = 0;
+    virtual void attemptLost(const TargetAttempt &, TargetFault) = 0;
 };
 
 class TargetAttempt final : public HttpAnswerListener, public std::enable_shared_from_this<TargetAttempt>
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -5,6 +5,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
 namespace detail {
@@ -84,6 +86,16 @@
     CPPUNIT_TEST(unresponsiveTargetIsReplaced);
     CPPUNIT_TEST(firstEventTimeoutGrowsWithBacklog);
     CPPUNIT_TEST(stalledStreamResumesFromCopy);
+    CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsRejected);
+    CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsLost);
+    CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementFails);
+    CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsNotStarted);
+    CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsBarred);
+    CPPUNIT_TEST(replacementIsCancelledWhenSuspectedRunGoesOn);
+    CPPUNIT_TEST(replacementTakesOverWhenSuspectedRunIsLost);
+    CPPUNIT_TEST(unreachableReplacementCostsOneRetry);
+    CPPUNIT_TEST(silentReplacementIsReplaced);
+    CPPUNIT_TEST(bothRunsEndWithTheRequest);
     CPPUNIT_TEST(missingCopyIsRecomputedAfterLastEvent);
     CPPUNIT_TEST(streamUsesAtMostMaxAttempts);
     CPPUNIT_TEST(interruptedStreamIsNeverCompleted);
@@ -220,10 +232,14 @@
         ForwardedRequest request(detail::idempotentParameters(), budget, m_start);
         (void)request.begin(m_start);
         // Stall deadline of a request without a stream: 3 x latencyObjective (100 ms).
-        const auto actions = tickAndReplace(request, m_start + absl::Milliseconds(301));
+        auto actions = tickAndReplace(request, m_start + absl::Milliseconds(301));
+        const auto *start = detail::findAction<ForwardingActions::StartAttempt>(actions);
+        CPPUNIT_ASSERT(start && start->role == RunRole::Replacement);
+        actions = request.handle(ForwardingEvents::ResponseReceived{200, RunRole::Replacement},
+                                 m_start + absl::Milliseconds(350));
         const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(actions);
-        CPPUNIT_ASSERT(cancel && cancel->fault == TargetFault::Unresponsive);
-        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(actions));
+        CPPUNIT_ASSERT(cancel && cancel->role == RunRole::Current);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::SendResponse>(actions));
     }
 
     void stalledIdempotentAttemptContinuesWithoutBudget()
@@ -274,10 +290,9 @@
             request.handle(ForwardingEvents::Tick{}, begin + objective - absl::Milliseconds(1));
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(early));
         const auto late = tickAndReplace(request, begin + objective);
-        const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(late);
-        CPPUNIT_ASSERT(cancel && cancel->fault == TargetFault::Unresponsive);
         const auto *start = detail::findAction<ForwardingActions::StartAttempt>(late);
         CPPUNIT_ASSERT(start && start->number == 2 && !start->fromCopy);
+        checkIsCancelledOnProgress(request, EventNumber(1), begin + objective);
     }
 
     // Under load each target has several prompts queued. Retrying elsewhere would give up the place in the
@@ -324,7 +339,7 @@
         // A search without a result takes no retry from the budget.
         const auto replaced = tickAndReplace(request, timer->at);
         const auto *start = detail::findAction<ForwardingActions::StartAttempt>(replaced);
-        CPPUNIT_ASSERT(start && start->isReplacement);
+        CPPUNIT_ASSERT(start && start->role == RunRole::Replacement);
     }
 
     void suspectedStreamGoesOnWhenAttemptsAreUsedUp()
@@ -363,8 +378,104 @@
         const auto *start = detail::findAction<ForwardingActions::StartAttempt>(actions);
         CPPUNIT_ASSERT(start && start->fromCopy);
         CPPUNIT_ASSERT(start->lastEvent == EventNumber(7));
-        // The old attempt is cancelled before the new one is started.
-        CPPUNIT_ASSERT(std::holds_alternative<ForwardingActions::CancelAttempt>(actions.front()));
+        // The old attempt is cancelled at the first event of the new one.
+        checkIsCancelledOnProgress(request, EventNumber(8), eventAt + absl::Milliseconds(500));
+    }
+
+    // One silence of the first target, and a replacement that doesn't take over.
+    void suspectedRunGoesOnWhenReplacementIsRejected()
+    {
+        checkSuspectedRunGoesOnAfter(
+            ForwardingEvents::AttemptNotExecuted{.wasRefused = true, .role = RunRole::Replacement});
+    }
+    void suspectedRunGoesOnWhenReplacementIsLost()
+    {
+        checkSuspectedRunGoesOnAfter(
+            ForwardingEvents::AttemptLost{TargetFault::ConnectionLost, RunRole::Replacement});
+    }
+    void suspectedRunGoesOnWhenReplacementFails()
+    {
+        checkSuspectedRunGoesOnAfter(ForwardingEvents::ResponseReceived{500, RunRole::Replacement});
+    }
+    void suspectedRunGoesOnWhenReplacementIsNotStarted()
+    {
+        checkSuspectedRunGoesOnAfter(ForwardingEvents::NoTarget{.role = RunRole::Replacement});
+    }
+    void suspectedRunGoesOnWhenReplacementIsBarred()
+    {
+        checkSuspectedRunGoesOnAfter(ForwardingEvents::RunBarred{absl::Minutes(1), RunRole::Replacement});
+    }
+
+    void replacementIsCancelledWhenSuspectedRunGoesOn()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        startSuspectedStream(request);
+        const auto actions =
+            request.handle(ForwardingEvents::EventsReceived{EventNumber(2)}, m_start + absl::Seconds(1));
+        const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(actions);
+        CPPUNIT_ASSERT(cancel && cancel->role == RunRole::Replacement && !cancel->fault);
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::AdoptReplacement>(actions));
+        checkGoesOn(request, request.handle(ForwardingEvents::Tick{}, m_start + absl::Seconds(1)));
+    }
+
+    void replacementTakesOverWhenSuspectedRunIsLost()
+    {
+        detail::FixedRetryBudget budget(1);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        startSuspectedStream(request);
+        const auto actions =
+            request.handle(ForwardingEvents::AttemptLost{}, m_start + absl::Milliseconds(400));
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::AdoptReplacement>(actions));
+        checkGoesOn(request, actions);
+    }
+
+    // A replacement that reached no target took a retry from the budget, which the next one uses.
+    void unreachableReplacementCostsOneRetry()
+    {
+        detail::FixedRetryBudget budget(1);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        startSuspectedStream(request);
+        const auto failedAt = m_start + absl::Milliseconds(600);
+        auto actions =
+            request.handle(ForwardingEvents::AttemptNotExecuted{.role = RunRole::Replacement}, failedAt);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(actions));
+        actions = request.handle(ForwardingEvents::ReplacementFound{}, failedAt);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(actions));
+    }
+
+    void silentReplacementIsReplaced()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        startSuspectedStream(request);
+        const auto suspectedAt = m_start + absl::Milliseconds(1600);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(
+            request.handle(ForwardingEvents::TargetSuspected{TargetFault::Unresponsive, RunRole::Replacement},
+                           suspectedAt)));
+        const auto actions = request.handle(ForwardingEvents::ReplacementFound{}, suspectedAt);
+        const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(actions);
+        CPPUNIT_ASSERT(cancel && cancel->role == RunRole::Replacement);
+        const auto *start = detail::findAction<ForwardingActions::StartAttempt>(actions);
+        CPPUNIT_ASSERT(start && start->role == RunRole::Replacement);
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(2)}, suspectedAt);
+    }
+
+    void bothRunsEndWithTheRequest()
+    {
+        for (const ForwardingEvent &end : {ForwardingEvent(ForwardingEvents::CallerDisconnected{}),
+                                           ForwardingEvent(ForwardingEvents::ShutdownRequested{}),
+                                           ForwardingEvent(ForwardingEvents::RunBarred{absl::Minutes(1)})}) {
+            detail::FixedRetryBudget budget(detail::ampleRetries);
+            ForwardedRequest request(detail::streamParameters(), budget, m_start);
+            startSuspectedStream(request);
+            const auto actions = request.handle(end, m_start + absl::Milliseconds(500));
+            const auto cancels = std::count_if(actions.begin(), actions.end(), [](const auto &it) {
+                return std::holds_alternative<ForwardingActions::CancelAttempt>(it);
+            });
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, cancels);
+            CPPUNIT_ASSERT(request.isFinished());
+        }
     }
 
     void missingCopyIsRecomputedAfterLastEvent()
@@ -489,19 +600,54 @@
     }
 
 private:
+    // The running attempt is suspected, and is kept until the replacement's event.
+    void checkIsCancelledOnProgress(ForwardedRequest &request, EventNumber event, absl::Time now)
+    {
+        const auto actions =
+            request.handle(ForwardingEvents::EventsReceived{event, RunRole::Replacement}, now);
+        const auto *cancel = detail::findAction<ForwardingActions::CancelAttempt>(actions);
+        CPPUNIT_ASSERT(cancel && cancel->role == RunRole::Current);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::AdoptReplacement>(actions));
+    }
+
+    // A stream with one event whose target is silent, and a replacement that was started after 351 ms.
+    void startSuspectedStream(ForwardedRequest &request) const
+    {
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(1)}, m_start);
+        const auto actions = tickAndReplace(request, m_start + absl::Milliseconds(351));
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(actions));
+    }
+
+    void checkSuspectedRunGoesOnAfter(const ForwardingEvent &event) const
+    {
+        detail::FixedRetryBudget budget(1);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        startSuspectedStream(request);
+        checkGoesOn(request, request.handle(event, m_start + absl::Milliseconds(500)));
+    }
+
     // A tick at which the host finds another target. Until then, the running attempt isn't touched.
     static ForwardingActionList tickAndReplace(ForwardedRequest &request, absl::Time now)
     {
         const auto asked = request.handle(ForwardingEvents::Tick{}, now);
         CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(asked));
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(asked));
-        return request.handle(ForwardingEvents::ReplacementFound{}, now);
+        const auto actions = request.handle(ForwardingEvents::ReplacementFound{}, now);
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
+        const auto *suspicion = detail::findAction<ForwardingActions::ReportSuspicion>(actions);
+        CPPUNIT_ASSERT(suspicion && suspicion->fault == TargetFault::Unresponsive);
+        return actions;
     }
 
     // The stream is neither cancelled nor ended, and its next event is passed on to its end.
     static void checkGoesOn(ForwardedRequest &request, const ForwardingActionList &actions)
     {
-        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
+        const bool isCurrentCancelled = std::any_of(actions.begin(), actions.end(), [](const auto &it) {
+            const auto *cancel = std::get_if<ForwardingActions::CancelAttempt>(&it);
+            return cancel && cancel->role == RunRole::Current;
+        });
+        CPPUNIT_ASSERT(!isCurrentCancelled);
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::AbortResponse>(actions));
         CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::Refuse>(actions));
         const auto goesOnAt = absl::FromUnixSeconds(1000) + absl::Seconds(3);
