LibForwarding: Suspect a run later once it has gone on after a suspicion

Callers would see a stream end with its target although attempts had been left at its start.

Cause: each pause above the stall limit started a replacement, which counts as an attempt even if the run goes on and the replacement is cancelled. A target that pauses again and again used up all attempts on suspicions.

The stall limit doubles each time a suspected run goes on, so that the suspicions of one request are few.

repeatedPausesDoNotUseUpTheAttempts fails with a factor of 1 (the loss after ten pauses of 500 ms ends the answer) and passes with 2.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -133,6 +133,8 @@
 void ForwardedRequest::keepOnly(RunRole role, absl::Time now)
 {
     if (role == RunRole::Current) {
+        if (m_replacement)
+            m_stallLimitFactor *= stallLimitGrowth;
         cancelReplacement();
         return;
     }
@@ -448,7 +450,7 @@
         return run.startedAt + plainRequestTimeoutFactor * m_parameters.latencyObjective;
     if (!run.hasEvents)
         return run.firstEventDeadline;
-    return run.lastEventAt + stallFractionOfEventGap * m_parameters.maxEventGap;
+    return run.lastEventAt + m_stallLimitFactor * stallFractionOfEventGap * m_parameters.maxEventGap;
 }
 
 void ForwardedRequest::setTimer(absl::Time now)
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -284,6 +284,9 @@
     // arrive every 30 to 200 ms, and resuming from a copy takes about 200 ms, which must fit into the gap of
     // 700 ms.
     static constexpr double stallFractionOfEventGap = 0.5;
+    // The stall limit grows by this factor each time a suspected run goes on. Otherwise a target that pauses
+    // again and again would use up the attempts.
+    static constexpr double stallLimitGrowth = 2;
     // Delay before a target that has not sent a first event is probed, and interval of further probes. A
     // prompt of mean size takes about a second of prefill.
     static constexpr absl::Duration firstProbeDelay = absl::Milliseconds(700);
@@ -394,6 +397,7 @@
     // Why a replacement is looked for.
     TargetFault m_suspicion{TargetFault::Unresponsive};
     absl::Time m_nextReplacementAt{absl::InfinitePast()};
+    double m_stallLimitFactor{1};
     // A retry was taken from the budget for a replacement that reached no target.
     bool m_hasUnusedRetry{false};
     ForwardingActionList m_actions;
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsBarred);
     CPPUNIT_TEST(replacementIsCancelledWhenSuspectedRunGoesOn);
     CPPUNIT_TEST(replacementTakesOverWhenSuspectedRunIsLost);
+    CPPUNIT_TEST(repeatedPausesDoNotUseUpTheAttempts);
     CPPUNIT_TEST(unreachableReplacementCostsOneRetry);
     CPPUNIT_TEST(silentReplacementIsReplaced);
     CPPUNIT_TEST(bothRunsEndWithTheRequest);
@@ -430,6 +431,27 @@
         checkGoesOn(request, actions);
     }
 
+    // A target that paused again and again used up the attempts, so that its end also ended the answer.
+    void repeatedPausesDoNotUseUpTheAttempts()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        auto now = m_start;
+        for (std::uint64_t n = 1; n <= 10; ++n) {
+            (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(n)}, now);
+            const auto goesOnAt = now + absl::Milliseconds(500);
+            while ((now += absl::Milliseconds(50)) < goesOnAt) {
+                const auto actions = request.handle(ForwardingEvents::Tick{}, now);
+                if (detail::findAction<ForwardingActions::FindReplacement>(actions))
+                    (void)request.handle(ForwardingEvents::ReplacementFound{}, now);
+            }
+        }
+        (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(11)}, now);
+        const auto actions = request.handle(ForwardingEvents::AttemptLost{}, now);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::StartAttempt>(actions));
+    }
+
     // A replacement that reached no target took a retry from the budget, which the next one uses.
     void unreachableReplacementCostsOneRetry()
     {
