--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -148,10 +148,12 @@
     const auto source = action.fromCopy ? findUsableCopy() : std::nullopt;
     const auto holder = m_copies.copy();
     runOf(action.role).reset();
-    if (const auto barTime =
-            m_gatewayContext.promptGuard.admit(m_routed.request.sharedParts, monotonicNow())) {
-        handle(ForwardingEvents::AttemptBarred{*barTime, action.role});
-        return;
+    if (!m_hasSurvived) {
+        if (const auto barTime =
+                m_gatewayContext.promptGuard.admit(m_routed.request.sharedParts, monotonicNow())) {
+            handle(ForwardingEvents::AttemptBarred{*barTime, action.role});
+            return;
+        }
     }
     if (!source && action.role == RunRole::Current && !canFinishInTime(action.number, action.timeLeft)) {
         handle(ForwardingEvents::NoTimeLeft{action.role});
@@ -174,7 +176,7 @@
 void ForwardSession::perform(const ForwardingActions::FindReplacement &action)
 {
     const auto now = monotonicNow();
-    const bool isBarred = m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, now).has_value();
+    const bool isBarred = barTime(now).has_value();
     bool isFound = !isBarred && action.fromCopy && findUsableCopy();
     if (!isBarred && !isFound && canFinishInTime(action.number, action.timeLeft)) {
         const auto target = m_gatewayContext.targets.choose(requirements(), now);
@@ -330,6 +332,7 @@
 void ForwardSession::noteSurvival(absl::Time now)
 {
     m_nextSurvivalAt = now + detail::survivalReportInterval;
+    m_hasSurvived = true;
     m_gatewayContext.promptGuard.runSurvived(m_routed.request.sharedParts, now);
 }
 
@@ -340,14 +343,21 @@
         m_gatewayContext.promptGuard.runLost(run.process(), m_routed.request.sharedParts, now);
 }
 
+std::optional<absl::Duration> ForwardSession::barTime(absl::Time now) const
+{
+    if (m_hasSurvived)
+        return std::nullopt;
+    return m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, now);
+}
+
 void ForwardSession::promptsBarred()
 {
-    const auto barTime = m_gatewayContext.promptGuard.barOf(m_routed.request.sharedParts, monotonicNow());
-    if (!barTime)
+    const auto time = barTime(monotonicNow());
+    if (!time)
         return;
     for (const auto role : {RunRole::Replacement, RunRole::Current}) {
         if (const auto *run = runOf(role).get(); run && !run->firstEventAt())
-            handle(ForwardingEvents::RunBarred{*barTime, role});
+            handle(ForwardingEvents::RunBarred{*time, role});
     }
 }
 
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -109,6 +109,8 @@
     void noteLostRun(const TargetRun &);
     // Records that the current run's target writes on the prompt and lives on.
     void noteSurvival(absl::Time now);
+    // How long requests with this prompt are barred; empty if this one may run.
+    [[nodiscard]] std::optional<absl::Duration> barTime(absl::Time now) const;
     [[nodiscard]] ServicePerformance &performance() const;
     void recordFirstEvent(const TargetRun &, absl::Time now);
     // The stream goes on after an interruption.
@@ -129,6 +131,8 @@
     // Runs beside `m_run`, which is suspected.
     std::unique_ptr<TargetRun> m_replacement;
     absl::Time m_nextSurvivalAt{absl::InfiniteFuture()};
+    // A target has written on this prompt and lived on, so the prompt doesn't end its targets.
+    bool m_hasSurvived{false};
     KvCopyManager m_copies;
     boost::asio::steady_timer m_copyTimer;
     // The last attempt for which no replacement was found.
--- a/Tests/Platform/FakeDeployment.cpp
+++ b/Tests/Platform/FakeDeployment.cpp
@@ -153,7 +153,7 @@
     fields.set("Host", "site.example");
     fields.set("Request-Id", id);
     fields.set("Authorization", "Bearer " + key);
-    fields.set("Deadline-Ms", "3000");
+    fields.set("Deadline-Ms", absl::StrCat(m_callTimeout.count()));
     fields.set("Token-Counts", "1000,140");
     if (!m_prompt.empty())
         fields.set("Prompt-Prefix", m_prompt);
@@ -161,7 +161,8 @@
         std::make_shared<HttpClientConnection>(*m_context, *parseEndpoint(m_address), SocketLimits{});
     constexpr std::size_t maxBody = 1U << 20U;
     callHttp(*m_context, connection, serializeRequest(method, target, fields, method == "POST" ? body : ""),
-             absl::Seconds(5), maxBody, [&response, &isDone](HttpCallResult result) {
+             absl::FromChrono(m_callTimeout) + absl::Seconds(2), maxBody,
+             [&response, &isDone](HttpCallResult result) {
                  if (result)
                      response = std::move(*result);
                  isDone = true;
--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -14,6 +14,7 @@
 
 #include <cppunit/TestFixture.h>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -88,6 +89,8 @@
     int m_peerRouters{0};
     // Sent with calls as Prompt-Prefix, unless it is empty.
     std::string m_prompt;
+    // Sent with calls as Deadline-Ms.
+    std::chrono::milliseconds m_callTimeout{3000};
 };
 
 } // namespace Wisteria
--- a/Tests/Platform/FakePeerRouter.cpp
+++ b/Tests/Platform/FakePeerRouter.cpp
@@ -18,13 +18,25 @@
 void FakePeerRouter::report(const std::string &address, const TargetLoads &loads)
 {
     PeerReport report;
+    report.loads = loads;
+    send(address, std::move(report));
+}
+
+void FakePeerRouter::report(const std::string &address, const PromptEvidence &evidence)
+{
+    PeerReport report;
+    report.promptEvidence = evidence;
+    send(address, std::move(report));
+}
+
+void FakePeerRouter::send(const std::string &address, PeerReport report)
+{
     report.router.id = RouterId(m_id);
     report.router.domain = FailureDomain("z0");
     report.router.peerAddress = absl::StrCat("127.0.0.1:", m_socket.local_endpoint().port());
     report.router.callerAddress = report.router.peerAddress;
     report.router.incarnation = Incarnation(1);
-    report.router.reportSequence = 1;
-    report.loads = loads;
+    report.router.reportSequence = ++m_sequence;
     const auto endpoint = *parseEndpoint(address);
     m_socket.send_to(boost::asio::buffer(encodePeerReport(report)), {endpoint.address(), endpoint.port()});
 }
--- a/Tests/Platform/FakePeerRouter.h
+++ b/Tests/Platform/FakePeerRouter.h
@@ -1,4 +1,5 @@
-// A router that tells a gateway of loads on targets, so that a test can decide which target is chosen.
+// A router that tells a gateway of loads on targets, so that a test can decide which target is chosen, or of
+// targets that ended on prompts.
 
 #pragma once
 
@@ -8,6 +9,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <cstdint>
 #include <string>
 
 namespace Wisteria {
@@ -19,11 +21,16 @@
 
     // Sends one report to the gateway's peer address. The gateway answers the first report of a router.
     void report(const std::string &address, const TargetLoads &);
+    void report(const std::string &address, const PromptEvidence &);
     [[nodiscard]] bool isAnswered() const { return m_isAnswered; }
 
 private:
+    // Adds what all reports have in common.
+    void send(const std::string &address, PeerReport);
+
     boost::asio::ip::udp::socket m_socket;
     std::string m_id;
+    std::uint64_t m_sequence{0};
     std::array<char, 16384> m_buf;
     bool m_isAnswered{false};
 };
