--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -2,8 +2,9 @@
 
 #pragma once
 
+#include "FakeEngine.h"
 #include "FakePeerRouter.h"
-#include "FakePlatform.h"
+#include "FakeStore.h"
 
 #include <LibGateway/Gateway.h>
 #include <LibPlatform/MonotonicClock.h>
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -2,7 +2,8 @@
 
 #include "Promises.h"
 
-#include <Platform/FakePlatform.h>
+#include <Platform/FakeEngine.h>
+#include <Platform/FakeStore.h>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -9,7 +9,8 @@
 #include "Promises.h"
 
 #include <LibCore/Random.h>
-#include <Platform/FakePlatform.h>
+#include <Platform/FakeEngine.h>
+#include <Platform/FakeStore.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
