--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -123,6 +123,7 @@
         m_keepAlive = request.keep_alive();
         m_hasOpenRequest = true;
         m_hasBytes = false;
+        m_deadline = absl::InfiniteFuture();
         m_timer.cancel();
         m_server->m_handler.handleRequest(shared_from_this(), std::move(request));
     }
@@ -275,17 +276,30 @@
 
 void HttpServerConnection::armTimer(absl::Duration duration)
 {
-    m_timer.expires_after(absl::ToChronoNanoseconds(duration));
+    m_deadline = monotonicNow() + duration;
+    waitForDeadline();
+}
+
+void HttpServerConnection::waitForDeadline()
+{
+    m_timer.expires_after(absl::ToChronoNanoseconds(m_deadline - monotonicNow()));
     m_timer.async_wait([self = shared_from_this()](const auto &ec) {
-        if (ec || self->m_hasOpenRequest || self->m_isClosed)
-            return;
-        if (self->m_hasBytes)
-            self->refuse(detail::statusRequestTimeout);
-        else if (!self->hasUnreadBytes())
-            self->close(self->unsentBytes() > 0 ? ClosureReason::AnswerUnread : ClosureReason::IdleTimeout);
+        if (!ec && monotonicNow() >= self->m_deadline)
+            self->onDeadline();
     });
 }
 
+void HttpServerConnection::onDeadline()
+{
+    m_deadline = absl::InfiniteFuture();
+    if (m_hasOpenRequest || m_isClosed)
+        return;
+    if (m_hasBytes)
+        refuse(detail::statusRequestTimeout);
+    else if (!hasUnreadBytes())
+        close(unsentBytes() > 0 ? ClosureReason::AnswerUnread : ClosureReason::IdleTimeout);
+}
+
 void HttpServerConnection::closeAndReport(ClosureReason reason)
 {
     const auto callerLeft = std::exchange(m_callerLeft, nullptr);
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -99,6 +99,8 @@
     [[nodiscard]] bool hasUnreadBytes() const;
     void armIdleTimer();
     void armTimer(absl::Duration);
+    void waitForDeadline();
+    void onDeadline();
     void close(ClosureReason);
     // Closes the connection, then reports to the request's handler that the caller left.
     void closeAndReport(ClosureReason);
@@ -107,6 +109,9 @@
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    // When the timer that was armed last expires; infinite while none is armed. The handler of an earlier
+    // wait may still run, since a wait that has expired can't be cancelled.
+    absl::Time m_deadline{absl::InfiniteFuture()};
     // Null once the server is gone.
     HttpServer *m_server;
     std::optional<Parser> m_parser;
