--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(repeatedPausesDoNotUseUpTheAttempts);
     CPPUNIT_TEST(unreachableReplacementCostsOneRetry);
     CPPUNIT_TEST(silentReplacementIsReplaced);
+    CPPUNIT_TEST(requestIsNotReportedAsNotRunAfterACancelledReplacement);
     CPPUNIT_TEST(bothRunsEndWithTheRequest);
     CPPUNIT_TEST(missingCopyIsRecomputedAfterLastEvent);
     CPPUNIT_TEST(streamUsesAtMostMaxAttempts);
@@ -483,6 +484,23 @@
         (void)request.handle(ForwardingEvents::EventsReceived{EventNumber(2)}, suspectedAt);
     }
 
+    // The first target rejects the request after its replacement was given up for another one.
+    void requestIsNotReportedAsNotRunAfterACancelledReplacement()
+    {
+        detail::FixedRetryBudget budget(2);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::AttemptSent{absl::Seconds(1)}, m_start);
+        for (const int ms : {4500, 9000})
+            (void)replace(request, m_start + absl::Milliseconds(ms));
+        const auto end = m_start + absl::Seconds(10);
+        (void)request.handle(
+            ForwardingEvents::AttemptNotExecuted{.wasRefused = true, .role = RunRole::Replacement}, end);
+        const auto actions = request.handle(ForwardingEvents::AttemptNotExecuted{.wasRefused = true}, end);
+        const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+        CPPUNIT_ASSERT(refusal && !refusal->isNotExecuted);
+    }
+
     void bothRunsEndWithTheRequest()
     {
         for (const ForwardingEvent &end : {ForwardingEvent(ForwardingEvents::CallerDisconnected{}),
@@ -632,6 +650,16 @@
         CPPUNIT_ASSERT(detail::findAction<ForwardingActions::AdoptReplacement>(actions));
     }
 
+    // The latest run is suspected by its target's faults, and the host finds another target.
+    static ForwardingActionList replace(ForwardedRequest &request, absl::Time now)
+    {
+        const auto asked = request.handle(ForwardingEvents::Tick{}, now);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(asked));
+        const auto actions = request.handle(ForwardingEvents::ReplacementFound{}, now);
+        (void)request.handle(ForwardingEvents::AttemptSent{absl::Seconds(1), RunRole::Replacement}, now);
+        return actions;
+    }
+
     // A stream with one event whose target is silent, and a replacement that was started after 351 ms.
     void startSuspectedStream(ForwardedRequest &request) const
     {
