--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -234,6 +234,8 @@
         TargetRun::Origin{.isFromCopy = source.has_value(), .wasTargetIdle = load.pendingPrefillTokens == 0},
         now);
     reserveLoad(*run);
+    if (action.role == RunRole::Replacement)
+        m_gatewayContext.metrics.increment("replacements_total", R"(outcome="started")");
     if (action.role == RunRole::Current)
         handleCopyEvent(KvCopyEvents::AttemptStarted{run->copyHolder()});
     AttemptParameters parameters;
@@ -538,6 +540,7 @@
         noteFault(*run, *action.fault);
     if (action.role == RunRole::Replacement) {
         log("replacement_cancelled", {{"target", run->target().value()}});
+        m_gatewayContext.metrics.increment("replacements_total", R"(outcome="cancelled")");
         run.reset();
     }
 }
@@ -546,6 +549,7 @@
 {
     m_run = std::move(m_replacement);
     handleCopyEvent(KvCopyEvents::AttemptStarted{m_run->copyHolder()});
+    m_gatewayContext.metrics.increment("replacements_total", R"(outcome="adopted")");
     log("replacement_adopted", {{"target", targetName()}, {"events", m_run->eventCount()}});
 }
 
