--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -127,6 +127,7 @@
 {
     if (!std::exchange(m_replacement, std::nullopt))
         return;
+    m_mayHaveExecuted = true;
     m_actions.emplace_back(ForwardingActions::CancelAttempt{.fault = fault, .role = RunRole::Replacement});
 }
 
--- /dev/null
+++ b/Tests/LibForwarding/TestForwardedRequestOrders.cpp
@@ -0,0 +1,336 @@
+// Drives the state machine of a forwarded request with events in drawn orders and compares what it promises
+// with what its runs have done. Found: a refusal as not executed after a cancelled run.
+
+#include <LibCore/Random.h>
+#include <LibForwarding/ForwardedRequest.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <optional>
+
+namespace Wisteria {
+
+namespace detail {
+
+class DrawnRetryBudget final : public RetryGate
+{
+public:
+    explicit DrawnRetryBudget(int remaining) : m_remaining(remaining) { }
+    bool tryAcquireRetry(absl::Time) override { return m_remaining-- > 0; }
+
+private:
+    int m_remaining;
+};
+
+// What made the request end, if it did.
+enum class Cause { RunEnded, RunDelivered, Outside };
+
+// The host of one request. Counts each run as executed unless it ended as not executed.
+class DrawnHost
+{
+public:
+    explicit DrawnHost(std::uint64_t seed)
+        : m_seed(seed), m_random(seed), m_budget(draw(8)), m_parameters(drawParameters()),
+          m_request(m_parameters, m_budget, m_now)
+    {
+    }
+
+    void run()
+    {
+        m_trace =
+            absl::StrCat("kind ", static_cast<int>(m_parameters.kind), " max ", m_parameters.maxAttempts);
+        perform(m_request.begin(m_now));
+        constexpr int maxDrawnEvents = 40;
+        for (int n = 0; n < maxDrawnEvents && !m_request.isFinished(); ++n)
+            step();
+        // Its timer alone must end the request by its deadline.
+        while (!m_request.isFinished())
+            tick();
+        check(m_finals == (m_hasCallerLeft ? 0 : 1), "final actions");
+        check(!m_runs[0] && !m_runs[1], "run after the end");
+    }
+
+private:
+    struct Run
+    {
+        bool isFromCopy{false};
+        bool isOpened{false};
+        bool hasEvents{false};
+    };
+
+    int draw(int bound) { return static_cast<int>(m_random.below(static_cast<std::uint64_t>(bound))); }
+    bool drawOneIn(int n) { return draw(n) == 0; }
+
+    ForwardingParameters drawParameters()
+    {
+        ForwardingParameters out;
+        out.kind = static_cast<RouteKind>(draw(4));
+        out.maxAttempts = 1 + draw(4);
+        out.routeTimeout = absl::Seconds(8);
+        out.callerTimeout = absl::Seconds(3 + draw(10));
+        out.latencyObjective = absl::Milliseconds(500);
+        out.maxEventGap = absl::Milliseconds(700);
+        out.usesCopies = out.kind == RouteKind::ResumableStream && drawOneIn(2);
+        return out;
+    }
+
+    void check(bool isKept, const char *what)
+    {
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat("seed ", m_seed, ": ", what, ": ", m_trace), isKept);
+    }
+
+    std::optional<Run> &runOf(RunRole role) { return m_runs[role == RunRole::Replacement ? 1 : 0]; }
+
+    void handle(const char *name, const ForwardingEvent &event, Cause cause)
+    {
+        absl::StrAppend(&m_trace, ", ", name);
+        m_cause = cause;
+        m_hasCancelledRun = false;
+        answer(event);
+    }
+
+    void answer(const ForwardingEvent &event) { perform(m_request.handle(event, m_now)); }
+
+    void perform(const ForwardingActionList &actions)
+    {
+        for (const auto &it : actions)
+            std::visit([this](const auto &action) { perform(action); }, it);
+    }
+
+    void perform(const ForwardingActions::StartAttempt &action)
+    {
+        check(!runOf(action.role), "two runs in one role");
+        check(action.role == RunRole::Current || runOf(RunRole::Current), "replacement of no run");
+        switch (draw(12)) {
+        case 0:
+            absl::StrAppend(&m_trace, " [no target]");
+            answer(ForwardingEvents::NoTarget{.role = action.role});
+            return;
+        case 1:
+            absl::StrAppend(&m_trace, " [no time left]");
+            answer(ForwardingEvents::NoTimeLeft{action.role});
+            return;
+        case 2:
+            absl::StrAppend(&m_trace, " [barred]");
+            answer(ForwardingEvents::AttemptBarred{absl::Seconds(1), action.role});
+            return;
+        default:
+            break;
+        }
+        absl::StrAppend(&m_trace, action.role == RunRole::Current ? " [run]" : " [replacement]");
+        check(isRetryable(m_parameters.kind) || m_executedRuns == 0, "run of a request that may have run");
+        ++m_executedRuns;
+        check(m_executedRuns <= m_parameters.maxAttempts, "more runs than attempts");
+        runOf(action.role) = Run{.isFromCopy = action.fromCopy};
+        answer(ForwardingEvents::AttemptSent{absl::Milliseconds(100), action.role});
+    }
+
+    void perform(const ForwardingActions::FindReplacement &)
+    {
+        if (drawOneIn(3))
+            answer(ForwardingEvents::NoReplacement{});
+        else
+            answer(ForwardingEvents::ReplacementFound{});
+    }
+
+    void perform(const ForwardingActions::CancelAttempt &action)
+    {
+        absl::StrAppend(&m_trace, " [cancel]");
+        check(runOf(action.role).has_value(), "cancellation of no run");
+        runOf(action.role).reset();
+        m_hasCancelledRun = true;
+    }
+
+    void perform(const ForwardingActions::AdoptReplacement &)
+    {
+        check(!runOf(RunRole::Current), "adoption beside a run");
+        check(runOf(RunRole::Replacement).has_value(), "adoption of no run");
+        runOf(RunRole::Current) = std::exchange(runOf(RunRole::Replacement), std::nullopt);
+    }
+
+    void perform(const ForwardingActions::StartResponse &)
+    {
+        const auto &run = runOf(RunRole::Current);
+        check(run && run->isOpened, "head of a run that has sent none");
+        check(!std::exchange(m_isResponseStarted, true), "second head");
+    }
+
+    void perform(const ForwardingActions::CompleteStream &)
+    {
+        check(m_isResponseStarted, "end of a response without a head");
+        endRequest();
+    }
+
+    void perform(const ForwardingActions::SendResponse &)
+    {
+        check(m_hasResponse && !m_isResponseStarted, "response of no target");
+        endRequest();
+    }
+
+    void perform(const ForwardingActions::Refuse &action)
+    {
+        check(!m_isResponseStarted, "refusal after a head");
+        check(!action.isNotExecuted || m_executedRuns == 0, "refused as not executed after a run");
+        endRequest();
+    }
+
+    void perform(const ForwardingActions::AbortResponse &)
+    {
+        check(m_isResponseStarted, "abort without a head");
+        endRequest();
+    }
+
+    void perform(const ForwardingActions::SetTimer &action) { m_timer = action.at; }
+    void perform(const ForwardingActions::ReportSuspicion &) { }
+    void perform(const ForwardingActions::ProbeTarget &) { }
+
+    void endRequest()
+    {
+        ++m_finals;
+        check(m_finals == 1, "second final action");
+        check(m_cause != Cause::RunEnded || !m_hasCancelledRun, "end beside a live run");
+    }
+
+    void tick()
+    {
+        check(m_timer >= m_now, "timer in the past");
+        check(m_timer <= m_request.deadline(), "timer after the deadline");
+        m_now = m_timer;
+        handle("tick", ForwardingEvents::Tick{},
+               m_now >= m_request.deadline() ? Cause::Outside : Cause::RunEnded);
+    }
+
+    void step()
+    {
+        if (drawOneIn(3))
+            return tick();
+        m_now = std::min(m_timer, m_now + absl::Milliseconds(draw(100)));
+        if (drawOneIn(60)) {
+            handle("shutdown", ForwardingEvents::ShutdownRequested{}, Cause::Outside);
+        } else if (drawOneIn(60)) {
+            m_hasCallerLeft = true;
+            handle("caller left", ForwardingEvents::CallerDisconnected{}, Cause::Outside);
+        } else {
+            const bool isReplacement = runOf(RunRole::Replacement) && drawOneIn(2);
+            stepRun(isReplacement ? RunRole::Replacement : RunRole::Current);
+        }
+    }
+
+    void stepRun(RunRole role)
+    {
+        auto &run = runOf(role);
+        absl::StrAppend(&m_trace, role == RunRole::Current ? ", current:" : ", replacement:");
+        switch (draw(7)) {
+        case 0:
+            return handle("suspected", ForwardingEvents::TargetSuspected{.role = role}, Cause::RunEnded);
+        case 1:
+            run.reset();
+            return handle("lost", ForwardingEvents::AttemptLost{.role = role}, Cause::RunEnded);
+        case 2:
+            if (!run->hasEvents && drawOneIn(4))
+                handle("barred", ForwardingEvents::RunBarred{absl::Seconds(1), role}, Cause::Outside);
+            return;
+        case 3:
+            return run->isOpened ? sendEvent(role) : endAsNotExecuted(role);
+        case 4:
+            return run->isOpened ? completeStream(role) : respond(role);
+        default:
+            return openOrSendEvent(role);
+        }
+    }
+
+    void openOrSendEvent(RunRole role)
+    {
+        auto &run = runOf(role);
+        if (!isStream(m_parameters.kind))
+            return;
+        if (run->isOpened)
+            return sendEvent(role);
+        run->isOpened = true;
+        handle("opened", ForwardingEvents::StreamOpened{}, Cause::RunEnded);
+    }
+
+    void sendEvent(RunRole role)
+    {
+        runOf(role)->hasEvents = true;
+        handle("event", ForwardingEvents::EventsReceived{EventNumber(++m_lastEvent), role}, Cause::RunEnded);
+        check(!m_runs[1], "two runs after progress");
+    }
+
+    void completeStream(RunRole role)
+    {
+        // Its end is reported while the run still has its role.
+        handle("completed", ForwardingEvents::StreamCompleted{role}, Cause::RunDelivered);
+        check(m_request.isFinished(), "request open after its answer");
+        m_runs[0].reset();
+    }
+
+    void respond(RunRole role)
+    {
+        constexpr int statuses[] = {200, 404, 500};
+        const int status = statuses[draw(3)];
+        const bool isDelivered = status < 500 && !m_isResponseStarted;
+        m_hasResponse = true;
+        if (!isDelivered)
+            runOf(role).reset();
+        handle(status < 500 ? "response" : "error response", ForwardingEvents::ResponseReceived{status, role},
+               isDelivered ? Cause::RunDelivered : Cause::RunEnded);
+        if (isDelivered)
+            m_runs[0].reset();
+    }
+
+    void endAsNotExecuted(RunRole role)
+    {
+        const bool isCopyMissing = runOf(role)->isFromCopy && drawOneIn(2);
+        const bool wasRefused = isCopyMissing || drawOneIn(2);
+        runOf(role).reset();
+        --m_executedRuns;
+        handle(wasRefused ? "refused" : "not reached",
+               ForwardingEvents::AttemptNotExecuted{
+                   .wasRefused = wasRefused, .isCopyMissing = isCopyMissing, .role = role},
+               Cause::RunEnded);
+    }
+
+    std::uint64_t m_seed;
+    SeededRandom m_random;
+    DrawnRetryBudget m_budget;
+    ForwardingParameters m_parameters;
+    absl::Time m_now{absl::FromUnixSeconds(1000)};
+    ForwardedRequest m_request;
+    std::string m_trace;
+    absl::Time m_timer{absl::InfiniteFuture()};
+    // The current run and its replacement.
+    std::optional<Run> m_runs[2];
+    int m_executedRuns{0};
+    int m_finals{0};
+    std::uint64_t m_lastEvent{0};
+    bool m_isResponseStarted{false};
+    bool m_hasResponse{false};
+    bool m_hasCallerLeft{false};
+    Cause m_cause{Cause::RunEnded};
+    // While the latest event was handled.
+    bool m_hasCancelledRun{false};
+};
+
+} // namespace detail
+
+class TestForwardedRequestOrders : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestForwardedRequestOrders);
+    CPPUNIT_TEST(promisesHoldInAllOrders);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void promisesHoldInAllOrders()
+    {
+        constexpr std::uint64_t seeds = 50000;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+            detail::DrawnHost(seed).run();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestForwardedRequestOrders);
+
+} // namespace Wisteria
