--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -64,20 +64,26 @@
     return {StoreEra(json.at(0).get<std::uint64_t>()), ObjectVersion(json.at(1).get<std::uint64_t>())};
 }
 
-nlohmann::json encodeIds(const std::vector<TargetId> &ids)
+nlohmann::json encodeProcesses(const std::vector<TargetProcess> &processes)
 {
     nlohmann::json out = nlohmann::json::array();
-    for (const auto &it : ids)
-        out.push_back(it.value());
+    for (const auto &it : processes)
+        out.push_back({it.id.value(), it.startedAtMs, it.address});
     return out;
 }
 
-// Throws nlohmann::json::exception if an element is not a string.
-std::vector<TargetId> decodeIds(const nlohmann::json &json)
+// Routers of earlier versions send only the target's id. Throws nlohmann::json::exception if an element is
+// malformed.
+std::vector<TargetProcess> decodeProcesses(const nlohmann::json &json)
 {
-    std::vector<TargetId> out;
-    for (const auto &it : json)
-        out.emplace_back(it.get<std::string>());
+    std::vector<TargetProcess> out;
+    for (const auto &it : json) {
+        if (it.is_string())
+            out.push_back({.id = TargetId(it.get<std::string>()), .address = {}});
+        else
+            out.push_back({TargetId(it.at(0).get<std::string>()), it.at(1).get<std::int64_t>(),
+                           it.at(2).get<std::string>()});
+    }
     return out;
 }
 
@@ -163,8 +169,8 @@
                                  detail::encodePosition(report.configurationPosition),
                                  detail::encodePosition(report.targetsPosition),
                                  detail::encodeLoads(report.loads),
-                                 detail::encodeIds(report.faults),
-                                 detail::encodeIds(report.gone),
+                                 detail::encodeProcesses(report.faults),
+                                 detail::encodeProcesses(report.gone),
                                  detail::encodeCounts(report.counts),
                                  report.router.isStoreTrusted,
                                  detail::encodeEnds(report.promptEvidence.ends),
@@ -198,8 +204,8 @@
             report.loads[TargetId(it.at(0).get<std::string>())] = {
                 it.at(1).get<std::int32_t>(), it.at(2).get<std::int64_t>(), it.at(3).get<std::int64_t>()};
         }
-        report.faults = detail::decodeIds(json.at(detail::Faults));
-        report.gone = detail::decodeIds(json.at(detail::Gone));
+        report.faults = detail::decodeProcesses(json.at(detail::Faults));
+        report.gone = detail::decodeProcesses(json.at(detail::Gone));
         for (const auto &it : json.at(detail::Counts)) {
             report.counts[ServiceName(it.at(0).get<std::string>())] = {it.at(1).get<std::uint64_t>(),
                                                                        it.at(2).get<std::uint64_t>()};
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -31,9 +31,9 @@
     StorePosition configurationPosition;
     StorePosition targetsPosition;
     TargetLoads loads;
-    std::vector<TargetId> faults;
-    // Targets that no longer exist at their address.
-    std::vector<TargetId> gone;
+    std::vector<TargetProcess> faults;
+    // Processes that no longer exist at their address.
+    std::vector<TargetProcess> gone;
     // Requests and retries per service since the process started.
     ServiceCounts counts;
     PromptEvidence promptEvidence;
--- a/Libraries/LibForwarding/TargetNotices.h
+++ b/Libraries/LibForwarding/TargetNotices.h
@@ -25,16 +25,18 @@
     TargetId id;
     // Start of the process in Unix milliseconds; zero if unknown.
     std::int64_t startedAtMs{0};
-    // "IP:port".
+    // "IP:port"; empty if unknown.
     std::string address;
 
-    // Processes without a known start are told apart by their address.
+    // Processes without a known start are told apart by their address. One without either may be any of the
+    // target's.
     [[nodiscard]] bool isLaterThan(const TargetProcess &other) const
     {
         if (startedAtMs != 0 && other.startedAtMs != 0)
             return startedAtMs > other.startedAtMs;
-        return address != other.address;
+        return !other.address.empty() && address != other.address;
     }
+    bool operator==(const TargetProcess &) const = default;
 };
 
 // What a target says of itself in the head of an answer.
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -65,9 +65,9 @@
     return "unknown";
 }
 
-std::optional<TargetId> TargetPool::upsert(const ForwardingTarget &record)
+std::optional<TargetProcess> TargetPool::upsert(const ForwardingTarget &record)
 {
-    std::optional<TargetId> replaced;
+    std::optional<TargetProcess> replaced;
     for (auto &[id, other] : m_targets) {
         if (id == record.id || other.isGone || other.record.address != record.address)
             continue;
@@ -75,7 +75,7 @@
         if (other.record.startedAtMs > record.startedAtMs)
             continue;
         other.isGone = true;
-        replaced = id;
+        replaced = other.record.process();
     }
     if (m_notices.processStarted(record.process()))
         m_slices.clear();
@@ -156,12 +156,24 @@
     return out;
 }
 
-void TargetPool::recordFault(const TargetId &id, TargetFault fault, absl::Time now)
+bool TargetPool::isSuperseded(const TargetProcess &process) const
 {
-    auto it = m_targets.find(id);
-    if (it == m_targets.end())
+    const auto *record = find(process.id);
+    return record && record->process().isLaterThan(process);
+}
+
+TargetPool::Target *TargetPool::findProcess(const TargetProcess &process)
+{
+    const auto it = m_targets.find(process.id);
+    return it == m_targets.end() || isSuperseded(process) ? nullptr : &it->second;
+}
+
+void TargetPool::recordFault(const TargetProcess &process, TargetFault fault, absl::Time now)
+{
+    auto *found = findProcess(process);
+    if (!found)
         return;
-    auto &target = it->second;
+    auto &target = *found;
     target.failureRate += detail::failureRateSmoothing * (1 - target.failureRate);
     if (fault == TargetFault::InvalidResponse)
         return;
@@ -193,26 +205,26 @@
         it->second.suspectUntil = absl::InfinitePast();
 }
 
-void TargetPool::recordPeerFault(const TargetId &id, absl::Time now)
+void TargetPool::recordPeerFault(const TargetProcess &process, absl::Time now)
 {
-    const auto it = m_targets.find(id);
-    if (it == m_targets.end())
+    auto *target = findProcess(process);
+    if (!target)
         return;
-    it->second.suspectUntil = std::max(it->second.suspectUntil, now + peerSuspicion);
-    it->second.unprovenUntil = std::max(it->second.unprovenUntil, it->second.suspectUntil);
+    target->suspectUntil = std::max(target->suspectUntil, now + peerSuspicion);
+    target->unprovenUntil = std::max(target->unprovenUntil, target->suspectUntil);
 }
 
-void TargetPool::markGone(const TargetId &id)
+void TargetPool::markGone(const TargetProcess &process)
 {
-    if (auto it = m_targets.find(id); it != m_targets.end())
-        it->second.isGone = true;
+    if (auto *target = findProcess(process))
+        target->isGone = true;
 }
 
 TargetNoticeEffect TargetPool::recordNotice(const TargetProcess &process, const TargetNotice &notice,
                                             absl::Time now)
 {
     // A target that the directory has removed may still run, so its notices count.
-    if (const auto *record = find(process.id); record && record->process().isLaterThan(process))
+    if (isSuperseded(process))
         return {};
     const auto effect = m_notices.record(process, notice, now);
     if (effect.hasStartedLeaving)
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -129,9 +129,9 @@
 
     // Targets in the directory.
     //
-    // Adds or updates a target. Returns the target that had the same address before, which no longer exists.
+    // Adds or updates a target. Returns the process that had the same address before, which no longer exists.
     // A process that drains never becomes ready again, even if a restored store still says that it is.
-    std::optional<TargetId> upsert(const ForwardingTarget &);
+    std::optional<TargetProcess> upsert(const ForwardingTarget &);
     void remove(const TargetId &);
     [[nodiscard]] const ForwardingTarget *find(const TargetId &) const;
     [[nodiscard]] std::size_t size() const { return m_targets.size(); }
@@ -142,14 +142,15 @@
     // Loads of this router for all targets where they are not zero, for its reports to the other routers.
     [[nodiscard]] TargetLoads ownLoads() const;
 
-    // Target health.
-    void recordFault(const TargetId &, TargetFault, absl::Time now);
+    // Target health. What is said of a process is ignored if a later process of the target is known.
+    [[nodiscard]] bool isSuperseded(const TargetProcess &) const;
+    void recordFault(const TargetProcess &, TargetFault, absl::Time now);
     void recordSuccess(const TargetId &);
     // The target accepts connections, so the fault concerned a single request.
     void markReachable(const TargetId &);
-    void recordPeerFault(const TargetId &, absl::Time now);
-    // Records that another router found that the target no longer exists.
-    void markGone(const TargetId &);
+    void recordPeerFault(const TargetProcess &, absl::Time now);
+    // Records that another router found that the process no longer exists.
+    void markGone(const TargetProcess &);
     [[nodiscard]] bool isSuspect(const TargetId &, absl::Time now) const;
     // Records what the process said of itself. A target that leaves is chosen no more; one that backs off
     // receives no request until the end of that time.
@@ -220,6 +221,8 @@
 
     // The target takes new requests, as far as the directory and the target itself have said.
     [[nodiscard]] bool isReady(const TargetId &, const Target &) const;
+    // Null if the target is unknown or a later process of it is known.
+    [[nodiscard]] Target *findProcess(const TargetProcess &);
     [[nodiscard]] const Slice &sliceOf(const ServiceName &);
     // Drops the loads of routers whose reports have expired.
     void expirePeerLoads(absl::Time now);
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -91,14 +91,14 @@
     handle(ForwardingEvents::ShutdownRequested{});
 }
 
-void ForwardSession::targetFailed(const TargetId &id, TargetFault fault)
+void ForwardSession::targetFailed(const TargetProcess &process, TargetFault fault)
 {
     if (fault != TargetFault::ConnectionLost)
-        handleCopyEvent(KvCopyEvents::TargetLost{id});
+        handleCopyEvent(KvCopyEvents::TargetLost{process.id});
     const auto role =
-        m_replacement && m_replacement->target() == id ? RunRole::Replacement : RunRole::Current;
+        m_replacement && m_replacement->target() == process.id ? RunRole::Replacement : RunRole::Current;
     const auto *run = runOf(role).get();
-    if (!run || run->target() != id)
+    if (!run || run->target() != process.id || run->process().isLaterThan(process))
         return;
     if (fault == TargetFault::Gone) {
         // The generation ended with the target's process, even if no connection reset was received.
@@ -364,14 +364,14 @@
 void ForwardSession::noteFault(const TargetRun &run, TargetFault fault)
 {
     // The notification may end the run.
-    const auto target = run.target();
-    m_gatewayContext.targets.recordFault(target, fault, monotonicNow());
+    const auto process = run.process();
+    m_gatewayContext.targets.recordFault(process, fault, monotonicNow());
     m_gatewayContext.metrics.increment("target_faults_total",
                                        absl::StrCat("fault=\"", abslView(targetFaultName(fault)), "\""));
-    log("target_fault", {{"target", target.value()}, {"fault", targetFaultName(fault)}});
+    log("target_fault", {{"target", process.id.value()}, {"fault", targetFaultName(fault)}});
     if (!m_interruptedAt)
         m_interruptedAt = monotonicNow();
-    m_gatewayContext.targetFailed(target, fault);
+    m_gatewayContext.targetFailed(process, fault);
 }
 
 void ForwardSession::headReceived(const TargetAttempt &attempt, const HttpResponseHead &head)
@@ -485,7 +485,7 @@
         if (!isStream(m_routed.route->kind))
             performance().recordPlainResponse(monotonicNow() - run.sentAt());
     } else {
-        m_gatewayContext.targets.recordFault(run.target(), TargetFault::InvalidResponse, monotonicNow());
+        m_gatewayContext.targets.recordFault(run.process(), TargetFault::InvalidResponse, monotonicNow());
     }
     const int status = response.head.status;
     m_response = std::move(response);
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -46,7 +46,7 @@
     // Ends the request because the process is stopping.
     void stopNow();
     // Another router or request reported the target as failed.
-    void targetFailed(const TargetId &, TargetFault);
+    void targetFailed(const TargetProcess &, TargetFault);
     // Requests with some prompts have become barred. A run that has written nothing yet is cancelled if this
     // is one of them.
     void promptsBarred();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -65,26 +65,26 @@
           settings.id, m_routerRegistry, m_log, m_metrics,
           {.endRecorded = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
            .verdictAdded = [this] { postToSessions([](ForwardSession &it) { it.promptsBarred(); }); }}),
-      m_gatewayContext{.context = context,
-                       .dialect = site.dialect,
-                       .random = m_random,
-                       .targets = m_targets,
-                       .connections = m_connections,
-                       .promptGuard = m_promptGuard,
-                       .log = m_log,
-                       .metrics = m_metrics,
-                       .notices =
-                           std::make_shared<TargetNoticeRecorder>(site.dialect, m_targets, m_log, m_metrics),
-                       .targetFailed = [this](const auto &id, auto fault) { targetFailed(id, fault); },
-                       .loadChanged =
-                           [this] {
-                               if (m_peerLink)
-                                   m_peerLink->scheduleReport(ReportUrgency::Load);
-                           },
-                       .sessionEnded =
-                           [this](const auto &session) {
-                               boost::asio::post(m_context, [this, session] { m_sessions.erase(session); });
-                           }},
+      m_gatewayContext{
+          .context = context,
+          .dialect = site.dialect,
+          .random = m_random,
+          .targets = m_targets,
+          .connections = m_connections,
+          .promptGuard = m_promptGuard,
+          .log = m_log,
+          .metrics = m_metrics,
+          .notices = std::make_shared<TargetNoticeRecorder>(site.dialect, m_targets, m_log, m_metrics),
+          .targetFailed = [this](const auto &process, auto fault) { targetFailed(process, fault); },
+          .loadChanged =
+              [this] {
+                  if (m_peerLink)
+                      m_peerLink->scheduleReport(ReportUrgency::Load);
+              },
+          .sessionEnded =
+              [this](const auto &session) {
+                  boost::asio::post(m_context, [this, session] { m_sessions.erase(session); });
+              }},
       m_topology({.maxSingleGroup = settings.maxSingleGroup, .maxGroupSize = settings.maxGroupSize}),
       m_configurationView(DirectoryKind::Configuration, settings.changeDeadline, context, site.store,
                           site.decoder, *this, m_log, m_random),
@@ -348,7 +348,7 @@
 {
     const auto *known = m_targets.find(record.id);
     const auto before = known ? std::optional(*known) : std::nullopt;
-    const auto replacedTarget = m_targets.upsert(record);
+    const auto replacedProcess = m_targets.upsert(record);
     const auto &now = *m_targets.find(record.id);
     if (!before || before->phase != now.phase || before->address != now.address
         || before->startedAtMs != now.startedAtMs) {
@@ -362,17 +362,19 @@
                     monotonicNow());
     }
     m_promptGuard.processListed(now.process(), monotonicNow());
-    if (replacedTarget)
-        notifySessions(*replacedTarget, TargetFault::Gone);
+    if (replacedProcess)
+        notifySessions(*replacedProcess, TargetFault::Gone);
 }
 
 void Gateway::targetRemoved(const TargetId &id)
 {
     m_log.write("target_removed", {{"target", id.value()}}, monotonicNow());
+    const auto *record = m_targets.find(id);
+    const auto process = record ? record->process() : TargetProcess{.id = id, .address = {}};
     m_targets.remove(id);
     // Retryable requests probe the target rather than being aborted, since a target that is removed without
     // notice keeps serving its running requests for a while.
-    notifySessions(id, TargetFault::Unreachable);
+    notifySessions(process, TargetFault::Unreachable);
     m_connections.remove(id);
 }
 
@@ -472,7 +474,8 @@
     }
     for (const auto &it : report.gone) {
         m_targets.markGone(it);
-        m_promptGuard.targetEnded(it, now);
+        if (!m_targets.isSuperseded(it))
+            m_promptGuard.targetEnded(it.id, now);
         notifySessions(it, TargetFault::Gone);
     }
     if (order == ReportOrder::Outdated)
@@ -503,20 +506,22 @@
     }
 }
 
-void Gateway::targetFailed(const TargetId &id, TargetFault fault)
+void Gateway::targetFailed(const TargetProcess &process, TargetFault fault)
 {
     if (fault == TargetFault::InvalidResponse)
         return;
-    (fault == TargetFault::Gone ? m_unreportedGone : m_unreportedFaults).push_back(id);
+    auto &unreported = fault == TargetFault::Gone ? m_unreportedGone : m_unreportedFaults;
+    if (std::find(unreported.begin(), unreported.end(), process) == unreported.end())
+        unreported.push_back(process);
     m_peerLink->scheduleReport(ReportUrgency::Urgent);
-    notifySessions(id, fault);
+    notifySessions(process, fault);
     if (fault == TargetFault::ConnectionLost)
-        verifyTarget(id);
+        verifyTarget(process);
 }
 
-void Gateway::notifySessions(const TargetId &id, TargetFault fault)
+void Gateway::notifySessions(const TargetProcess &process, TargetFault fault)
 {
-    postToSessions([id, fault](ForwardSession &it) { it.targetFailed(id, fault); });
+    postToSessions([process, fault](ForwardSession &it) { it.targetFailed(process, fault); });
 }
 
 void Gateway::postToSessions(std::function<void(ForwardSession &)> notify)
@@ -528,12 +533,13 @@
     });
 }
 
-void Gateway::verifyTarget(const TargetId &id)
+void Gateway::verifyTarget(const TargetProcess &process)
 {
-    const auto *record = m_targets.find(id);
-    if (!record || !m_targetsUnderVerification.insert(id).second)
+    const auto *record = m_targets.find(process.id);
+    if (!record || m_targets.isSuperseded(process) || !m_targetsUnderVerification.insert(process.id).second)
         return;
-    m_connections.probe(*record, [this, id](ProbeResult result) {
+    m_connections.probe(*record, [this, process = record->process()](ProbeResult result) {
+        const auto &id = process.id;
         m_targetsUnderVerification.erase(id);
         const auto now = monotonicNow();
         if (result == ProbeResult::Connected) {
@@ -541,11 +547,11 @@
             return;
         }
         const auto fault = result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unreachable;
-        m_targets.recordFault(id, fault, now);
+        m_targets.recordFault(process, fault, now);
         m_log.write("target_verified", {{"target", id.value()}, {"fault", targetFaultName(fault)}}, now);
-        if (fault == TargetFault::Refused)
+        if (fault == TargetFault::Refused && !m_targets.isSuperseded(process))
             m_promptGuard.targetEnded(id, now);
-        targetFailed(id, fault);
+        targetFailed(process, fault);
     });
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -93,12 +93,12 @@
     [[nodiscard]] HttpResponse entryPoints(const EntryPointQuery &) const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] ServiceRetryBudget &budgetFor(const ServiceName &);
-    void targetFailed(const TargetId &, TargetFault);
-    void notifySessions(const TargetId &, TargetFault);
+    void targetFailed(const TargetProcess &, TargetFault);
+    void notifySessions(const TargetProcess &, TargetFault);
     // Calls the function for each open session, but not from within the current call.
     void postToSessions(std::function<void(ForwardSession &)>);
     // Probes a target that lost a connection to find out whether it is still reachable.
-    void verifyTarget(const TargetId &);
+    void verifyTarget(const TargetProcess &);
     void addReportedCounts(const PeerReport &, absl::Time now);
 
     // Writes the router's own record to the store, and again while it fails or a later era lacks it.
@@ -155,9 +155,9 @@
     std::optional<absl::Time> m_listeningStoppedAt;
     std::uint64_t m_reportSequence{0};
     // Targets that this router found faulty since its last report.
-    std::vector<TargetId> m_unreportedFaults;
+    std::vector<TargetProcess> m_unreportedFaults;
     // Targets that this router found replaced since its last report.
-    std::vector<TargetId> m_unreportedGone;
+    std::vector<TargetProcess> m_unreportedGone;
     absl::flat_hash_set<TargetId> m_targetsUnderVerification;
     // Request counts of each router's last report.
     struct ReportedCounts
--- a/Libraries/LibGateway/GatewayContext.h
+++ b/Libraries/LibGateway/GatewayContext.h
@@ -34,7 +34,7 @@
     // weak pointer. Never null.
     std::shared_ptr<TargetNoticeRecorder> notices;
     // Called when a request finds a target to be faulty, so that other requests on it check it too.
-    std::function<void(const TargetId &, TargetFault)> targetFailed;
+    std::function<void(const TargetProcess &, TargetFault)> targetFailed;
     // Called when this router's own load on targets changed.
     std::function<void()> loadChanged;
     // Called once when a session has sent its final response.
--- a/Tests/LibForwarding/FakePlacementFleet.cpp
+++ b/Tests/LibForwarding/FakePlacementFleet.cpp
@@ -166,9 +166,10 @@
         const auto &target = m_targets[static_cast<std::size_t>(it.request->target)];
         auto &router = m_routers[static_cast<std::size_t>(it.request->router)];
         router.pool->subtractLoad(target.id, it.request->load);
-        router.pool->recordFault(target.id, TargetFault::Unresponsive, now);
+        const TargetProcess process{.id = target.id, .address = {}};
+        router.pool->recordFault(process, TargetFault::Unresponsive, now);
         for (const auto listener : router.listeners)
-            m_routers[static_cast<std::size_t>(listener)].pool->recordPeerFault(target.id, now);
+            m_routers[static_cast<std::size_t>(listener)].pool->recordPeerFault(process, now);
         if (!it.request->hasFirstEvent)
             place(it.request, now);
     }
--- a/Tests/LibForwarding/TestDeadlineAdmission.cpp
+++ b/Tests/LibForwarding/TestDeadlineAdmission.cpp
@@ -70,10 +70,10 @@
         for (int n = 0; n < targetCount; ++n)
             pool.addLoad(id(n), {.pendingPrefillTokens = std::int64_t{8000} * (n + 1)});
         CPPUNIT_ASSERT(pool.backlog(need, m_start) == absl::Seconds(1));
-        pool.recordFault(id(0), TargetFault::Unresponsive, m_start);
+        pool.recordFault(process(0), TargetFault::Unresponsive, m_start);
         CPPUNIT_ASSERT(pool.backlog(need, m_start) == absl::Seconds(2));
         for (int n = 1; n < targetCount; ++n)
-            pool.recordFault(id(n), TargetFault::Gone, m_start);
+            pool.recordFault(process(n), TargetFault::Gone, m_start);
         CPPUNIT_ASSERT(pool.backlog(need, m_start) == absl::InfiniteDuration());
     }
 
@@ -101,6 +101,8 @@
     static constexpr int targetCount = 4;
 
     static TargetId id(int n) { return TargetId(absl::StrCat("t", n)); }
+    static std::string address(int n) { return absl::StrCat("127.0.0.1:", 1000 + n); }
+    static TargetProcess process(int n) { return {.id = id(n), .address = address(n)}; }
 
     // Eight prompt tokens per millisecond, and half a millisecond less than four per output token.
     static bool canMeetDeadline(const GenerationSize &size, absl::Duration backlog, absl::Duration timeLeft)
@@ -119,7 +121,7 @@
         for (int n = 0; n < targetCount; ++n) {
             pool.upsert({.id = id(n),
                          .service = ServiceName("s"),
-                         .address = absl::StrCat("127.0.0.1:", 1000 + n),
+                         .address = address(n),
                          .domain = FailureDomain("d")});
         }
         return pool;
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -10,6 +10,8 @@
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
+
 namespace Wisteria {
 
 class TestForwardingTables : public CppUnit::TestFixture
@@ -25,6 +27,7 @@
     CPPUNIT_TEST(partialEventIsNotReturned);
     CPPUNIT_TEST(oversizedEventIsRejected);
     CPPUNIT_TEST(reportRoundTripsThroughEncoding);
+    CPPUNIT_TEST(reportWithoutProcessesIsDecoded);
     CPPUNIT_TEST(corruptedReportsAreRejected);
     CPPUNIT_TEST(silentRouterIsRemovedFromEntryPoints);
     CPPUNIT_TEST(drainingRouterIsRemovedFromEntryPointsAtOnce);
@@ -159,6 +162,24 @@
         CPPUNIT_ASSERT_EQUAL(report.router.reportSequence, decoded->router.reportSequence);
     }
 
+    // Routers of earlier versions report only the ids of targets.
+    void reportWithoutProcessesIsDecoded()
+    {
+        constexpr std::size_t faults = 10;
+        constexpr std::size_t gone = 11;
+        auto json = nlohmann::json::from_cbor(encodePeerReport(sampleReport()));
+        json[faults] = {"t2"};
+        json[gone] = {"t3", "t4"};
+        std::string bytes;
+        nlohmann::json::to_cbor(json, bytes);
+        const auto decoded = decodePeerReport(bytes);
+        CPPUNIT_ASSERT(decoded);
+        const std::vector<TargetProcess> expected{{TargetId("t3"), 0, ""}, {TargetId("t4"), 0, ""}};
+        CPPUNIT_ASSERT(decoded->gone == expected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded->faults.size());
+        CPPUNIT_ASSERT(decoded->faults[0].address.empty());
+    }
+
     void corruptedReportsAreRejected()
     {
         const auto bytes = encodePeerReport(sampleReport());
@@ -314,8 +335,8 @@
         report.router = member("r1", 17, RouterPhase::Draining);
         report.targetsPosition = {StoreEra(3), ObjectVersion(99)};
         report.loads[TargetId("t1")] = {.requests = 2, .pendingPrefillTokens = 8000, .memoryTokens = 18000};
-        report.faults = {TargetId("t2")};
-        report.gone = {TargetId("t3")};
+        report.faults = {{TargetId("t2"), 5, "127.0.0.1:3"}};
+        report.gone = {{TargetId("t3"), 6, "127.0.0.1:4"}, {.id = TargetId("t4"), .address = {}}};
         report.promptEvidence.ends = {{.id = TargetEndId(~std::uint64_t{0}),
                                        .age = absl::Milliseconds(1500),
                                        .runs = {{PromptPartId(4), PromptPartId(7)}, {PromptPartId(7)}}}};
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(failingDomainIsAvoidedBeforeAllItsTargetsFail);
     CPPUNIT_TEST(replacedTargetIsNeverChosen);
     CPPUNIT_TEST(restartedTargetIsChosenAgain);
+    CPPUNIT_TEST(lateReportsOfEndedProcessAreIgnored);
+    CPPUNIT_TEST(reportOfUnknownProcessConcernsItsTarget);
     CPPUNIT_TEST(drainingTargetIsNotChosen);
     CPPUNIT_TEST(failingTargetIsAvoided);
     CPPUNIT_TEST(copyHolderIsInAnotherDomain);
@@ -113,7 +115,7 @@
 
     void suspectTargetIsChosenLast()
     {
-        m_pool.recordFault(id(0), TargetFault::Unreachable, m_now);
+        m_pool.recordFault(process(0), TargetFault::Unreachable, m_now);
         for (int n = 0; n < targetCount - 1; ++n) {
             const auto chosen = m_pool.choose(need(), m_now);
             CPPUNIT_ASSERT(chosen != id(0));
@@ -127,7 +129,7 @@
 
     void suspicionExpires()
     {
-        m_pool.recordFault(id(0), TargetFault::Unresponsive, m_now);
+        m_pool.recordFault(process(0), TargetFault::Unresponsive, m_now);
         CPPUNIT_ASSERT(m_pool.isSuspect(id(0), m_now));
         CPPUNIT_ASSERT(!m_pool.isSuspect(id(0), m_now + TargetPool::initialSuspicion));
     }
@@ -135,8 +137,8 @@
     void failingDomainIsAvoidedBeforeAllItsTargetsFail()
     {
         // Targets 0, 3 and 6 share a domain.
-        m_pool.recordFault(id(0), TargetFault::Unresponsive, m_now);
-        m_pool.recordFault(id(3), TargetFault::Unresponsive, m_now);
+        m_pool.recordFault(process(0), TargetFault::Unresponsive, m_now);
+        m_pool.recordFault(process(3), TargetFault::Unresponsive, m_now);
         for (int n = 0; n < 2 * targetCount; ++n) {
             const auto chosen = m_pool.choose(need(), m_now);
             CPPUNIT_ASSERT(m_pool.find(*chosen)->domain != domain(0));
@@ -146,12 +148,12 @@
 
     void replacedTargetIsNeverChosen()
     {
-        m_pool.recordFault(id(0), TargetFault::Gone, m_now);
+        m_pool.recordFault(process(0), TargetFault::Gone, m_now);
         TargetRequirements restricted = need();
         for (int n = 1; n < targetCount; ++n)
             restricted.exclude.push_back(id(n));
         CPPUNIT_ASSERT(!m_pool.choose(restricted, m_now + absl::Minutes(1)));
-        m_pool.markGone(id(1));
+        m_pool.markGone(process(1));
         restricted.exclude = {id(0)};
         for (int n = 2; n < targetCount; ++n)
             restricted.exclude.push_back(id(n));
@@ -160,7 +162,7 @@
 
     void restartedTargetIsChosenAgain()
     {
-        m_pool.recordFault(id(0), TargetFault::Gone, m_now);
+        m_pool.recordFault(process(0), TargetFault::Gone, m_now);
         auto restarted = record(0);
         restarted.startedAtMs += 1;
         m_pool.upsert(restarted);
@@ -170,6 +172,31 @@
         CPPUNIT_ASSERT(m_pool.choose(restricted, m_now) == id(0));
     }
 
+    void lateReportsOfEndedProcessAreIgnored()
+    {
+        auto restarted = record(0);
+        restarted.startedAtMs += 1;
+        m_pool.upsert(restarted);
+        m_pool.recordFault(process(0), TargetFault::Unresponsive, m_now);
+        m_pool.recordPeerFault(process(0), m_now);
+        CPPUNIT_ASSERT(!m_pool.isSuspect(id(0), m_now));
+        m_pool.recordFault(process(0), TargetFault::Gone, m_now);
+        m_pool.markGone(process(0));
+        CPPUNIT_ASSERT(m_pool.isHealthy(id(0), m_now));
+        m_pool.markGone(restarted.process());
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+    }
+
+    // Routers of earlier versions report only the id.
+    void reportOfUnknownProcessConcernsItsTarget()
+    {
+        const TargetProcess unknown{.id = id(0), .address = {}};
+        m_pool.recordPeerFault(unknown, m_now);
+        CPPUNIT_ASSERT(m_pool.isSuspect(id(0), m_now));
+        m_pool.markGone(unknown);
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now + absl::Minutes(1)));
+    }
+
     void drainingTargetIsNotChosen()
     {
         for (int n = 1; n < targetCount; ++n)
@@ -183,7 +210,7 @@
     void failingTargetIsAvoided()
     {
         for (int n = 0; n < 10; ++n)
-            m_pool.recordFault(id(0), TargetFault::InvalidResponse, m_now);
+            m_pool.recordFault(process(0), TargetFault::InvalidResponse, m_now);
         for (int n = 0; n < 2 * targetCount; ++n) {
             const auto chosen = m_pool.choose(need(), m_now);
             CPPUNIT_ASSERT(chosen != id(0));
@@ -356,7 +383,7 @@
     {
         auto booking = plainNeed();
         booking.runsAtMostOnce = true;
-        m_pool.recordFault(id(0), TargetFault::ConnectionLost, m_now);
+        m_pool.recordFault(process(0), TargetFault::ConnectionLost, m_now);
         m_pool.markReachable(id(0));
         for (int n = 1; n < targetCount; ++n)
             m_pool.addLoad(id(n), {.requests = 100});
@@ -422,7 +449,7 @@
     {
         auto pool = makeDividedPool();
         for (const auto &it : m_slice)
-            pool.recordFault(it, TargetFault::Unreachable, m_now);
+            pool.recordFault(pool.find(it)->process(), TargetFault::Unreachable, m_now);
         const auto chosen = *pool.choose(need(), m_now);
         CPPUNIT_ASSERT(!m_slice.contains(chosen));
     }
@@ -434,7 +461,7 @@
             pool.addLoad(it, load());
         CPPUNIT_ASSERT(pool.backlog(need(), m_now) > absl::ZeroDuration());
         for (const auto &it : m_slice)
-            pool.recordFault(it, TargetFault::Gone, m_now);
+            pool.recordFault(pool.find(it)->process(), TargetFault::Gone, m_now);
         CPPUNIT_ASSERT(pool.backlog(need(), m_now) == absl::ZeroDuration());
     }
 
@@ -473,6 +500,7 @@
                 .slots = 64,
                 .startedAtMs = 1};
     }
+    static TargetProcess process(int n) { return record(n).process(); }
     static TargetRequirements need()
     {
         TargetRequirements need;
--- a/Tests/Platform/FakePeerRouter.cpp
+++ b/Tests/Platform/FakePeerRouter.cpp
@@ -29,6 +29,13 @@
     send(address, std::move(report));
 }
 
+void FakePeerRouter::reportGone(const std::string &address, const TargetProcess &process)
+{
+    PeerReport report;
+    report.gone = {process};
+    send(address, std::move(report));
+}
+
 void FakePeerRouter::send(const std::string &address, PeerReport report)
 {
     report.router.id = RouterId(m_id);
--- a/Tests/Platform/FakePeerRouter.h
+++ b/Tests/Platform/FakePeerRouter.h
@@ -1,5 +1,5 @@
-// A router that tells a gateway of loads on targets, so that a test can decide which target is chosen, or of
-// targets that ended on prompts.
+// A router that tells a gateway of loads on targets, so that a test can decide which target is chosen, of
+// targets that ended on prompts, or of processes that no longer exist.
 
 #pragma once
 
@@ -22,6 +22,8 @@
     // Sends one report to the gateway's peer address. The gateway answers the first report of a router.
     void report(const std::string &address, const TargetLoads &);
     void report(const std::string &address, const PromptEvidence &);
+    // Reports that the process no longer exists.
+    void reportGone(const std::string &address, const TargetProcess &);
     [[nodiscard]] bool isAnswered() const { return m_isAnswered; }
 
 private:
