--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -64,6 +64,21 @@
     return {StoreEra(json.at(0).get<std::uint64_t>()), ObjectVersion(json.at(1).get<std::uint64_t>())};
 }
 
+// A position of the configuration, followed by its version.
+nlohmann::json encodeConfigurationState(const PeerReport &report)
+{
+    auto out = encodePosition(report.configurationPosition);
+    out.push_back(report.configurationVersion.value());
+    return out;
+}
+
+// Reports of earlier releases lack the version. Throws nlohmann::json::exception if it is malformed.
+ConfigVersion decodeConfigurationVersion(const nlohmann::json &json)
+{
+    constexpr std::size_t versionIndex = 2;
+    return ConfigVersion(json.size() > versionIndex ? json.at(versionIndex).get<std::uint64_t>() : 0);
+}
+
 nlohmann::json encodeIds(const std::vector<TargetId> &ids)
 {
     nlohmann::json out = nlohmann::json::array();
@@ -146,6 +161,7 @@
     PeerReport out;
     out.router = router;
     out.configurationPosition = configurationPosition;
+    out.configurationVersion = configurationVersion;
     out.targetsPosition = targetsPosition;
     out.promptEvidence = promptEvidenceForOthers;
     return out;
@@ -160,7 +176,7 @@
                                  report.router.incarnation.value(),
                                  static_cast<int>(report.router.phase),
                                  report.router.reportSequence,
-                                 detail::encodePosition(report.configurationPosition),
+                                 detail::encodeConfigurationState(report),
                                  detail::encodePosition(report.targetsPosition),
                                  detail::encodeLoads(report.loads),
                                  detail::encodeIds(report.faults),
@@ -193,6 +209,8 @@
             return makeError(ErrorCode::InvalidRequest, "peer report contains an unknown router phase");
         report.router.phase = static_cast<RouterPhase>(phase);
         report.configurationPosition = detail::decodePosition(json.at(detail::ConfigurationPosition));
+        report.configurationVersion =
+            detail::decodeConfigurationVersion(json.at(detail::ConfigurationPosition));
         report.targetsPosition = detail::decodePosition(json.at(detail::TargetsPosition));
         for (const auto &it : json.at(detail::Loads)) {
             report.loads[TargetId(it.at(0).get<std::string>())] = {
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -29,6 +29,9 @@
     // The reporting router. `lastReportAt` is not transmitted.
     RouterRegistry::Member router;
     StorePosition configurationPosition;
+    // Zero without a configuration. It can be newer than what the store holds at the position, if the store
+    // was restored from an older copy.
+    ConfigVersion configurationVersion;
     StorePosition targetsPosition;
     TargetLoads loads;
     std::vector<TargetId> faults;
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -227,11 +227,29 @@
             it->second.position = object.position;
         return;
     }
-    m_objects[object.name] = std::move(object);
     if (configuration->version == m_configVersion)
+        m_objects[object.name] = std::move(object);
+    else
+        takeConfiguration(std::move(object), std::move(*configuration));
+}
+
+void DirectoryView::takeConfiguration(DirectoryObject object, TrafficConfiguration configuration)
+{
+    m_objects[object.name] = std::move(object);
+    m_configVersion = configuration.version;
+    m_listener.configurationChanged(RouteTable::create(std::move(configuration)));
+}
+
+void DirectoryView::takeNewerConfiguration(const DirectoryObject &relayed)
+{
+    const auto known = m_objects.find(relayed.name);
+    auto configuration = m_decoder.configuration(relayed);
+    if (known == m_objects.end() || !configuration || configuration->version <= m_configVersion)
         return;
-    m_configVersion = configuration->version;
-    m_listener.configurationChanged(RouteTable::create(std::move(*configuration)));
+    auto object = relayed;
+    object.position = known->second.position;
+    recordChange(object.name);
+    takeConfiguration(std::move(object), std::move(*configuration));
 }
 
 void DirectoryView::logUnusable(const std::string &name, const Error &error)
@@ -315,6 +333,12 @@
     stage(objects);
     handle(DirectorySyncEvents::RelayReceived{detail::metadataOfAll(objects), *position,
                                               json["complete"].get<bool>()});
+    if (m_kind == DirectoryKind::Configuration) {
+        for (const auto &it : objects) {
+            if (!it.isRemoved)
+                takeNewerConfiguration(it);
+        }
+    }
     return {};
 }
 
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -52,6 +52,8 @@
     [[nodiscard]] StorePosition changePosition() const { return m_synchronizer.changePosition(); }
     // Number of changes of the view. It also counts deferred removals, which do not advance the position.
     [[nodiscard]] std::uint64_t changeCount() const { return m_changeCount; }
+    // Zero without a configuration.
+    [[nodiscard]] ConfigVersion configurationVersion() const { return m_configVersion; }
     [[nodiscard]] bool hasView() const { return m_synchronizer.hasView(); }
     [[nodiscard]] bool isStoreLost() const { return m_synchronizer.isStoreLost(); }
     [[nodiscard]] bool isTrusted(absl::Time now) const { return m_synchronizer.isTrusted(now); }
@@ -63,7 +65,8 @@
     // Returns the changes after the position for another router, or the complete view if the change log does
     // not reach back that far or the position belongs to another era.
     [[nodiscard]] nlohmann::json changesAfter(StorePosition) const;
-    // Merges another router's view where it is newer. Errors: InvalidRequest.
+    // Merges another router's view where it is newer. A configuration is newer by its version, whatever its
+    // position. Errors: InvalidRequest.
     [[nodiscard]] ErrorOr<void> mergePeerView(const nlohmann::json &);
 
 private:
@@ -72,6 +75,10 @@
     void stage(const std::vector<DirectoryObject> &);
     void apply(const std::string &name);
     void applyConfiguration(DirectoryObject);
+    void takeConfiguration(DirectoryObject, TrafficConfiguration);
+    // A store that was restored from an older copy holds an old configuration at a new position. Routers that
+    // ran before the restoration still have the newer one.
+    void takeNewerConfiguration(const DirectoryObject &);
     void logUnusable(const std::string &name, const Error &);
     void applyRemoval(const std::string &name);
     void recordChange(const std::string &name);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -434,6 +434,7 @@
                                               : RouterPhase::Starting;
     report.router.reportSequence = ++m_reportSequence;
     report.configurationPosition = m_configurationView.changePosition();
+    report.configurationVersion = m_configurationView.configurationVersion();
     report.targetsPosition = m_targetsView.changePosition();
     report.loads = m_targets.ownLoads();
     report.faults = std::exchange(m_unreportedFaults, {});
@@ -486,6 +487,9 @@
                                      : PromptQuarantine::EvidenceSource::OtherGroup,
                         now);
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
+    if (report.configurationVersion > m_configurationView.configurationVersion()
+        && report.configurationPosition <= m_configurationView.changePosition())
+        m_configurationRelay.noteNewerContent(report.router);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
 }
 
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -86,15 +86,24 @@
 
 void ViewRelay::notePosition(const RouterRegistry::Member &peer, StorePosition position)
 {
-    if (position <= m_view.changePosition())
-        return;
+    if (position > m_view.changePosition())
+        schedulePull(peer, PullScope::Changes);
+}
+
+void ViewRelay::noteNewerContent(const RouterRegistry::Member &peer)
+{
+    schedulePull(peer, PullScope::FullView);
+}
+
+void ViewRelay::schedulePull(const RouterRegistry::Member &peer, PullScope scope)
+{
     m_newerPeer = peer;
     if (std::exchange(m_isPulling, true))
         return;
     m_timer.expires_after(absl::ToChronoNanoseconds(pullDelay * (1 + m_random.fraction())));
-    m_timer.async_wait([this](const auto &ec) {
+    m_timer.async_wait([this, scope](const auto &ec) {
         if (!ec)
-            pull(m_newerPeer, m_view.changePosition());
+            pull(m_newerPeer, scope == PullScope::FullView ? StorePosition() : m_view.changePosition());
     });
 }
 
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -51,10 +51,15 @@
 
     // The router reported this position of its view.
     void notePosition(const RouterRegistry::Member &, StorePosition);
+    // The router has newer content that no position tells of.
+    void noteNewerContent(const RouterRegistry::Member &);
     // Pulls the other router's full view and merges it.
     void pullFullView(const RouterRegistry::Member &);
 
 private:
+    enum class PullScope { Changes, FullView };
+
+    void schedulePull(const RouterRegistry::Member &, PullScope);
     void pull(const RouterRegistry::Member &, StorePosition after);
     void handlePullResult(const RouterId &, const HttpCallResult &);
     void logFailure(const RouterId &, std::string_view detail);
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -152,6 +152,8 @@
         CPPUNIT_ASSERT(decoded->loads == report.loads);
         CPPUNIT_ASSERT(decoded->faults == report.faults);
         CPPUNIT_ASSERT(decoded->gone == report.gone);
+        CPPUNIT_ASSERT(decoded->configurationPosition == report.configurationPosition);
+        CPPUNIT_ASSERT(decoded->configurationVersion == report.configurationVersion);
         CPPUNIT_ASSERT(decoded->targetsPosition == report.targetsPosition);
         CPPUNIT_ASSERT(decoded->promptEvidence == report.promptEvidence);
         CPPUNIT_ASSERT(decodePeerReport(encodePeerReport(report.brief()))->promptEvidence
@@ -312,6 +314,8 @@
     {
         PeerReport report;
         report.router = member("r1", 17, RouterPhase::Draining);
+        report.configurationPosition = {StoreEra(3), ObjectVersion(98)};
+        report.configurationVersion = ConfigVersion(7);
         report.targetsPosition = {StoreEra(3), ObjectVersion(99)};
         report.loads[TargetId("t1")] = {.requests = 2, .pendingPrefillTokens = 8000, .memoryTokens = 18000};
         report.faults = {TargetId("t2")};
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(configurationOfRestoredCopyIsIgnored);
     CPPUNIT_TEST(restoredStoreIsRelayedAsFullView);
     CPPUNIT_TEST(deferredRemovalIsRelayed);
+    CPPUNIT_TEST(configurationOfRestoredCopyOutranksNewerOneOfPeer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +192,28 @@
         CPPUNIT_ASSERT(first.listener.targets.empty());
         CPPUNIT_ASSERT(first.view.changeCount() > before);
     }
+
+    // The second view's router started after the restoration.
+    void configurationOfRestoredCopyOutranksNewerOneOfPeer()
+    {
+        detail::DirectoryViewFixture first(DirectoryKind::Configuration);
+        first.store.completeList({{detail::makeObject("main", 9, 7U)}, detail::makePosition(9)});
+        first.store.failWatch(ErrorCode::Conflict);
+        const DirectoryBatch copy{{detail::makeObject("main", 4, 6U, 2)}, detail::makePosition(5, 2)};
+        first.store.completeList(copy);
+        detail::DirectoryViewFixture second(DirectoryKind::Configuration);
+        second.store.completeList(copy);
+        const auto before = second.view.changeCount();
+        CPPUNIT_ASSERT(second.view.mergePeerView(first.view.changesAfter(StorePosition())));
+        CPPUNIT_ASSERT((second.listener.versions == std::vector<std::uint64_t>{6, 7}));
+        CPPUNIT_ASSERT(second.view.changeCount() > before);
+        // It passes on what it took, and an older one changes nothing.
+        detail::DirectoryViewFixture third(DirectoryKind::Configuration);
+        CPPUNIT_ASSERT(third.view.mergePeerView(second.view.changesAfter(StorePosition())));
+        CPPUNIT_ASSERT((third.listener.versions == std::vector<std::uint64_t>{7}));
+        third.store.completeList(copy);
+        CPPUNIT_ASSERT((third.listener.versions == std::vector<std::uint64_t>{7}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestDirectoryView);
