--- a/Libraries/LibForwarding/DirectorySynchronizer.cpp
+++ b/Libraries/LibForwarding/DirectorySynchronizer.cpp
@@ -111,6 +111,28 @@
     m_changePosition = event.position;
 }
 
+void DirectorySynchronizer::on(const DirectorySyncEvents::HoldBackReceived &event, absl::Time now)
+{
+    // NOTE: Routers that noticed the era themselves know what had been removed. They would otherwise prolong
+    // each other's hold-back.
+    if (event.names.empty() || event.eraStart.era < m_position.era || event.eraStart.era <= m_eraStart.era)
+        return;
+    m_eraStart = event.eraStart;
+    m_holdBackUntil = now + restoredEntryHoldBack;
+    for (const auto &name : event.names) {
+        m_heldBack.insert(name);
+        // No removal of this era, which would outlast the hold-back.
+        m_recentRemovals.try_emplace(name, Removal{StorePosition(), now});
+        const auto it = m_objects.find(name);
+        if (it == m_objects.end() || it->second > m_eraStart)
+            continue;
+        m_objects.erase(it);
+        m_deferredRemovals.erase(name);
+        m_actions.emplace_back(DirectorySyncActions::Remove{name});
+    }
+    setTimer();
+}
+
 void DirectorySynchronizer::on(const DirectorySyncEvents::Tick &, absl::Time now)
 {
     std::vector<std::string> dueRemovals;
--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -60,6 +60,13 @@
     // `objects` is the complete list; known objects missing from it were removed.
     bool isSnapshot{false};
 };
+// What another router holds back since the store was restored.
+struct HoldBackReceived
+{
+    std::vector<std::string> names;
+    // Objects that were written after this position are not held back.
+    StorePosition eraStart;
+};
 struct Tick
 {
 };
@@ -69,7 +76,8 @@
 using DirectorySyncEvent =
     std::variant<DirectorySyncEvents::ListCompleted, DirectorySyncEvents::WatchCompleted,
                  DirectorySyncEvents::RevisionExpired, DirectorySyncEvents::CallFailed,
-                 DirectorySyncEvents::RelayReceived, DirectorySyncEvents::Tick>;
+                 DirectorySyncEvents::RelayReceived, DirectorySyncEvents::HoldBackReceived,
+                 DirectorySyncEvents::Tick>;
 
 namespace DirectorySyncActions {
 
@@ -160,6 +168,9 @@
     [[nodiscard]] StorePosition changePosition() const { return m_changePosition; }
     // Returns the watch that continues from the current position, for a host that deferred the last one.
     [[nodiscard]] DirectorySyncActions::StartWatch resumeWatch();
+    // Objects that the restored store lists and that are not applied.
+    [[nodiscard]] const absl::btree_set<std::string> &heldBack() const { return m_heldBack; }
+    [[nodiscard]] StorePosition eraStart() const { return m_eraStart; }
     [[nodiscard]] bool isStoreLost() const { return m_storeLostSince.has_value(); }
     // Returns true if the store is reachable and the grace period after its last outage is over, so that
     // objects missing from it were really removed.
@@ -180,6 +191,7 @@
     void on(const DirectorySyncEvents::RevisionExpired &, absl::Time now);
     void on(const DirectorySyncEvents::CallFailed &, absl::Time now);
     void on(const DirectorySyncEvents::RelayReceived &, absl::Time now);
+    void on(const DirectorySyncEvents::HoldBackReceived &, absl::Time now);
     void on(const DirectorySyncEvents::Tick &, absl::Time now);
 
     // Applies a complete list, from the store or from another router.
@@ -222,7 +234,7 @@
     // Objects removed within the last `removalMemory`.
     absl::btree_map<std::string, Removal> m_recentRemovals;
     // Objects that had been removed when the current era began. They are not applied unless they were written
-    // after m_eraStart, the position at which this router noticed the era.
+    // after m_eraStart, the position at which this router, or the one that told of them, noticed the era.
     absl::btree_set<std::string> m_heldBack;
     StorePosition m_eraStart;
     // End of the hold-back.
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -42,6 +42,24 @@
                          ObjectVersion(json["revision"].get<std::uint64_t>())};
 }
 
+// Reads what another router holds back; nothing if its view does not say. Empty if it is malformed.
+std::optional<DirectorySyncEvents::HoldBackReceived> holdBackOf(const nlohmann::json &view)
+{
+    if (!view.contains("held_back"))
+        return DirectorySyncEvents::HoldBackReceived{};
+    const auto &json = view["held_back"];
+    const auto start = positionOf(json);
+    if (!start || !json.contains("names") || !json["names"].is_array())
+        return std::nullopt;
+    DirectorySyncEvents::HoldBackReceived out{{}, *start};
+    for (const auto &it : json["names"]) {
+        if (!it.is_string())
+            return std::nullopt;
+        out.names.push_back(it.get<std::string>());
+    }
+    return out;
+}
+
 } // namespace detail
 
 DirectoryView::DirectoryView(DirectoryKind kind, absl::Duration changeDeadline,
@@ -84,9 +102,11 @@
 {
     const bool hadView = m_synchronizer.hasView();
     const auto eraBefore = m_synchronizer.changePosition().era;
+    const auto heldBackBefore = m_synchronizer.heldBack().size();
     for (const auto &it : m_synchronizer.handle(event, monotonicNow()))
         perform(it);
     m_staged.clear();
+    m_changeCount += m_synchronizer.heldBack().size() != heldBackBefore ? 1 : 0;
     const auto position = m_synchronizer.changePosition();
     // Removals before the first complete view are not in the change log, and changes of an earlier era cannot
     // be relayed as changes of this one.
@@ -302,10 +322,17 @@
                                {"revision", it->second.position.revision.value()},
                                {"content", it->second.content}});
     }
-    return {{"era", position.era.value()},
-            {"revision", position.revision.value()},
-            {"complete", isComplete},
-            {"objects", std::move(objects)}};
+    nlohmann::json out = {{"era", position.era.value()},
+                          {"revision", position.revision.value()},
+                          {"complete", isComplete},
+                          {"objects", std::move(objects)}};
+    if (const auto &heldBack = m_synchronizer.heldBack(); !heldBack.empty()) {
+        const auto start = m_synchronizer.eraStart();
+        out["held_back"] = {{"era", start.era.value()},
+                            {"revision", start.revision.value()},
+                            {"names", std::vector<std::string>(heldBack.begin(), heldBack.end())}};
+    }
+    return out;
 }
 
 ErrorOr<void> DirectoryView::mergePeerView(const nlohmann::json &json)
@@ -317,6 +344,9 @@
     if (!position || !json.contains("objects") || !json["objects"].is_array() || !json.contains("complete")
         || !json["complete"].is_boolean())
         return malformed();
+    const auto holdBack = detail::holdBackOf(json);
+    if (!holdBack)
+        return malformed();
     std::vector<DirectoryObject> objects;
     for (const auto &it : json["objects"]) {
         if (!it.is_object() || !it.contains("name") || !it["name"].is_string())
@@ -330,6 +360,7 @@
             return malformed();
         objects.push_back({it["name"].get<std::string>(), *objectPosition, it["content"], false});
     }
+    handle(*holdBack);
     stage(objects);
     handle(DirectorySyncEvents::RelayReceived{detail::metadataOfAll(objects), *position,
                                               json["complete"].get<bool>()});
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -50,7 +50,8 @@
     // While false, the store is not watched and changes come from other routers.
     void setWatching(bool);
     [[nodiscard]] StorePosition changePosition() const { return m_synchronizer.changePosition(); }
-    // Number of changes of the view. It also counts deferred removals, which do not advance the position.
+    // Number of changes of the view. It also counts deferred removals and the objects held back, which do not
+    // advance the position.
     [[nodiscard]] std::uint64_t changeCount() const { return m_changeCount; }
     // Zero without a configuration.
     [[nodiscard]] ConfigVersion configurationVersion() const { return m_configVersion; }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -491,6 +491,10 @@
         && report.configurationPosition <= m_configurationView.changePosition())
         m_configurationRelay.noteNewerContent(report.router);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
+    // Routers that ran before this one may know that a target has left which the store still lists.
+    if (isInOwnGroup && report.router.phase == RouterPhase::Serving
+        && report.router.incarnation < m_self.incarnation && !m_targetsRelay.hasMergedView())
+        m_targetsRelay.noteNewerContent(report.router);
 }
 
 void Gateway::addReportedCounts(const PeerReport &report, absl::Time now)
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -151,6 +151,7 @@
     const auto before = m_view.changePosition();
     if (const auto merged = m_view.mergePeerView(*json); !merged)
         return logFailure(id, merged.error().detail);
+    m_hasMergedView = true;
     if (const auto after = m_view.changePosition(); after > before) {
         m_log.write("relayed",
                     {{"router", id.value()},
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -53,6 +53,7 @@
     void notePosition(const RouterRegistry::Member &, StorePosition);
     // The router has newer content that no position tells of.
     void noteNewerContent(const RouterRegistry::Member &);
+    [[nodiscard]] bool hasMergedView() const { return m_hasMergedView; }
     // Pulls the other router's full view and merges it.
     void pullFullView(const RouterRegistry::Member &);
 
@@ -73,6 +74,8 @@
     boost::asio::steady_timer m_timer;
     // The router that last reported a newer view.
     RouterRegistry::Member m_newerPeer;
+    // Another router's view, or changes of it, have been merged.
+    bool m_hasMergedView{false};
     // A pull is in progress or scheduled.
     bool m_isPulling{false};
     // Encoded responses by the requested position. Invariant: encoded when the view had changed
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(removedObjectInCopyIsHeldBackUntilWrittenAgain);
     CPPUNIT_TEST(removedObjectThatOutlivesHoldBackIsListed);
     CPPUNIT_TEST(holdBackCoversListsAfterRelayedRestoration);
+    CPPUNIT_TEST(objectThatPeerHoldsBackIsHeldBackHere);
+    CPPUNIT_TEST(holdBackOfPeerDoesNotProlongOwn);
     CPPUNIT_TEST(relayOfKeptObjectDoesNotUndoItsRemoval);
     CPPUNIT_TEST(secondRestorationIsFollowed);
     CPPUNIT_TEST(relayedChangesOfNewEraNeedSnapshot);
@@ -291,6 +293,42 @@
         CPPUNIT_ASSERT(appliesObject(actions, "b"));
     }
 
+    // This router started after the restoration, another one knows that "b" has left.
+    void objectThatPeerHoldsBackIsHeldBackHere()
+    {
+        const DirectorySyncEvents::ListCompleted copy{{{"a", at(1, 2), false}, {"b", at(1, 2), false}},
+                                                      at(6, 2)};
+        (void)m_synchronizer.begin();
+        (void)m_synchronizer.handle(copy, m_now);
+        auto actions = m_synchronizer.handle(DirectorySyncEvents::HoldBackReceived{{"b"}, at(5, 2)}, m_now);
+        CPPUNIT_ASSERT_EQUAL(1, countActions<DirectorySyncActions::Remove>(actions));
+        actions = m_synchronizer.handle(copy, m_now);
+        CPPUNIT_ASSERT(!appliesObject(actions, "b"));
+        // A target that runs has written its entry again, or the store still lists it after the hold-back.
+        const auto end = m_now + DirectorySynchronizer::restoredEntryHoldBack;
+        (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, end);
+        CPPUNIT_ASSERT(appliesObject(m_synchronizer.handle(copy, end), "b"));
+    }
+
+    // Routers that pass their hold-back on to each other must not keep a running target out for good.
+    void holdBackOfPeerDoesNotProlongOwn()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"b", at(11), true}}, at(11)},
+                                    m_now);
+        const DirectorySyncEvents::ListCompleted copy{{{"a", at(1, 2), false}, {"b", at(1, 2), false}},
+                                                      at(5, 2)};
+        (void)restore(copy.objects, copy.position);
+        const auto end = m_now + DirectorySynchronizer::restoredEntryHoldBack;
+        (void)m_synchronizer.handle(DirectorySyncEvents::HoldBackReceived{{"b"}, at(6, 2)},
+                                    end - absl::Milliseconds(1));
+        (void)m_synchronizer.handle(DirectorySyncEvents::Tick{}, end);
+        CPPUNIT_ASSERT(appliesObject(m_synchronizer.handle(copy, end), "b"));
+        const auto actions =
+            m_synchronizer.handle(DirectorySyncEvents::HoldBackReceived{{"b"}, at(6, 2)}, end);
+        CPPUNIT_ASSERT(!hasAction<DirectorySyncActions::Remove>(actions));
+    }
+
     // A router that noticed neither the removal nor the restoration keeps the object for the grace period and
     // relays it. Found by the model (Specs/StoreRestoration.pml).
     void relayOfKeptObjectDoesNotUndoItsRemoval()
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -123,7 +123,10 @@
                                  R"({"era":1,"revision":-9,"objects":[],"complete":true})",
                                  R"({"revision":9,"objects":[],"complete":true})",
                                  R"({"era":1,"revision":9,"objects":[{"name":4}],"complete":true})",
-                                 R"({"era":1,"revision":9,"objects":[{"name":"x"}],"complete":true})"}) {
+                                 R"({"era":1,"revision":9,"objects":[{"name":"x"}],"complete":true})",
+                                 R"({"era":1,"revision":9,"objects":[],"complete":true,"held_back":[]})",
+                                 R"({"era":1,"revision":9,"objects":[],"complete":true,
+                                     "held_back":{"era":1,"revision":9,"names":[4]}})"}) {
             CPPUNIT_ASSERT(!first.view.mergePeerView(nlohmann::json::parse(text)));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.listener.targets.size());
--- a/Tests/Platform/TestRestartedRouters.cpp
+++ b/Tests/Platform/TestRestartedRouters.cpp
@@ -4,6 +4,7 @@
 
 #include <ObjectNames.h>
 
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
@@ -14,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(TestRestartedRouters);
     CPPUNIT_TEST(withdrawnKeyIsInUseAgainWhenStoreWasRestored);
+    CPPUNIT_TEST(removedEngineIsInUseAgainWhenStoreWasRestored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -34,6 +36,20 @@
         CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "c", "key2").head.status);
     }
 
+    void removedEngineIsInUseAgainWhenStoreWasRestored()
+    {
+        m_store->takeCopy();
+        startGateway();
+        const auto peer = createRouter("g2");
+        m_context->run_for(storeDelay);
+        m_store->remove("servers", "app-0");
+        m_context->run_for(storeDelay);
+        restoreStore();
+        restartGateway();
+        m_context->run_for(learningPeriod);
+        checkReceivesNothing("app-0");
+    }
+
 private:
     // Longer than the delay between the results of two watches.
     static constexpr std::chrono::milliseconds storeDelay{1500};
@@ -54,6 +70,15 @@
         endRouter(m_gateway, m_client);
         startGateway();
     }
+
+    void checkReceivesNothing(const std::string &engine)
+    {
+        constexpr int calls = 12;
+        const int before = m_engines.at(engine)->requestCount();
+        for (int n = 0; n < calls; ++n)
+            CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", absl::StrCat("after-", n)).head.status);
+        CPPUNIT_ASSERT_EQUAL(before, m_engines.at(engine)->requestCount());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRestartedRouters);
