--- a/Libraries/LibGateway/DirectoryStore.h
+++ b/Libraries/LibGateway/DirectoryStore.h
@@ -21,13 +21,6 @@
 
 enum class DirectoryKind { Configuration, Targets, Routers };
 
-enum class ReadConsistency {
-    // The response reflects all writes that were acknowledged before the call.
-    Linearizable,
-    // The response may be some seconds old. Cheaper, and not limited by the store's call rate.
-    Stale,
-};
-
 // NOLINTNEXTLINE(bugprone-exception-escape): the library declares a move that allocates as noexcept.
 struct DirectoryObject
 {
@@ -63,8 +56,8 @@
 public:
     virtual ~DirectoryStore() = default;
 
-    // Lists all current objects of the kind.
-    virtual void list(DirectoryKind, ReadConsistency, DirectoryHandler) = 0;
+    // Lists all objects of the kind. The list reflects all writes that were acknowledged before the call.
+    virtual void list(DirectoryKind, DirectoryHandler) = 0;
     // Waits up to `wait` for changes after the position; returns an empty batch on timeout. The batch may be
     // of a later era than the position; it is then incomplete.
     virtual void watch(DirectoryKind, StorePosition after, absl::Duration wait, DirectoryHandler) = 0;
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -84,9 +84,8 @@
     return "";
 }
 
-void DirectoryView::start(ReadConsistency firstList)
+void DirectoryView::start()
 {
-    m_listConsistency = firstList;
     for (const auto &it : m_synchronizer.begin())
         perform(it);
 }
@@ -127,19 +126,17 @@
 void DirectoryView::perform(const DirectorySyncAction &action)
 {
     if (std::holds_alternative<DirectorySyncActions::StartList>(action)) {
-        m_store.list(m_kind, m_listConsistency,
-                     [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
-                         if (lifetime.expired())
-                             return;
-                         if (!result) {
-                             handle(DirectorySyncEvents::CallFailed{});
-                             return;
-                         }
-                         m_listConsistency = ReadConsistency::Linearizable;
-                         stage(result->objects);
-                         handle(DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects),
-                                                                   result->position});
-                     });
+        m_store.list(m_kind, [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
+            if (lifetime.expired())
+                return;
+            if (!result) {
+                handle(DirectorySyncEvents::CallFailed{});
+                return;
+            }
+            stage(result->objects);
+            handle(
+                DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
+        });
     } else if (const auto *watch = std::get_if<DirectorySyncActions::StartWatch>(&action)) {
         if (!m_isWatching) {
             m_isWatchDeferred = true;
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -43,10 +43,9 @@
     DirectoryView(DirectoryKind, absl::Duration changeDeadline, boost::asio::io_context &, DirectoryStore &,
                   const DirectoryDecoder &, DirectoryListener &, StructuredLog &, RandomSource &);
 
-    // Lists the objects, and then watches them unless this is done by other routers. An outdated first list
-    // is completed by the watch or by other routers; all later lists are linearizable. May be called again to
+    // Lists the objects, and then watches them unless this is done by other routers. May be called again to
     // refresh a view that is not watched.
-    void start(ReadConsistency firstList = ReadConsistency::Linearizable);
+    void start();
     // While false, the store is not watched and changes come from other routers.
     void setWatching(bool);
     [[nodiscard]] StorePosition changePosition() const { return m_synchronizer.changePosition(); }
@@ -92,8 +91,6 @@
     StructuredLog &m_log;
     RandomSource &m_random;
     DirectorySynchronizer m_synchronizer;
-    // Of the next list.
-    ReadConsistency m_listConsistency{ReadConsistency::Linearizable};
     boost::asio::steady_timer m_timer;
     // Applied objects, and objects of the current batch that are not applied yet.
     std::map<std::string, DirectoryObject> m_objects;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -137,8 +137,7 @@
                  {"build", WISTERIA_VERSION}},
                 monotonicNow());
     m_configurationView.start();
-    // Hundreds of routers start at once, and a list of hundreds of targets takes many calls.
-    m_targetsView.start(ReadConsistency::Stale);
+    m_targetsView.start();
     publishOwnRecord();
     m_peerLink->start();
     runPeriodicTasks();
--- a/Tests/LibGateway/FakeDirectory.h
+++ b/Tests/LibGateway/FakeDirectory.h
@@ -14,10 +14,7 @@
 class ManualStore final : public DirectoryStore
 {
 public:
-    void list(DirectoryKind, ReadConsistency, DirectoryHandler handler) override
-    {
-        m_list = std::move(handler);
-    }
+    void list(DirectoryKind, DirectoryHandler handler) override { m_list = std::move(handler); }
     void watch(DirectoryKind, StorePosition, absl::Duration, DirectoryHandler handler) override
     {
         m_watch = std::move(handler);
--- a/Tests/Platform/TestEndlessAnswersOfStore.cpp
+++ b/Tests/Platform/TestEndlessAnswersOfStore.cpp
@@ -54,8 +54,7 @@
             const auto client =
                 std::move(*Platform::StoreClient::create(context, peer.address(), callTimeout));
             bool isFailed = false;
-            client->list(DirectoryKind::Targets, ReadConsistency::Linearizable,
-                         [&](const auto &batch) { isFailed = !batch; });
+            client->list(DirectoryKind::Targets, [&](const auto &batch) { isFailed = !batch; });
             context.run_for(absl::ToChronoMilliseconds(callTimeout + absl::Milliseconds(200)));
             CPPUNIT_ASSERT_MESSAGE(answer.start, isFailed);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.start, 0, peer.openConnectionCount());
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -31,8 +31,8 @@
     CPPUNIT_TEST(restoredStoreDoesNotReviveRemovedKey);
     CPPUNIT_TEST(requestsAreServedWhileCopyLacksEngines);
     CPPUNIT_TEST(unchangedRecordIsNotWrittenAgain);
-    CPPUNIT_TEST(configurationIsNeverListedWithBoundedStaleness);
-    CPPUNIT_TEST(outdatedFirstListIsCompletedByWatch);
+    CPPUNIT_TEST(nothingIsListedWithBoundedStaleness);
+    CPPUNIT_TEST(outdatedListsAreNotUsed);
     CPPUNIT_TEST(routersThatStartTogetherFindEachOther);
     CPPUNIT_TEST_SUITE_END();
 
@@ -258,20 +258,20 @@
         CPPUNIT_ASSERT(m_store->revision() > written);
     }
 
-    void configurationIsNeverListedWithBoundedStaleness()
+    void nothingIsListedWithBoundedStaleness()
     {
         startGateway();
-        CPPUNIT_ASSERT_EQUAL(1, m_store->staleLists("servers"));
+        CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("servers"));
         CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("config"));
-        // All lists after the first one are linearizable.
         m_store->compactHistory();
         const int calls = m_store->calls();
         CPPUNIT_ASSERT(runUntil([&] { return m_store->calls() >= calls + 4; }));
-        CPPUNIT_ASSERT_EQUAL(1, m_store->staleLists("servers"));
+        CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("servers"));
+        CPPUNIT_ASSERT_EQUAL(0, m_store->staleLists("config"));
     }
 
-    // The first list lacks the latest changes: an engine has left since, and others have registered.
-    void outdatedFirstListIsCompletedByWatch()
+    // A list that allows outdated data lacks the latest changes: an engine has left, and another registered.
+    void outdatedListsAreNotUsed()
     {
         m_store->remove("servers", "app-1");
         m_store->takeCopy();
--- a/Tests/Platform/TestRestartedRouters.cpp
+++ b/Tests/Platform/TestRestartedRouters.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(TestRestartedRouters);
     CPPUNIT_TEST(withdrawnKeyIsInUseAgainWhenStoreWasRestored);
     CPPUNIT_TEST(removedEngineIsInUseAgainWhenStoreWasRestored);
+    CPPUNIT_TEST(removedEngineIsInUseAgainWhenListIsOutdated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +51,19 @@
         checkReceivesNothing("app-0");
     }
 
+    void removedEngineIsInUseAgainWhenListIsOutdated()
+    {
+        startGateway();
+        const auto peer = createRouter("g2");
+        m_context->run_for(storeDelay);
+        m_store->takeCopy();
+        m_store->serveStaleListsFromCopy();
+        m_store->remove("servers", "app-0");
+        m_context->run_for(storeDelay);
+        restartGateway();
+        checkReceivesNothing("app-0");
+    }
+
 private:
     // Longer than the delay between the results of two watches.
     static constexpr std::chrono::milliseconds storeDelay{1500};
