--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -42,6 +42,24 @@
                          ObjectVersion(json["revision"].get<std::uint64_t>())};
 }
 
+// Reads what another router holds back; nothing if its view does not say. Empty if it is malformed.
+std::optional<DirectorySyncEvents::HoldBackReceived> holdBackOf(const nlohmann::json &view)
+{
+    if (!view.contains("held_back"))
+        return DirectorySyncEvents::HoldBackReceived{};
+    const auto &json = view["held_back"];
+    const auto start = positionOf(json);
+    if (!start || !json.contains("names") || !json["names"].is_array())
+        return std::nullopt;
+    DirectorySyncEvents::HoldBackReceived out{{}, *start};
+    for (const auto &it : json["names"]) {
+        if (!it.is_string())
+            return std::nullopt;
+        out.names.push_back(it.get<std::string>());
+    }
+    return out;
+}
+
 } // namespace detail
 
 DirectoryView::DirectoryView(DirectoryKind kind, absl::Duration changeDeadline,
@@ -66,9 +84,8 @@
     return "";
 }
 
-void DirectoryView::start(ReadConsistency firstList)
+void DirectoryView::start()
 {
-    m_listConsistency = firstList;
     for (const auto &it : m_synchronizer.begin())
         perform(it);
 }
@@ -84,9 +101,11 @@
 {
     const bool hadView = m_synchronizer.hasView();
     const auto eraBefore = m_synchronizer.changePosition().era;
+    const auto heldBackBefore = m_synchronizer.heldBack().size();
     for (const auto &it : m_synchronizer.handle(event, monotonicNow()))
         perform(it);
     m_staged.clear();
+    m_changeCount += m_synchronizer.heldBack().size() != heldBackBefore ? 1 : 0;
     const auto position = m_synchronizer.changePosition();
     // Removals before the first complete view are not in the change log, and changes of an earlier era cannot
     // be relayed as changes of this one.
@@ -107,19 +126,17 @@
 void DirectoryView::perform(const DirectorySyncAction &action)
 {
     if (std::holds_alternative<DirectorySyncActions::StartList>(action)) {
-        m_store.list(m_kind, m_listConsistency,
-                     [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
-                         if (lifetime.expired())
-                             return;
-                         if (!result) {
-                             handle(DirectorySyncEvents::CallFailed{});
-                             return;
-                         }
-                         m_listConsistency = ReadConsistency::Linearizable;
-                         stage(result->objects);
-                         handle(DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects),
-                                                                   result->position});
-                     });
+        m_store.list(m_kind, [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
+            if (lifetime.expired())
+                return;
+            if (!result) {
+                handle(DirectorySyncEvents::CallFailed{});
+                return;
+            }
+            stage(result->objects);
+            handle(
+                DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
+        });
     } else if (const auto *watch = std::get_if<DirectorySyncActions::StartWatch>(&action)) {
         if (!m_isWatching) {
             m_isWatchDeferred = true;
@@ -227,11 +244,29 @@
             it->second.position = object.position;
         return;
     }
-    m_objects[object.name] = std::move(object);
     if (configuration->version == m_configVersion)
+        m_objects[object.name] = std::move(object);
+    else
+        takeConfiguration(std::move(object), std::move(*configuration));
+}
+
+void DirectoryView::takeConfiguration(DirectoryObject object, TrafficConfiguration configuration)
+{
+    m_objects[object.name] = std::move(object);
+    m_configVersion = configuration.version;
+    m_listener.configurationChanged(RouteTable::create(std::move(configuration)));
+}
+
+void DirectoryView::takeNewerConfiguration(const DirectoryObject &relayed)
+{
+    const auto known = m_objects.find(relayed.name);
+    auto configuration = m_decoder.configuration(relayed);
+    if (known == m_objects.end() || !configuration || configuration->version <= m_configVersion)
         return;
-    m_configVersion = configuration->version;
-    m_listener.configurationChanged(RouteTable::create(std::move(*configuration)));
+    auto object = relayed;
+    object.position = known->second.position;
+    recordChange(object.name);
+    takeConfiguration(std::move(object), std::move(*configuration));
 }
 
 void DirectoryView::logUnusable(const std::string &name, const Error &error)
@@ -284,10 +319,17 @@
                                {"revision", it->second.position.revision.value()},
                                {"content", it->second.content}});
     }
-    return {{"era", position.era.value()},
-            {"revision", position.revision.value()},
-            {"complete", isComplete},
-            {"objects", std::move(objects)}};
+    nlohmann::json out = {{"era", position.era.value()},
+                          {"revision", position.revision.value()},
+                          {"complete", isComplete},
+                          {"objects", std::move(objects)}};
+    if (const auto &heldBack = m_synchronizer.heldBack(); !heldBack.empty()) {
+        const auto start = m_synchronizer.eraStart();
+        out["held_back"] = {{"era", start.era.value()},
+                            {"revision", start.revision.value()},
+                            {"names", std::vector<std::string>(heldBack.begin(), heldBack.end())}};
+    }
+    return out;
 }
 
 ErrorOr<void> DirectoryView::mergePeerView(const nlohmann::json &json)
@@ -299,6 +341,9 @@
     if (!position || !json.contains("objects") || !json["objects"].is_array() || !json.contains("complete")
         || !json["complete"].is_boolean())
         return malformed();
+    const auto holdBack = detail::holdBackOf(json);
+    if (!holdBack)
+        return malformed();
     std::vector<DirectoryObject> objects;
     for (const auto &it : json["objects"]) {
         if (!it.is_object() || !it.contains("name") || !it["name"].is_string())
@@ -312,9 +357,16 @@
             return malformed();
         objects.push_back({it["name"].get<std::string>(), *objectPosition, it["content"], false});
     }
+    handle(*holdBack);
     stage(objects);
     handle(DirectorySyncEvents::RelayReceived{detail::metadataOfAll(objects), *position,
                                               json["complete"].get<bool>()});
+    if (m_kind == DirectoryKind::Configuration) {
+        for (const auto &it : objects) {
+            if (!it.isRemoved)
+                takeNewerConfiguration(it);
+        }
+    }
     return {};
 }
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -137,8 +137,7 @@
                  {"build", WISTERIA_VERSION}},
                 monotonicNow());
     m_configurationView.start();
-    // Hundreds of routers start at once, and a list of hundreds of targets takes many calls.
-    m_targetsView.start(ReadConsistency::Stale);
+    m_targetsView.start();
     publishOwnRecord();
     m_peerLink->start();
     runPeriodicTasks();
@@ -436,6 +435,7 @@
                                               : RouterPhase::Starting;
     report.router.reportSequence = ++m_reportSequence;
     report.configurationPosition = m_configurationView.changePosition();
+    report.configurationVersion = m_configurationView.configurationVersion();
     report.targetsPosition = m_targetsView.changePosition();
     report.loads = m_targets.ownLoads();
     report.faults = std::exchange(m_unreportedFaults, {});
@@ -489,7 +489,14 @@
                                      : PromptQuarantine::EvidenceSource::OtherGroup,
                         now);
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
+    if (report.configurationVersion > m_configurationView.configurationVersion()
+        && report.configurationPosition <= m_configurationView.changePosition())
+        m_configurationRelay.noteNewerContent(report.router);
     m_targetsRelay.notePosition(report.router, report.targetsPosition);
+    // Routers that ran before this one may know that a target has left which the store still lists.
+    if (isInOwnGroup && report.router.phase == RouterPhase::Serving
+        && report.router.incarnation < m_self.incarnation && !m_targetsRelay.hasMergedView())
+        m_targetsRelay.noteNewerContent(report.router);
 }
 
 void Gateway::addReportedCounts(const PeerReport &report, absl::Time now)
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -51,10 +51,16 @@
 
     // The router reported this position of its view.
     void notePosition(const RouterRegistry::Member &, StorePosition);
+    // The router has newer content that no position tells of.
+    void noteNewerContent(const RouterRegistry::Member &);
+    [[nodiscard]] bool hasMergedView() const { return m_hasMergedView; }
     // Pulls the other router's full view and merges it.
     void pullFullView(const RouterRegistry::Member &);
 
 private:
+    enum class PullScope { Changes, FullView };
+
+    void schedulePull(const RouterRegistry::Member &, PullScope);
     void pull(const RouterRegistry::Member &, StorePosition after);
     void handlePullResult(const RouterId &, const HttpCallResult &);
     void logFailure(const RouterId &, std::string_view detail);
@@ -68,6 +74,8 @@
     boost::asio::steady_timer m_timer;
     // The router that last reported a newer view.
     RouterRegistry::Member m_newerPeer;
+    // Another router's view, or changes of it, have been merged.
+    bool m_hasMergedView{false};
     // A pull is in progress or scheduled.
     bool m_isPulling{false};
     // Encoded responses by the requested position. Invariant: encoded when the view had changed
