--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -15,6 +15,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Wisteria {
 
@@ -48,6 +49,13 @@
 void HttpServerConnection::start()
 {
     applySocketOptions(m_socket, m_server->m_socketLimits);
+    boost::system::error_code ec;
+    m_socket.non_blocking(true, ec);
+    if (ec) {
+        LOG(WARNING) << "cannot make a connection non-blocking: " << ec.message();
+        close(ClosureReason::AnswerAborted);
+        return;
+    }
     armTimer(m_server->m_limits.idleTimeout);
     read();
 }
@@ -62,16 +70,23 @@
     if (m_isReading || m_isClosed || m_unparsed.size() > maxBytesAhead)
         return;
     m_isReading = true;
-    m_socket.async_read_some(
-        boost::asio::buffer(m_buf),
-        [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
+    // An asynchronous read takes the bytes before its handler runs. If the connection closed between the two,
+    // they would be read and lost, and hasUnreadBytes() would not see them.
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const auto &ec) { self->onReadable(ec); });
 }
 
-void HttpServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
+void HttpServerConnection::onReadable(boost::system::error_code ec)
 {
     m_isReading = false;
     if (m_isClosed)
         return;
+    std::array<char, readBytes> buf{};
+    const auto n = ec ? 0 : m_socket.read_some(boost::asio::buffer(buf), ec);
+    if (ec == boost::asio::error::would_block) {
+        read();
+        return;
+    }
     if (ec) {
         // The caller is gone: a close in the middle of a request, an answer or between them all end here.
         closeAndReport(ClosureReason::PeerClosed);
@@ -81,7 +96,7 @@
         abort();
         return;
     }
-    m_unparsed.append(m_buf.data(), n);
+    m_unparsed.append(buf.data(), n);
     if (!m_hasOpenRequest)
         parse();
     read();
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -15,7 +15,6 @@
 
 #include <absl/container/flat_hash_set.h>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -87,8 +86,11 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    // Taken from the socket at once.
+    static constexpr std::size_t readBytes = std::size_t{16} * 1024;
+
     void read();
-    void onRead(const boost::system::error_code &, std::size_t n);
+    void onReadable(boost::system::error_code);
     void parse();
     void refuse(int status);
     void requestEnded();
@@ -115,7 +117,6 @@
     // Null once the server is gone.
     HttpServer *m_server;
     std::optional<Parser> m_parser;
-    std::array<char, 16384> m_buf;
     std::string m_unparsed;
     std::string m_unsent;
     std::string m_sending;
