--- a/Libraries/LibPlatform/ProgramOptions.cpp
+++ b/Libraries/LibPlatform/ProgramOptions.cpp
@@ -3,6 +3,7 @@
 #include <LibPlatform/ProgramOptions.h>
 
 #include <cxxopts.hpp>
+#include <glog/logging.h>
 
 #include <fstream>
 #include <sstream>
@@ -50,21 +51,41 @@
     return buf.str();
 }
 
-sigset_t blockStopSignals()
+namespace detail {
+
+sigset_t daemonSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+} // namespace detail
+
+void holdSignals()
+{
+    const auto signals = detail::daemonSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    return signals;
 }
 
-void waitForStop(const sigset_t &signals)
+void releaseSignals()
 {
-    int signal = 0;
-    sigwait(&signals, &signal);
+    const auto signals = detail::daemonSignals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+void waitForStop()
+{
+    const auto signals = detail::daemonSignals();
+    for (int signal = SIGHUP; signal == SIGHUP;) {
+        sigwait(&signals, &signal);
+        if (signal == SIGHUP)
+            LOG(INFO) << "SIGHUP has no effect: settings are read at the start only";
+    }
 }
 
 } // namespace Wisteria
--- a/Libraries/LibPlatform/ProgramOptions.h
+++ b/Libraries/LibPlatform/ProgramOptions.h
@@ -40,15 +40,20 @@
 // Errors: InvalidSettings.
 [[nodiscard]] ErrorOr<std::string> readTextFile(const std::string &path);
 
-// Blocks SIGTERM and SIGINT in all threads, so that the main thread can wait for them; ignores SIGPIPE.
-[[nodiscard]] sigset_t blockStopSignals();
-void waitForStop(const sigset_t &signals);
+// Keeps SIGTERM, SIGINT and SIGHUP pending for the whole process until it can act on them; ignores SIGPIPE.
+// Threads inherit this, so it comes before all else.
+void holdSignals();
+// Delivers to the calling thread what is pending and what comes later. The handlers must be set.
+void releaseSignals();
+// Waits for SIGTERM or SIGINT, also one held since the start. SIGHUP is logged and passed over.
+void waitForStop();
 
 // The whole of a daemon's main(): options, settings, log, then `serve`.
 template <typename Settings>
 int runDaemon(const ProgramName &name, ErrorOr<Settings> (*parse)(std::string_view, const std::string &),
               int (*serve)(const Settings &, const std::string &file), int argc, char **argv)
 {
+    holdSignals();
     int exitCode = exitOk;
     auto request = readCommandLine(name, argc, argv, exitCode);
     if (!request)
--- a/Services/Gateway/main.cpp
+++ b/Services/Gateway/main.cpp
@@ -95,6 +95,7 @@
         if (!ec)
             (*gateway)->startShutdown();
     });
+    releaseSignals();
     context.run();
     return exitOk;
 }
@@ -104,7 +105,6 @@
 int main(int argc, char **argv)
 {
     using namespace Wisteria;
-    std::signal(SIGPIPE, SIG_IGN);
     return runDaemon<GatewaySettings>(
         {"wisteria-gateway",
          "Forwards callers' requests to targets and resumes streams when a target is lost."},
--- a/Services/Placer/main.cpp
+++ b/Services/Placer/main.cpp
@@ -11,14 +11,13 @@
 
 int serve(const PlacerSettings &settings, const std::string &)
 {
-    auto signals = blockStopSignals();
     auto process = PlacerProcess::create(settings);
     if (!process) {
         LOG(ERROR) << errorName(process.error().code) << ": " << process.error().detail;
         return exitCannotServe;
     }
     LOG(INFO) << "placer " << settings.id << " runs";
-    waitForStop(signals);
+    waitForStop();
     return exitOk;
 }
 
--- a/Services/Router/main.cpp
+++ b/Services/Router/main.cpp
@@ -21,7 +21,6 @@
 
 int serve(const RouterSettings &settings, const std::string &)
 {
-    auto signals = blockStopSignals();
     auto process = RouterProcess::create(settings);
     if (!process) {
         LOG(ERROR) << errorName(process.error().code) << ": " << process.error().detail;
@@ -34,7 +33,7 @@
     }
     LOG(INFO) << "router " << settings.id << " serves callers on " << settings.callerListen
               << " and peers on " << settings.peerListen;
-    waitForStop(signals);
+    waitForStop();
     (*process)->startDrain();
     waitUntilDrained(**process);
     LOG(INFO) << "router " << settings.id << " stops after its drain";
