--- a/Libraries/LibRouting/Sequencer.cpp
+++ b/Libraries/LibRouting/Sequencer.cpp
@@ -12,8 +12,13 @@
 
 void Sequencer::handle(const AttemptStarted &event)
 {
-    if (Generation *generation = m_state.generations.findByAttempt(event.attempt))
-        generation->find(event.attempt)->stream = event.stream;
+    Generation *generation = m_state.generations.findByAttempt(event.attempt);
+    if (!generation)
+        return;
+    generation->find(event.attempt)->stream = event.stream;
+    // Only a replacement can start while another attempt runs.
+    if (m_state.resumePolicy(generation->request.service).stallResponse() == StallResponse::Replace)
+        m_launcher.cancelAllBut(*generation, event.attempt);
 }
 
 void Sequencer::handle(const TokenArrived &event)
