--- a/Tests/Platform/FakeDeployment.cpp
+++ b/Tests/Platform/FakeDeployment.cpp
@@ -89,11 +89,11 @@
     }
 }
 
-FakeDeployment::Router FakeDeployment::createRouter(const std::string &id)
+FakeDeployment::Router FakeDeployment::createRouter(const std::string &id, const std::string &zone)
 {
     GatewaySettings settings;
     settings.id = RouterId(id);
-    settings.domain = FailureDomain("z0");
+    settings.domain = FailureDomain(zone);
     settings.callerListen = unusedLoopbackAddress();
     settings.entryPointListen = settings.callerListen;
     settings.readinessListen = settings.callerListen;
@@ -101,6 +101,7 @@
     settings.store = m_store->address();
     settings.retryLimits = {.ratio = 0.8, .minRetriesPerWindow = 150, .window = absl::Seconds(10)};
     Router router;
+    router.settings = settings;
     router.address = settings.callerListen;
     router.peerAddress = settings.peerListen;
     router.client = std::move(*Platform::StoreClient::create(*m_context, settings.store, absl::Seconds(1)));
--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -45,12 +45,13 @@
     // Further routers beside the gateway; calls go to the router at `m_address`.
     struct Router
     {
+        GatewaySettings settings;
         std::string address;
         std::string peerAddress;
         std::unique_ptr<Platform::StoreClient> client;
         std::unique_ptr<Gateway> gateway;
     };
-    [[nodiscard]] Router createRouter(const std::string &id);
+    [[nodiscard]] Router createRouter(const std::string &id, const std::string &zone = "z0");
     // Destroys a router while the event loop goes on. Handlers that are ready run before, since they refer to
     // it.
     void endRouter(std::unique_ptr<Gateway> &, std::unique_ptr<Platform::StoreClient> &);
--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -145,7 +145,9 @@
         m_engineState.onRequest(m_id);
     const std::string from(fieldValue(request, "Kv-From"));
     const bool isCopyMissing = !from.empty() && m_engineState.copies.erase(from) == 0;
-    if (m_mode == FakeEngineMode::Overloaded || isCopyMissing) {
+    const bool isFull = absl::StartsWith(target, "/stream/") && !hasFreeSlot();
+    m_engineState.rejectionsByFullEngines += isFull ? 1 : 0;
+    if (m_mode == FakeEngineMode::Overloaded || isCopyMissing || isFull) {
         response.head.status = 503;
         response.head.fields.set("Not-Executed", "1");
         if (m_retryAfter && m_mode == FakeEngineMode::Overloaded) {
@@ -158,6 +160,7 @@
     response.head.fields.set("Engine-Seal", "seal");
     response.body.append(m_engineState.answerPadding, '.');
     m_engineState.workspaceByRequest[requestId] = fieldValue(request, "Tenant");
+    ++m_engineState.acceptedByRequest[requestId];
     if (from.empty()) {
         ++m_engineState.runsByRequest[requestId];
         if (!fieldValue(request, "Last-Event-Id").empty())
@@ -182,9 +185,19 @@
     response.head.fields.set("Content-Type", "text/event-stream");
     setCommonFields(response.head);
     m_running.insert(requestId);
+    m_streams.push_back(connection);
     startStream(connection, response.head, request);
 }
 
+bool FakeEngine::hasFreeSlot()
+{
+    std::erase_if(m_streams, [](const auto &it) {
+        const auto stream = it.lock();
+        return !stream || !stream->hasOpenRequest();
+    });
+    return m_engineState.slotsPerEngine == 0 || m_streams.size() < m_engineState.slotsPerEngine;
+}
+
 bool FakeEngine::isCrashingRequest(const HttpRequest &request) const
 {
     if (m_engineState.crashingPart.empty())
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Wisteria {
 
@@ -35,6 +36,11 @@
     // Workspace that each request was run for.
     std::map<std::string, std::string> workspaceByRequest;
     int lastHandle{0};
+    // Streams that each engine runs at once; it rejects further ones as not executed. Zero for no limit.
+    std::size_t slotsPerEngine{0};
+    int rejectionsByFullEngines{0};
+    // Runs that engines accepted, also those that resume from a copy.
+    std::map<std::string, int> acceptedByRequest;
     // An engine ends as soon as it begins to write an answer to a prompt with this part; empty for none.
     std::string crashingPart;
     // Time before the head of a stream.
@@ -104,6 +110,7 @@
     // Runs the function now, or at the end of the engine's pause.
     void runAfterPause(std::function<void()>);
     void respond(const std::shared_ptr<HttpServerConnection> &, HttpResponse);
+    [[nodiscard]] bool hasFreeSlot();
     // Sets the header fields that all answers of the engine have.
     void setCommonFields(HttpResponseHead &) const;
     [[nodiscard]] bool isCrashingRequest(const HttpRequest &) const;
@@ -125,6 +132,8 @@
     // Streams begun before the latest restart are aborted.
     int m_restarts{0};
     std::set<std::string> m_running;
+    // Connections of streams; those that have ended or closed hold no slot.
+    std::vector<std::weak_ptr<HttpServerConnection>> m_streams;
     FakeEngineMode m_mode{FakeEngineMode::Healthy};
     bool m_isLeaving{false};
     std::optional<std::chrono::milliseconds> m_retryAfter;
