--- a/Tests/Platform/TestSilencesBesideChanges.cpp
+++ b/Tests/Platform/TestSilencesBesideChanges.cpp
@@ -34,7 +34,11 @@
         for (int n = 4; n < modelEngines; ++n)
             addEngine(absl::StrCat("llm-", n), n < modelEngines / 2 ? "llm" : "llm-b", domainOf(n));
         addEngine("app-2", "app", "z2");
+        // Several silences in a row leave time for the answer; at its deadline, a router ends any call.
+        m_callTimeout = std::chrono::milliseconds(6000);
         m_configuration = fakeConfiguration(1);
+        for (auto &route : m_configuration["routes"])
+            route["timeoutMs"] = m_callTimeout.count();
         m_configuration["services"].push_back(m_configuration["services"][0]);
         m_configuration["services"].back()["name"] = "llm-b";
         publish();
@@ -62,7 +66,7 @@
         m_random.emplace(seed);
         startRouters(12);
         const auto begin = monotonicNow();
-        const auto end = begin + absl::Seconds(9);
+        const auto end = begin + absl::Seconds(8);
         auto nextChange = begin + absl::Milliseconds(500);
         auto nextSilence = begin + absl::Milliseconds(700);
         auto nextReload = begin + absl::Seconds(1);
@@ -177,7 +181,7 @@
                                       {{"service", "llm-b"}, {"weight", 1}}};
             break;
         case 2:
-            stream["timeoutMs"] = 3000 + m_random->below(2000);
+            stream["timeoutMs"] = 6000 + m_random->below(2000);
             break;
         case 3:
             m_configuration["tenants"][0]["apiKeys"] = {"key", absl::StrCat("key-", version)};
@@ -302,7 +306,7 @@
 
     void finishCalls(const std::string &name)
     {
-        const auto end = monotonicNow() + absl::Seconds(8);
+        const auto end = monotonicNow() + absl::Seconds(10);
         while ((!m_calls.empty() || m_stopping) && monotonicNow() < end)
             step();
         for (const auto &it : m_calls)
