--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -81,7 +81,7 @@
     m_isReading = false;
     if (m_isClosed)
         return;
-    std::array<char, readBytes> buf{};
+    std::array<char, readBytes> buf;
     const auto n = ec ? 0 : m_socket.read_some(boost::asio::buffer(buf), ec);
     if (ec == boost::asio::error::would_block) {
         read();
