--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -151,7 +151,9 @@
     const auto before = m_view.changePosition();
     if (const auto merged = m_view.mergePeerView(*json); !merged)
         return logFailure(id, merged.error().detail);
-    m_hasMergedView = true;
+    // A router that has not noticed a restoration yet does not know what to hold back after it.
+    const auto era = StoreEra((*json)["era"].get<std::uint64_t>());
+    m_hasMergedView = m_hasMergedView || era == m_view.changePosition().era;
     if (const auto after = m_view.changePosition(); after > before) {
         m_log.write("relayed",
                     {{"router", id.value()},
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -74,7 +74,7 @@
     boost::asio::steady_timer m_timer;
     // The router that last reported a newer view.
     RouterRegistry::Member m_newerPeer;
-    // Another router's view, or changes of it, have been merged.
+    // Another router's view of this view's era, or changes of it, have been merged.
     bool m_hasMergedView{false};
     // A pull is in progress or scheduled.
     bool m_isPulling{false};
