Revert "Router: Keep a silent attempt until its replacement is accepted"

Cause suspected, not shown: a stream that its only target has lost without an event is never given up while that target produces nothing for others.

--- a/Libraries/LibRouting/Recovery.cpp
+++ b/Libraries/LibRouting/Recovery.cpp
@@ -137,6 +137,16 @@
     if (!std::ranges::all_of(generation.attempts, isStalled))
         return;
     const Attempt stalled = *std::ranges::min_element(generation.attempts, {}, &Attempt::lastProgress);
+    const bool replace =
+        m_state.resumePolicy(generation.request.service).stallResponse() == StallResponse::Replace;
+    if (replace || m_stallDetector.shouldAbandon(generation, stalled)) {
+        const bool hasOther = generation.attempts.size() > 1;
+        handleStreamBroken(generation, stalled.id);
+        // Without another attempt, the generation may already be closed.
+        if (hasOther)
+            handleStall(generation);
+        return;
+    }
     hedge(generation, stalled);
 }
 
@@ -155,48 +165,20 @@
         return;
     }
     const TargetChoice choice = m_launcher.choose(generation, strategy);
-    if (choice.outcome != TargetChoice::Outcome::Chosen) {
-        restartIfLost(generation, stalled);
-        return;
-    }
     const bool isLikelyLost =
         generation.hasDelivered() && m_stallDetector.isTargetStalled(generation, stalled);
-    if (!tryConsumeBudget(isLikelyLost ? RetryBudget::Kind::Resume : RetryBudget::Kind::Hedge)) {
+    const auto kind = isLikelyLost ? RetryBudget::Kind::Resume : RetryBudget::Kind::Hedge;
+    if (choice.outcome != TargetChoice::Outcome::Chosen || !tryConsumeBudget(kind)) {
         postponeStallCheck(generation);
         return;
     }
     noteFailure(generation, stalled.target, AttemptFailure::StreamLost);
     if (generation.attempts.size() == Generation::maxAttempts)
-        m_launcher.cancel(generation, leastPromising(generation));
+        m_launcher.cancel(generation, stalled.id);
     generation.adopted.reset();
     m_launcher.start(generation, choice, DecisionKind::Hedge);
 }
 
-void Recovery::restartIfLost(Generation &generation, const Attempt &stalled)
-{
-    // A target that is silent as a whole may go on; nothing else can.
-    const bool isLost = generation.attempts.size() == 1 && m_stallDetector.shouldAbandon(generation, stalled)
-        && !m_stallDetector.isTargetStalled(generation, stalled);
-    if (!isLost || !tryConsumeBudget(RetryBudget::Kind::Resume)) {
-        postponeStallCheck(generation);
-        return;
-    }
-    m_launcher.cancel(generation, stalled.id);
-    noteFailure(generation, stalled.target, AttemptFailure::StreamLost);
-    startNextAttempt(generation);
-}
-
-AttemptId Recovery::leastPromising(const Generation &generation)
-{
-    // An attempt that has produced tokens may go on without a new prefill.
-    return std::ranges::min_element(generation.attempts, {},
-                                    [](const Attempt &it) {
-                                        return std::pair(it.progress == AttemptProgress::Producing,
-                                                         it.lastProgress);
-                                    })
-        ->id;
-}
-
 void Recovery::postponeStallCheck(Generation &generation)
 {
     generation.nextStallCheck = m_state.now + detail::stallRecheckDelay;
--- a/Libraries/LibRouting/Recovery.h
+++ b/Libraries/LibRouting/Recovery.h
@@ -36,9 +36,6 @@
     void noteFailure(Generation &, const TargetId &, AttemptFailure);
     void handleStall(Generation &);
     void hedge(Generation &, const Attempt &stalled);
-    // Restarts a stream that no other target can take and that its own target no longer serves.
-    void restartIfLost(Generation &, const Attempt &stalled);
-    [[nodiscard]] static AttemptId leastPromising(const Generation &);
     // Delays the next stall check of the generation.
     void postponeStallCheck(Generation &);
     void startNextAttempt(Generation &);
--- a/Libraries/LibRouting/ResumePolicy.h
+++ b/Libraries/LibRouting/ResumePolicy.h
@@ -27,7 +27,7 @@
 enum class StallResponse {
     // Starts a second attempt next to the stalled one. The first to produce the next token wins.
     Hedge,
-    // Cancels the stalled attempt once an engine has accepted another one.
+    // Cancels the stalled attempt before another one starts.
     Replace,
 };
 
--- a/Libraries/LibRouting/Sequencer.cpp
+++ b/Libraries/LibRouting/Sequencer.cpp
@@ -12,13 +12,8 @@
 
 void Sequencer::handle(const AttemptStarted &event)
 {
-    Generation *generation = m_state.generations.findByAttempt(event.attempt);
-    if (!generation)
-        return;
-    generation->find(event.attempt)->stream = event.stream;
-    // Only a replacement can start while another attempt runs.
-    if (m_state.resumePolicy(generation->request.service).stallResponse() == StallResponse::Replace)
-        m_launcher.cancelAllBut(*generation, event.attempt);
+    if (Generation *generation = m_state.generations.findByAttempt(event.attempt))
+        generation->find(event.attempt)->stream = event.stream;
 }
 
 void Sequencer::handle(const TokenArrived &event)
