--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -127,8 +127,12 @@
 
 void ForwardSession::perform(const ForwardingActionList &actions)
 {
-    for (const auto &it : actions)
+    for (const auto &it : actions) {
+        // Writing to the caller may show that it has left, which ends the request.
+        if (m_isOutcomeLogged)
+            return;
         std::visit([this](const auto &action) { perform(action); }, it);
+    }
 }
 
 TargetRequirements ForwardSession::requirements() const
