Gateway: Release a replacement that answered in a form that can't go on

The load of a replacement that answered a begun stream with a plain response stayed reserved until the next replacement or the end of the request.

--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -495,7 +495,9 @@
     const int status = response.head.status;
     m_response = std::move(response);
     removeConnectionFields(m_response.head.fields);
-    if (role == RunRole::Replacement && status >= detail::firstServerError)
+    // A plain answer can't continue a stream that has started.
+    if (role == RunRole::Replacement
+        && (status >= detail::firstServerError || m_forwardedRequest.hasResponseStarted()))
         m_replacement.reset();
     handle(ForwardingEvents::ResponseReceived{status, role});
 }
