--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -157,6 +157,12 @@
     setTimer(now);
 }
 
+void ForwardedRequest::replacementRejected(absl::Time now)
+{
+    m_replacement.reset();
+    setTimer(now);
+}
+
 void ForwardedRequest::replacementEnded(absl::Time now)
 {
     m_replacement.reset();
@@ -280,7 +286,10 @@
     if (event.role == RunRole::Replacement) {
         m_hasCopy = m_hasCopy && !event.isCopyMissing;
         m_hasUnusedRetry = !event.wasRefused;
-        replacementEnded(now);
+        if (event.wasRefused && !event.isCopyMissing)
+            replacementRejected(now);
+        else
+            replacementEnded(now);
         return;
     }
     if (m_replacement) {
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -359,6 +359,9 @@
     void cancelRuns();
     // The host has not sent the replacement to any target.
     void replacementNotStarted(absl::Time now);
+    // A full target rejected the replacement. Others may be full, too, and each of them costs a retry, which
+    // runs that are really lost need; the search goes on after replacementInterval.
+    void replacementRejected(absl::Time now);
     // The replacement has ended without progress. Another one is looked for.
     void replacementEnded(absl::Time now);
     // Looks for another target while the suspected run goes on. False if none can be started now.
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementFails);
     CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsNotStarted);
     CPPUNIT_TEST(suspectedRunGoesOnWhenReplacementIsBarred);
+    CPPUNIT_TEST(rejectedReplacementIsNotSoughtAgainAtOnce);
     CPPUNIT_TEST(replacementIsCancelledWhenSuspectedRunGoesOn);
     CPPUNIT_TEST(replacementTakesOverWhenSuspectedRunIsLost);
     CPPUNIT_TEST(repeatedPausesDoNotUseUpTheAttempts);
@@ -408,6 +409,23 @@
         checkSuspectedRunGoesOnAfter(ForwardingEvents::RunBarred{absl::Minutes(1), RunRole::Replacement});
     }
 
+    // A silent run went through all full targets at once and used up the retries of lost runs.
+    void rejectedReplacementIsNotSoughtAgainAtOnce()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::streamParameters(), budget, m_start);
+        startSuspectedStream(request);
+        const auto soughtAt = m_start + absl::Milliseconds(351);
+        const auto actions = request.handle(
+            ForwardingEvents::AttemptNotExecuted{.wasRefused = true, .role = RunRole::Replacement},
+            soughtAt + absl::Milliseconds(5));
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::FindReplacement>(actions));
+        const auto *timer = detail::findAction<ForwardingActions::SetTimer>(actions);
+        CPPUNIT_ASSERT(timer && timer->at == soughtAt + ForwardedRequest::replacementInterval);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(
+            request.handle(ForwardingEvents::Tick{}, timer->at)));
+    }
+
     void replacementIsCancelledWhenSuspectedRunGoesOn()
     {
         detail::FixedRetryBudget budget(detail::ampleRetries);
