--- a/Tests/Platform/TestLateReportsOfTargets.cpp
+++ b/Tests/Platform/TestLateReportsOfTargets.cpp
@@ -61,7 +61,7 @@
     // Returns the process that has ended.
     TargetProcess startAgain()
     {
-        const auto ended = process();
+        auto ended = process();
         m_engines.at("app-0")->end();
         m_engines.at("app-0")->startAgain("app-0");
         m_store->put("servers", "app-0", m_engines.at("app-0")->storeRecord());
--- a/Tests/Platform/TestRequestsBesideConfigurationChanges.cpp
+++ b/Tests/Platform/TestRequestsBesideConfigurationChanges.cpp
@@ -145,9 +145,9 @@
         CPPUNIT_ASSERT(!calls.at("running").isDone && !calls.at("unsafe").isDone);
         m_context->run_for(std::chrono::milliseconds(150));
         half.sendRest();
-        for (const auto &[id, it] : calls) {
-            CPPUNIT_ASSERT_MESSAGE(id, runUntil([&] { return it.isDone; }));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200, it.response.head.status);
+        for (const auto &it : calls) {
+            CPPUNIT_ASSERT_MESSAGE(it.first, runUntil([&] { return it.second.isDone; }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.first, 200, it.second.response.head.status);
         }
         CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), calls.at("running").response.body);
         CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), calls.at("prefilling").response.body);
