--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -95,6 +95,8 @@
 {
     if (m_isLeaving)
         head.fields.set("Server-Leaving", "1");
+    if (!m_limit.empty())
+        head.fields.set("Server-Limit", m_limit);
 }
 
 void FakeEngine::respond(const std::shared_ptr<HttpServerConnection> &connection, HttpResponse response)
@@ -108,6 +110,19 @@
     m_pausedUntil = std::chrono::steady_clock::now() + duration;
 }
 
+int FakeEngine::mostRequestsWithin(std::chrono::milliseconds period,
+                                   std::chrono::steady_clock::time_point since) const
+{
+    std::ptrdiff_t most = 0;
+    auto first = std::lower_bound(m_arrivals.begin(), m_arrivals.end(), since);
+    for (auto last = first; last != m_arrivals.end(); ++last) {
+        while (*last - *first >= period)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return static_cast<int>(most);
+}
+
 void FakeEngine::runAfterPause(std::function<void()> function)
 {
     if (std::chrono::steady_clock::now() >= m_pausedUntil) {
@@ -122,6 +137,7 @@
 void FakeEngine::handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request)
 {
     ++m_requestCount;
+    m_arrivals.push_back(std::chrono::steady_clock::now());
     runAfterPause([this, connection, request = std::move(request)] { runRequest(connection, request); });
 }
 
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -101,6 +101,11 @@
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     // Rejections in mode Overloaded carry this as Retry-After.
     void setRetryAfter(std::optional<std::chrono::milliseconds> after) { m_retryAfter = after; }
+    // All answers carry this value as Server-Limit; empty for none.
+    void setLimit(std::string value) { m_limit = std::move(value); }
+    // The most requests of any kind that arrived within a period of this length, since the given time.
+    [[nodiscard]] int mostRequestsWithin(std::chrono::milliseconds,
+                                         std::chrono::steady_clock::time_point since) const;
     // Counts all requests, also those that the engine rejects and control requests.
     [[nodiscard]] int requestCount() const { return m_requestCount; }
 
@@ -137,7 +142,10 @@
     FakeEngineMode m_mode{FakeEngineMode::Healthy};
     bool m_isLeaving{false};
     std::optional<std::chrono::milliseconds> m_retryAfter;
+    std::string m_limit;
     int m_requestCount{0};
+    // Arrivals of all requests, in order.
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::chrono::steady_clock::time_point m_pausedUntil;
     // Keeps the port of an engine that has ended: bound, so that no other socket gets it, but not listening.
     std::optional<boost::asio::ip::tcp::socket> m_portReservation;
