LibForwarding, LibGateway: Record and log the limits that targets name

A limit in an answer is now decoded, kept for the process that named it, and logged when it is first named, changed and ended; the line of an attempt tells the limit of its target and since when it is known. Malformed values (negative, nan, inf, two fields, "2,1") are counted and logged like those of other notices.

--- a/Libraries/LibForwarding/TargetNotices.h
+++ b/Libraries/LibForwarding/TargetNotices.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibForwarding/RequestRate.h>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -45,15 +46,22 @@
     bool isLeaving{false};
     // Set if the target rejected the request and wants no further ones for this long.
     std::optional<absl::Duration> backoff;
+    // Requests that the target takes from all routers together.
+    std::optional<RequestRate> limit;
+    // The target executed the request and named no limit, so none is in force.
+    bool hasNoLimit{false};
     // A field was malformed and has been ignored.
     bool isMalformed{false};
 };
 
+enum class TargetLimitChange { None, Named, Changed, Ended };
+
 // What changed by a notice.
 struct TargetNoticeEffect
 {
     bool hasStartedLeaving{false};
     bool hasBackedOff{false};
+    TargetLimitChange limit{TargetLimitChange::None};
 };
 
 class TargetNotices
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -79,6 +79,7 @@
     }
     if (m_notices.processStarted(record.process()))
         m_slices.clear();
+    m_limits.processStarted(record.process());
     auto &target = m_targets[record.id];
     if (target.record.startedAtMs != record.startedAtMs || target.record.address != record.address) {
         const auto ownLoad = target.ownLoad;
@@ -221,14 +222,18 @@
 }
 
 TargetNoticeEffect TargetPool::recordNotice(const TargetProcess &process, const TargetNotice &notice,
-                                            absl::Time now)
+                                            absl::Time requestSentAt, absl::Time now)
 {
     // A target that the directory has removed may still run, so its notices count.
     if (isSuperseded(process))
         return {};
-    const auto effect = m_notices.record(process, notice, now);
+    auto effect = m_notices.record(process, notice, now);
     if (effect.hasStartedLeaving)
         m_slices.clear();
+    if (notice.limit)
+        effect.limit = m_limits.recordNamed(process, *notice.limit, requestSentAt, now);
+    else if (notice.hasNoLimit)
+        effect.limit = m_limits.recordAbsent(process, requestSentAt);
     return effect;
 }
 
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -11,6 +11,7 @@
 #include <LibCore/Random.h>
 #include <LibForwarding/Request.h>
 #include <LibForwarding/ServicePerformance.h>
+#include <LibForwarding/TargetLimits.h>
 #include <LibForwarding/TargetNotices.h>
 
 #include <absl/container/btree_map.h>
@@ -154,7 +155,12 @@
     [[nodiscard]] bool isSuspect(const TargetId &, absl::Time now) const;
     // Records what the process said of itself. A target that leaves is chosen no more; one that backs off
     // receives no request until the end of that time.
-    TargetNoticeEffect recordNotice(const TargetProcess &, const TargetNotice &, absl::Time now);
+    // `requestSentAt` is when the request was sent whose answer contained the notice.
+    TargetNoticeEffect recordNotice(const TargetProcess &, const TargetNotice &, absl::Time requestSentAt,
+                                    absl::Time now);
+    // The limit in force on requests to the target from all routers; null if there is none.
+    [[nodiscard]] const TargetLimit *limitOf(const TargetId &id) const { return m_limits.find(id); }
+    [[nodiscard]] const TargetLimits &limits() const { return m_limits; }
     [[nodiscard]] absl::Time backoffEnd(const TargetId &id) const { return m_notices.backoffEnd(id); }
     [[nodiscard]] bool isBackingOff(const TargetId &id, absl::Time now) const { return now < backoffEnd(id); }
     // The earliest time at which a target of the service accepts requests again. Empty if one accepts
@@ -244,6 +250,7 @@
     RandomSource &m_random;
     absl::btree_map<TargetId, Target> m_targets;
     TargetNotices m_notices;
+    TargetLimits m_limits;
     absl::node_hash_map<ServiceName, ServicePerformance> m_performance;
     std::size_t m_groupIndex{0};
     std::size_t m_groupCount{1};
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -229,6 +229,7 @@
 {
     const auto now = monotonicNow();
     const auto load = m_gatewayContext.targets.loadOf(record.id, now);
+    const auto *limit = m_gatewayContext.targets.limitOf(record.id);
     const auto wait = m_gatewayContext.targets.expectedWait(record.id, requirements(), now);
     handle(ForwardingEvents::AttemptSent{wait + performance().prefillTime(m_routed.request.size.promptTokens),
                                          action.role});
@@ -275,6 +276,8 @@
          {"load_requests", load.requests},
          {"load_unread", load.pendingPrefillTokens},
          {"load_memory", load.memoryTokens},
+         {"limit_per_second", limit ? limit->rate->requestsPerSecond() : 0},
+         {"limit_known_ms", limit ? absl::ToInt64Milliseconds(now - limit->firstNamedAt) : 0},
          {"time_left_ms", absl::ToInt64Milliseconds(action.timeLeft)}});
     auto connection = m_gatewayContext.connections.take(record, now);
     if (!connection) {
@@ -381,7 +384,8 @@
 
 void ForwardSession::headReceived(const TargetAttempt &attempt, const HttpResponseHead &head)
 {
-    m_gatewayContext.notices->record(runOf(roleOf(attempt))->process(), head, monotonicNow());
+    const auto &run = *runOf(roleOf(attempt));
+    m_gatewayContext.notices->record(run.process(), head, run.sentAt(), monotonicNow());
 }
 
 void ForwardSession::attemptNotRun(const TargetAttempt &attempt, TargetFault fault, bool wasRefused)
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -41,7 +41,8 @@
 void ForwardSession::sendControlRequest(const ForwardingTarget &record, const ControlRequest &request,
                                         HttpCallHandler handler)
 {
-    if (m_gatewayContext.targets.isBackingOff(record.id, monotonicNow())) {
+    const auto now = monotonicNow();
+    if (m_gatewayContext.targets.isBackingOff(record.id, now)) {
         boost::asio::post(m_gatewayContext.context, [handler = std::move(handler)] {
             handler(tl::unexpected(HttpFailure::NotConnected));
         });
@@ -49,10 +50,10 @@
     }
     m_gatewayContext.connections.sendControlRequest(
         record, request, detail::copyTimeout,
-        [notices = std::weak_ptr(m_gatewayContext.notices), process = record.process(),
+        [notices = std::weak_ptr(m_gatewayContext.notices), process = record.process(), sentAt = now,
          handler = std::move(handler)](HttpCallResult result) {
             if (const auto recorder = notices.lock(); recorder && result)
-                recorder->record(process, result->head, monotonicNow());
+                recorder->record(process, result->head, sentAt, monotonicNow());
             handler(std::move(result));
         });
 }
--- a/Libraries/LibGateway/TargetNoticeRecorder.h
+++ b/Libraries/LibGateway/TargetNoticeRecorder.h
@@ -20,9 +20,12 @@
     {
     }
 
-    void record(const TargetProcess &, const HttpResponseHead &, absl::Time now);
+    // `requestSentAt` is when the request was sent that the response answers.
+    void record(const TargetProcess &, const HttpResponseHead &, absl::Time requestSentAt, absl::Time now);
 
 private:
+    void logLimit(const TargetProcess &, TargetLimitChange, int status, absl::Time now);
+
     const Dialect &m_dialect;
     TargetPool &m_targets;
     StructuredLog &m_log;
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -266,9 +266,9 @@
     {
         keepOnly(2);
         CPPUNIT_ASSERT(
-            m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now).hasStartedLeaving);
+            m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now, m_now).hasStartedLeaving);
         CPPUNIT_ASSERT(
-            !m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now).hasStartedLeaving);
+            !m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now, m_now).hasStartedLeaving);
         CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
         for (int n = 0; n < 2 * targetCount; ++n) {
             CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(1));
@@ -282,7 +282,7 @@
     void leavingProcessStaysOutWhenDirectoryListsItAgain()
     {
         keepOnly(1);
-        m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now);
+        m_pool.recordNotice(record(0).process(), {.isLeaving = true}, m_now, m_now);
         m_pool.upsert(record(0));
         CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
         m_pool.remove(id(0));
@@ -296,7 +296,7 @@
         m_pool.remove(id(0));
         m_pool.upsert(record(1));
         m_pool.remove(id(1));
-        m_pool.recordNotice(record(1).process(), {.isLeaving = true}, m_now);
+        m_pool.recordNotice(record(1).process(), {.isLeaving = true}, m_now, m_now);
         m_pool.upsert(record(1));
         CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
     }
@@ -304,7 +304,8 @@
     void laterProcessDoesNotInheritNotices()
     {
         keepOnly(1);
-        m_pool.recordNotice(record(0).process(), {.isLeaving = true, .backoff = absl::Seconds(60)}, m_now);
+        m_pool.recordNotice(record(0).process(), {.isLeaving = true, .backoff = absl::Seconds(60)}, m_now,
+                            m_now);
         auto restarted = record(0);
         restarted.startedAtMs += 1;
         m_pool.upsert(restarted);
@@ -317,8 +318,8 @@
         auto restarted = record(0);
         restarted.startedAtMs += 1;
         m_pool.upsert(restarted);
-        const auto effect = m_pool.recordNotice(record(0).process(),
-                                                {.isLeaving = true, .backoff = absl::Seconds(60)}, m_now);
+        const auto effect = m_pool.recordNotice(
+            record(0).process(), {.isLeaving = true, .backoff = absl::Seconds(60)}, m_now, m_now);
         CPPUNIT_ASSERT(!effect.hasStartedLeaving && !effect.hasBackedOff);
         CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
     }
@@ -329,7 +330,7 @@
         auto unknown = record(0);
         unknown.startedAtMs = 0;
         m_pool.upsert(unknown);
-        m_pool.recordNotice(unknown.process(), {.isLeaving = true}, m_now);
+        m_pool.recordNotice(unknown.process(), {.isLeaving = true}, m_now, m_now);
         m_pool.upsert(unknown);
         CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
         unknown.address = "127.0.0.1:999";
@@ -340,9 +341,9 @@
     void targetIsNotChosenDuringItsBackoff()
     {
         keepOnly(1);
-        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now, m_now);
         // A shorter one does not end it, nor does a success or a repeated entry.
-        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(1)}, m_now);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(1)}, m_now, m_now);
         m_pool.recordSuccess(id(0));
         m_pool.upsert(record(0));
         const auto before = m_now + absl::Seconds(2) - absl::Milliseconds(1);
@@ -355,17 +356,17 @@
     void earliestBackoffEndIsThatOfFirstTarget()
     {
         keepOnly(3);
-        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now);
-        m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(1)}, m_now);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now, m_now);
+        m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(1)}, m_now, m_now);
         CPPUNIT_ASSERT(!m_pool.earliestBackoffEnd(ServiceName("s"), m_now));
-        m_pool.recordNotice(record(2).process(), {.isLeaving = true}, m_now);
+        m_pool.recordNotice(record(2).process(), {.isLeaving = true}, m_now, m_now);
         CPPUNIT_ASSERT(m_pool.earliestBackoffEnd(ServiceName("s"), m_now) == m_now + absl::Seconds(1));
     }
 
     void excessiveBackoffIsBounded()
     {
         keepOnly(1);
-        m_pool.recordNotice(record(0).process(), {.backoff = absl::InfiniteDuration()}, m_now);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::InfiniteDuration()}, m_now, m_now);
         CPPUNIT_ASSERT(m_pool.choose(need(), m_now + TargetNotices::maxBackoff) == id(0));
     }
 
@@ -373,7 +374,7 @@
     {
         keepOnly(2);
         CPPUNIT_ASSERT(m_pool.chooseCopyHolder(need(), id(0), m_now) == id(1));
-        m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(2)}, m_now);
+        m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(2)}, m_now, m_now);
         CPPUNIT_ASSERT(!m_pool.chooseCopyHolder(need(), id(0), m_now));
     }
 
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(responseOriginIsClassified);
     CPPUNIT_TEST(noticesOfTargetsAreDecoded);
     CPPUNIT_TEST(malformedNoticesAreIgnored);
+    CPPUNIT_TEST(limitsOfTargetsAreDecoded);
+    CPPUNIT_TEST(malformedLimitsAreIgnored);
     CPPUNIT_TEST(copyHeadersAndResponsesAreTranslated);
     CPPUNIT_TEST(entryPointsAreEncoded);
     CPPUNIT_TEST(configurationIsDecoded);
@@ -137,6 +139,43 @@
         CPPUNIT_ASSERT(m_dialect.readTargetNotice(head).isMalformed);
     }
 
+    void limitsOfTargetsAreDecoded()
+    {
+        HttpResponseHead head;
+        head.status = 200;
+        // Only an answer that the engine has executed shows that no limit is in force.
+        CPPUNIT_ASSERT(!m_dialect.readTargetNotice(head).hasNoLimit);
+        head.fields.set("Engine-Seal", "s");
+        CPPUNIT_ASSERT(m_dialect.readTargetNotice(head).hasNoLimit);
+        head.fields.set("Not-Executed", "1");
+        CPPUNIT_ASSERT(!m_dialect.readTargetNotice(head).hasNoLimit);
+        for (const auto &[value, perSecond] : std::initializer_list<std::pair<const char *, double>>{
+                 {"2.1", 2.1}, {"0.01", 0.01}, {"0", 0}, {"1e9", 1e9}, {"40", 40}}) {
+            head.fields.set("Server-Limit", value);
+            const auto notice = m_dialect.readTargetNotice(head);
+            CPPUNIT_ASSERT_MESSAGE(value, notice.limit == RequestRate::perSecond(perSecond));
+            CPPUNIT_ASSERT_MESSAGE(value, !notice.isMalformed);
+        }
+    }
+
+    void malformedLimitsAreIgnored()
+    {
+        HttpResponseHead head;
+        head.status = 200;
+        head.fields.set("Engine-Seal", "s");
+        for (const auto *value : {"-1", "nan", "inf", "-inf", "1e999", "2,1", "two", "2 per second"}) {
+            head.fields.set("Server-Limit", value);
+            const auto notice = m_dialect.readTargetNotice(head);
+            CPPUNIT_ASSERT_MESSAGE(value, !notice.limit);
+            CPPUNIT_ASSERT_MESSAGE(value, !notice.hasNoLimit);
+            CPPUNIT_ASSERT_MESSAGE(value, notice.isMalformed);
+        }
+        head.fields.set("Server-Limit", "2");
+        head.fields.insert("Server-Limit", "3");
+        CPPUNIT_ASSERT(!m_dialect.readTargetNotice(head).limit);
+        CPPUNIT_ASSERT(m_dialect.readTargetNotice(head).isMalformed);
+    }
+
     void copyHeadersAndResponsesAreTranslated()
     {
         const auto request = *m_dialect.readRequest(callerFields());
