--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -24,6 +24,8 @@
         return "no_target";
     case RefusalReason::TargetsBackingOff:
         return "targets_backing_off";
+    case RefusalReason::TargetsLimited:
+        return "targets_limited";
     case RefusalReason::TargetsFull:
         return "targets_full";
     case RefusalReason::NoTimeLeft:
@@ -236,7 +238,8 @@
     if (m_mayHaveExecuted)
         fail(RefusalReason::ResponseLost);
     else if (event.backoff)
-        fail(RefusalReason::TargetsBackingOff, *event.backoff);
+        fail(event.isLimited ? RefusalReason::TargetsLimited : RefusalReason::TargetsBackingOff,
+             *event.backoff);
     else
         fail(RefusalReason::NoTarget);
 }
@@ -273,8 +276,19 @@
     fail(RefusalReason::PromptBarred, event.barTime);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::AttemptSent &event, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::AttemptDelayed &, absl::Time now)
 {
+    m_state = State::Waiting;
+    m_actions.emplace_back(ForwardingActions::SetTimer{std::max(deadline(), now)});
+}
+
+void ForwardedRequest::on(const ForwardingEvents::AttemptSent &event, absl::Time now)
+{
+    if (m_state == State::Waiting) {
+        m_state = State::Attempting;
+        m_current = Run{.startedAt = now, .lastEventAt = now, .nextProbeAt = now + firstProbeDelay};
+        setTimer(now);
+    }
     auto &run = event.role == RunRole::Replacement && m_replacement ? *m_replacement : m_current;
     run.firstEventDeadline = run.startedAt
         + std::max(firstEventTimeoutFactor * event.expectedTimeToFirstEvent, m_parameters.latencyObjective);
@@ -431,14 +445,14 @@
 
 void ForwardedRequest::on(const ForwardingEvents::Tick &, absl::Time now)
 {
-    if (m_state != State::Attempting)
-        return;
     if (now >= deadline()) {
+        m_mayHaveExecuted = m_mayHaveExecuted || m_state == State::Attempting;
         cancelRuns();
-        m_mayHaveExecuted = true;
         fail(RefusalReason::TimedOut);
         return;
     }
+    if (m_state != State::Attempting)
+        return;
     // The answer to the search sets the next timer.
     if (now >= stallDeadline() && trySeekReplacement(TargetFault::Unresponsive, now))
         return;
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -50,6 +50,8 @@
 {
     // Set if all targets of the service want no requests: time until the first one accepts them again.
     std::optional<absl::Duration> backoff;
+    // The targets limit the requests that they take, rather than wanting none.
+    bool isLimited{false};
     RunRole role{RunRole::Current};
 };
 // No target could finish the request before its deadline. This attempt was not sent.
@@ -70,6 +72,11 @@
     absl::Duration barTime;
     RunRole role{RunRole::Current};
 };
+// The attempt waits for a permit of its target, which limits its requests. Nothing has been sent. Followed by
+// AttemptSent, or by an event that the attempt was not sent.
+struct AttemptDelayed
+{
+};
 // The attempt was sent to a target that is expected to send its first event after this time.
 struct AttemptSent
 {
@@ -142,16 +149,17 @@
 
 using ForwardingEvent = std::variant<
     ForwardingEvents::NoTarget, ForwardingEvents::NoTimeLeft, ForwardingEvents::AttemptBarred,
-    ForwardingEvents::RunBarred, ForwardingEvents::AttemptSent, ForwardingEvents::AttemptNotExecuted,
-    ForwardingEvents::StreamOpened, ForwardingEvents::EventsReceived, ForwardingEvents::StreamCompleted,
-    ForwardingEvents::ResponseReceived, ForwardingEvents::TargetSuspected, ForwardingEvents::ReplacementFound,
-    ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost, ForwardingEvents::CallerDisconnected,
-    ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
+    ForwardingEvents::RunBarred, ForwardingEvents::AttemptDelayed, ForwardingEvents::AttemptSent,
+    ForwardingEvents::AttemptNotExecuted, ForwardingEvents::StreamOpened, ForwardingEvents::EventsReceived,
+    ForwardingEvents::StreamCompleted, ForwardingEvents::ResponseReceived, ForwardingEvents::TargetSuspected,
+    ForwardingEvents::ReplacementFound, ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost,
+    ForwardingEvents::CallerDisconnected, ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
 
 // Why the router itself ends a request with an error.
 enum class RefusalReason {
     NoTarget,
     TargetsBackingOff,
+    TargetsLimited,
     TargetsFull,
     NoTimeLeft,
     AttemptsExhausted,
@@ -314,12 +322,14 @@
     [[nodiscard]] absl::Time deadline() const;
 
 private:
+    // Waiting: no attempt runs; the next one may wait for a permit.
     enum class State { Waiting, Attempting, Finished };
 
     void on(const ForwardingEvents::NoTarget &, absl::Time now);
     void on(const ForwardingEvents::NoTimeLeft &, absl::Time now);
     void on(const ForwardingEvents::AttemptBarred &, absl::Time now);
     void on(const ForwardingEvents::RunBarred &, absl::Time now);
+    void on(const ForwardingEvents::AttemptDelayed &, absl::Time now);
     void on(const ForwardingEvents::AttemptSent &, absl::Time now);
     void on(const ForwardingEvents::AttemptNotExecuted &, absl::Time now);
     void on(const ForwardingEvents::StreamOpened &, absl::Time now);
--- a/Libraries/LibForwarding/PeerTopology.cpp
+++ b/Libraries/LibForwarding/PeerTopology.cpp
@@ -57,6 +57,15 @@
     m_ownGroupIds = absl::flat_hash_set<RouterId>(m_ownGroup.begin(), m_ownGroup.end());
 }
 
+const std::vector<RouterId> *PeerTopology::otherGroupOf(const RouterId &id) const
+{
+    for (const auto &it : m_otherGroups) {
+        if (std::find(it.begin(), it.end(), id) != it.end())
+            return &it;
+    }
+    return nullptr;
+}
+
 std::vector<RouterId> PeerTopology::selectBriefPeers(RandomSource &random) const
 {
     std::vector<RouterId> out;
--- a/Libraries/LibForwarding/PeerTopology.h
+++ b/Libraries/LibForwarding/PeerTopology.h
@@ -57,6 +57,8 @@
     // Returns true for the other members of the own group.
     [[nodiscard]] bool isInOwnGroup(const RouterId &id) const { return m_ownGroupIds.contains(id); }
     [[nodiscard]] const std::vector<RouterId> &ownGroup() const { return m_ownGroup; }
+    // The group of a router of another group; null for the members of the own one.
+    [[nodiscard]] const std::vector<RouterId> *otherGroupOf(const RouterId &) const;
     // Selects one router of each other group.
     [[nodiscard]] std::vector<RouterId> selectBriefPeers(RandomSource &) const;
     [[nodiscard]] std::size_t groupsInOwnDomain() const { return m_groupsInOwnDomain; }
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -80,6 +80,8 @@
     if (m_notices.processStarted(record.process()))
         m_slices.clear();
     m_limits.processStarted(record.process());
+    if (!m_limits.find(record.id))
+        m_deferredUntil.erase(record.id);
     auto &target = m_targets[record.id];
     if (target.record.startedAtMs != record.startedAtMs || target.record.address != record.address) {
         const auto ownLoad = target.ownLoad;
@@ -102,6 +104,7 @@
 void TargetPool::remove(const TargetId &id)
 {
     m_targets.erase(id);
+    m_deferredUntil.erase(id);
     m_slices.clear();
 }
 
@@ -237,16 +240,42 @@
     return effect;
 }
 
-std::optional<absl::Time> TargetPool::earliestBackoffEnd(const ServiceName &service, absl::Time now) const
+TargetLimitChange TargetPool::mergeLimit(const TargetLimit &limit)
 {
-    std::optional<absl::Time> earliest;
+    return isSuperseded(limit.process) ? TargetLimitChange::None : m_limits.merge(limit);
+}
+
+absl::Time TargetPool::deferredUntil(const TargetId &id) const
+{
+    const auto it = m_deferredUntil.find(id);
+    return it == m_deferredUntil.end() || !m_limits.find(id) ? absl::InfinitePast() : it->second;
+}
+
+bool TargetPool::isDeferred(const TargetId &id, absl::Time now) const
+{
+    return now < deferredUntil(id);
+}
+
+bool TargetPool::acceptsRequests(const TargetId &id, absl::Time now) const
+{
+    const auto it = m_targets.find(id);
+    return it != m_targets.end() && isReady(id, it->second) && !isBackingOff(id, now);
+}
+
+std::optional<TargetPool::Availability> TargetPool::earliestAvailability(const ServiceName &service,
+                                                                         absl::Time now) const
+{
+    std::optional<Availability> earliest;
     for (const auto &[id, target] : m_targets) {
         if (target.record.service != service || !isReady(id, target))
             continue;
-        const auto end = backoffEnd(id);
-        if (end <= now)
+        Availability available{backoffEnd(id)};
+        if (isDeferred(id, now) && m_deferredUntil.at(id) > available.at)
+            available = {m_deferredUntil.at(id), true};
+        if (available.at <= now)
             return std::nullopt;
-        earliest = std::min(earliest.value_or(end), end);
+        if (!earliest || available.at < earliest->at)
+            earliest = available;
     }
     return earliest;
 }
@@ -259,7 +288,7 @@
 bool TargetPool::isHealthy(const TargetId &id, absl::Time now) const
 {
     const auto it = m_targets.find(id);
-    return it != m_targets.end() && isReady(id, it->second) && !isBackingOff(id, now)
+    return it != m_targets.end() && isReady(id, it->second) && !isBackingOff(id, now) && !isDeferred(id, now)
         && now >= it->second.suspectUntil;
 }
 
@@ -387,7 +416,10 @@
     std::vector<std::pair<absl::Duration, const TargetId *>> candidates;
     auto bestCost = absl::InfiniteDuration();
     for (const auto &[id, target] : m_targets) {
-        if (target.record.service != requirements.service || !isReady(id, target) || isBackingOff(id, now))
+        if (target.record.service != requirements.service || !isReady(id, target) || isBackingOff(id, now)
+            || isDeferred(id, now))
+            continue;
+        if (requirements.limitedTargets == LimitedTargets::Avoid && m_limits.find(id))
             continue;
         if (std::find(requirements.exclude.begin(), requirements.exclude.end(), id)
             != requirements.exclude.end())
@@ -414,6 +446,23 @@
     return *candidates[m_random.below(candidates.size())].second;
 }
 
+std::optional<TargetId> TargetPool::chooseDeferred(const TargetRequirements &requirements,
+                                                   absl::Time now) const
+{
+    std::optional<TargetId> first;
+    for (const auto &[id, target] : m_targets) {
+        if (target.record.service != requirements.service || !isReady(id, target) || isBackingOff(id, now)
+            || !isDeferred(id, now))
+            continue;
+        if (std::find(requirements.exclude.begin(), requirements.exclude.end(), id)
+            != requirements.exclude.end())
+            continue;
+        if (!first || m_deferredUntil.at(id) < m_deferredUntil.at(*first))
+            first = id;
+    }
+    return first;
+}
+
 absl::Duration TargetPool::expectedWait(const Target &target, const TargetRequirements &requirements,
                                         const ServicePerformance &performance) const
 {
@@ -457,6 +506,8 @@
     TargetRequirements copy = requirements;
     copy.exclude.push_back(primary);
     copy.isCopy = true;
+    // A request that goes on from a copy at a limited target would need a permit.
+    copy.limitedTargets = LimitedTargets::Avoid;
     if (const auto *record = find(primary))
         copy.avoidDomain = record->domain;
     auto holder = choose(copy, now);
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -92,6 +92,9 @@
 
 [[nodiscard]] std::string_view targetFaultName(TargetFault);
 
+// Whether targets that limit their requests are chosen.
+enum class LimitedTargets { Use, Avoid };
+
 struct TargetRequirements
 {
     ServiceName service;
@@ -106,6 +109,7 @@
     bool isCopy{false};
     // The request must not be sent a second time if its response is lost.
     bool runsAtMostOnce{false};
+    LimitedTargets limitedTargets{LimitedTargets::Use};
 };
 
 class TargetPool
@@ -161,12 +165,28 @@
     // The limit in force on requests to the target from all routers; null if there is none.
     [[nodiscard]] const TargetLimit *limitOf(const TargetId &id) const { return m_limits.find(id); }
     [[nodiscard]] const TargetLimits &limits() const { return m_limits; }
+    // Merges what another router knows of a limit.
+    TargetLimitChange mergeLimit(const TargetLimit &);
+    // No permit for the limited target is expected before this time.
+    void deferLimited(const TargetId &id, absl::Time until) { m_deferredUntil[id] = until; }
+    // The past if the target has not been deferred.
+    [[nodiscard]] absl::Time deferredUntil(const TargetId &) const;
+    // Returns true if the target takes requests, as far as the directory and the target itself have said. A
+    // limited target may still need a permit.
+    [[nodiscard]] bool acceptsRequests(const TargetId &, absl::Time now) const;
     [[nodiscard]] absl::Time backoffEnd(const TargetId &id) const { return m_notices.backoffEnd(id); }
     [[nodiscard]] bool isBackingOff(const TargetId &id, absl::Time now) const { return now < backoffEnd(id); }
-    // The earliest time at which a target of the service accepts requests again. Empty if one accepts
-    // requests now, or if there is none.
-    [[nodiscard]] std::optional<absl::Time> earliestBackoffEnd(const ServiceName &, absl::Time now) const;
-    // Returns true if the target is known, ready, neither suspect nor gone, and neither leaves nor backs off.
+    // When a target of the service accepts requests again, if none does now.
+    struct Availability
+    {
+        absl::Time at;
+        // The target is limited rather than backing off.
+        bool isLimited{false};
+    };
+    // The earliest one. Empty if a target accepts requests now, or if there is none.
+    [[nodiscard]] std::optional<Availability> earliestAvailability(const ServiceName &, absl::Time now) const;
+    // Returns true if the target is known, ready, neither suspect nor gone, neither leaves nor backs off, and
+    // may have a permit if it is limited.
     [[nodiscard]] bool isHealthy(const TargetId &, absl::Time now) const;
 
     // Replaces the loads that the router reported before.
@@ -174,6 +194,8 @@
 
     // Selects the target with the lowest cost. Empty if the service has no target left to try.
     [[nodiscard]] std::optional<TargetId> choose(const TargetRequirements &, absl::Time now);
+    // Selects the limited target for which a permit is expected first. Empty if there is none left to try.
+    [[nodiscard]] std::optional<TargetId> chooseDeferred(const TargetRequirements &, absl::Time now) const;
     // Selects the target that holds the copy of a generation running on `primary`.
     [[nodiscard]] std::optional<TargetId> chooseCopyHolder(const TargetRequirements &,
                                                            const TargetId &primary, absl::Time now);
@@ -225,6 +247,8 @@
         }
     };
 
+    // The target is limited, and this router expects no permit for it yet.
+    [[nodiscard]] bool isDeferred(const TargetId &, absl::Time now) const;
     // The target takes new requests, as far as the directory and the target itself have said.
     [[nodiscard]] bool isReady(const TargetId &, const Target &) const;
     // Null if the target is unknown or a later process of it is known.
@@ -251,6 +275,8 @@
     absl::btree_map<TargetId, Target> m_targets;
     TargetNotices m_notices;
     TargetLimits m_limits;
+    // Limited targets for which this router was denied a permit.
+    absl::flat_hash_map<TargetId, absl::Time> m_deferredUntil;
     absl::node_hash_map<ServiceName, ServicePerformance> m_performance;
     std::size_t m_groupIndex{0};
     std::size_t m_groupCount{1};
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -150,7 +150,7 @@
 void ForwardSession::perform(const ForwardingActions::StartAttempt &action)
 {
     const auto source = action.fromCopy ? findUsableCopy() : std::nullopt;
-    const auto holder = m_copies.copy();
+    const auto copy = m_copies.copy();
     runOf(action.role).reset();
     if (!m_hasSurvived) {
         if (const auto barTime =
@@ -163,18 +163,39 @@
         handle(ForwardingEvents::NoTimeLeft{action.role});
         return;
     }
-    const auto target = source ? std::optional(holder->holder)
-                               : m_gatewayContext.targets.choose(requirements(), monotonicNow());
-    const auto *record = target ? m_gatewayContext.targets.find(*target) : nullptr;
-    if (!record) {
-        const auto now = monotonicNow();
-        const auto end = m_gatewayContext.targets.earliestBackoffEnd(m_routed.service->name, now);
-        handle(ForwardingEvents::NoTarget{.backoff = end ? std::optional(*end - now) : std::nullopt,
-                                          .role = action.role});
+    const auto *holder = source ? m_gatewayContext.targets.find(copy->holder) : nullptr;
+    if (holder)
+        sendToTarget(*holder, action, source);
+    else
+        sendToAnyTarget(action);
+}
+
+void ForwardSession::sendToAnyTarget(const ForwardingActions::StartAttempt &action)
+{
+    const auto now = monotonicNow();
+    const auto target = chooseTarget(action.role, now);
+    if (const auto *record = target ? m_gatewayContext.targets.find(*target) : nullptr) {
+        sendToTarget(*record, action, std::nullopt);
+        return;
+    }
+    if (action.role == RunRole::Current && tryWaitForPermit(action))
+        return;
+    const auto available = m_gatewayContext.targets.earliestAvailability(m_routed.service->name, now);
+    handle(
+        ForwardingEvents::NoTarget{.backoff = available ? std::optional(available->at - now) : std::nullopt,
+                                   .isLimited = available && available->isLimited,
+                                   .role = action.role});
+}
+
+void ForwardSession::sendToTarget(const ForwardingTarget &record,
+                                  const ForwardingActions::StartAttempt &action,
+                                  const std::optional<CopySource> &source)
+{
+    if (const auto *limit = m_gatewayContext.targets.limitOf(record.id)) {
+        sendWithPermit(*limit, action, source, absl::ZeroDuration(), PermitDenial::TryOtherTargets);
         return;
     }
-    m_triedTargets.push_back(*target);
-    sendTo(*record, action, source);
+    sendTo(record, action, source);
 }
 
 void ForwardSession::perform(const ForwardingActions::FindReplacement &action)
@@ -183,7 +204,7 @@
     const bool isBarred = barTime(now).has_value();
     bool isFound = !isBarred && action.fromCopy && findUsableCopy();
     if (!isBarred && !isFound && canFinishInTime(action.number, action.timeLeft)) {
-        const auto target = m_gatewayContext.targets.choose(requirements(), now);
+        const auto target = chooseTarget(RunRole::Replacement, now);
         isFound = target && m_gatewayContext.targets.isHealthy(*target, now);
     }
     if (isFound) {
@@ -228,6 +249,7 @@
                             const std::optional<CopySource> &source)
 {
     const auto now = monotonicNow();
+    m_triedTargets.push_back(record.id);
     const auto load = m_gatewayContext.targets.loadOf(record.id, now);
     const auto *limit = m_gatewayContext.targets.limitOf(record.id);
     const auto wait = m_gatewayContext.targets.expectedWait(record.id, requirements(), now);
@@ -397,6 +419,8 @@
     // Another process answered at the address.
     if (fault == TargetFault::Gone)
         m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
+    if (!wasRefused && m_gatewayContext.targets.limitOf(run.target()))
+        m_gatewayContext.limits.giveBack(run.process());
     if (!isFull)
         noteFault(run, fault);
     else
@@ -649,6 +673,7 @@
         return;
     m_timer.cancel();
     m_copyTimer.cancel();
+    m_permit.reset();
     handleCopyEvent(KvCopyEvents::AttemptEnded{});
     m_replacement.reset();
     m_run.reset();
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -85,6 +85,24 @@
     // Target of the current run, for the log; empty if there is none.
     [[nodiscard]] std::string targetName() const { return m_run ? m_run->target().value() : ""; }
     [[nodiscard]] TargetRequirements requirements() const;
+    // Chooses the target of the attempt and sends it there, or reports that there is none.
+    void sendToAnyTarget(const ForwardingActions::StartAttempt &);
+    void sendToTarget(const ForwardingTarget &, const ForwardingActions::StartAttempt &,
+                      const std::optional<CopySource> &);
+    // What follows if the permit is denied.
+    enum class PermitDenial { TryOtherTargets, Refuse };
+    // Sends the attempt to the limited target when a permit is granted.
+    void sendWithPermit(const TargetLimit &, const ForwardingActions::StartAttempt &,
+                        const std::optional<CopySource> &, absl::Duration maxWait, PermitDenial);
+    // The attempt waits for a limited target if a permit is expected in time. False if none is.
+    [[nodiscard]] bool tryWaitForPermit(const ForwardingActions::StartAttempt &);
+    void permitGranted(const TargetProcess &, const ForwardingActions::StartAttempt &,
+                       const std::optional<CopySource> &);
+    void permitDenied(const TargetProcess &, const ForwardingActions::StartAttempt &, absl::Duration delay,
+                      PermitDenial);
+    // How long this request may wait for a permit.
+    [[nodiscard]] absl::Duration permitPatience(absl::Time now) const;
+    [[nodiscard]] std::optional<TargetId> chooseTarget(RunRole, absl::Time now) const;
     // False when the generation cannot finish before the caller's deadline, so that its prompt need not be
     // processed.
     [[nodiscard]] bool canFinishInTime(int attemptNumber, absl::Duration timeLeft);
@@ -97,7 +115,7 @@
     void perform(const KvCopyActions::DeleteCopy &);
     void perform(const KvCopyActions::SetTimer &);
     // Sends a control request and records what the target says of itself in the answer. A target that backs
-    // off is sent none, which counts as not connected.
+    // off or limits its requests is sent none, which counts as not connected.
     void sendControlRequest(const ForwardingTarget &, const ControlRequest &, HttpCallHandler);
     // Adds the request's load to the run's target and, if the route uses copies, to a copy holder.
     void reserveLoad(TargetRun &);
@@ -130,6 +148,8 @@
     std::unique_ptr<TargetRun> m_run;
     // Runs beside `m_run`, which is suspected.
     std::unique_ptr<TargetRun> m_replacement;
+    // Set while the attempt waits for a permit.
+    std::unique_ptr<PermitTicket> m_permit;
     absl::Time m_nextSurvivalAt{absl::InfiniteFuture()};
     // A target has written on this prompt and lived on, so the prompt doesn't end its targets.
     bool m_hasSurvived{false};
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -42,7 +42,8 @@
                                         HttpCallHandler handler)
 {
     const auto now = monotonicNow();
-    if (m_gatewayContext.targets.isBackingOff(record.id, now)) {
+    if (m_gatewayContext.targets.isBackingOff(record.id, now)
+        || m_gatewayContext.targets.limitOf(record.id)) {
         boost::asio::post(m_gatewayContext.context, [handler = std::move(handler)] {
             handler(tl::unexpected(HttpFailure::NotConnected));
         });
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -65,6 +65,15 @@
           settings.id, m_routerRegistry, m_log, m_metrics,
           {.endRecorded = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); },
            .verdictAdded = [this] { postToSessions([](ForwardSession &it) { it.promptsBarred(); }); }}),
+      m_topology({.maxSingleGroup = settings.maxSingleGroup, .maxGroupSize = settings.maxGroupSize}),
+      m_limitGuard(std::make_shared<LimitGuard>(
+          context,
+          LimitGuard::Router{
+              .id = settings.id,
+              .canIssue = [this](absl::Time now) { return canIssuePermits(now); },
+              .send = [this](const auto &address, const auto &bytes) { m_peerLink->send(bytes, address); },
+              .limitChanged = [this] { m_peerLink->scheduleReport(ReportUrgency::Urgent); }},
+          m_routerRegistry, m_topology, m_targets, m_random, m_log, m_metrics)),
       m_gatewayContext{
           .context = context,
           .dialect = site.dialect,
@@ -72,9 +81,11 @@
           .targets = m_targets,
           .connections = m_connections,
           .promptGuard = m_promptGuard,
+          .limits = *m_limitGuard,
           .log = m_log,
           .metrics = m_metrics,
-          .notices = std::make_shared<TargetNoticeRecorder>(site.dialect, m_targets, m_log, m_metrics),
+          .notices = std::make_shared<TargetNoticeRecorder>(site.dialect, m_targets, *m_limitGuard, m_log,
+                                                            m_metrics),
           .targetFailed = [this](const auto &process, auto fault) { targetFailed(process, fault); },
           .loadChanged =
               [this] {
@@ -85,7 +96,6 @@
               [this](const auto &session) {
                   boost::asio::post(m_context, [this, session] { m_sessions.erase(session); });
               }},
-      m_topology({.maxSingleGroup = settings.maxSingleGroup, .maxGroupSize = settings.maxGroupSize}),
       m_configurationView(DirectoryKind::Configuration, settings.changeDeadline, context, site.store,
                           site.decoder, *this, m_log, m_random),
       m_targetsView(DirectoryKind::Targets, settings.changeDeadline, context, site.store, site.decoder, *this,
@@ -426,6 +436,21 @@
     return out;
 }
 
+std::string Gateway::encodedLimitNews() const
+{
+    return m_limitGuard->encodedNews(monotonicNow());
+}
+
+void Gateway::handleLimitMessage(const LimitMessage &message)
+{
+    m_limitGuard->handleMessage(message, monotonicNow());
+}
+
+bool Gateway::canIssuePermits(absl::Time now) const
+{
+    return !m_shutdownStartedAt && isReady() && now - m_startedAt >= RouterRegistry::livenessTimeout;
+}
+
 PeerReport Gateway::makeReport()
 {
     PeerReport report;
@@ -588,6 +613,7 @@
     const auto now = monotonicNow();
     m_connections.dropOld(now);
     m_promptGuard.expire(now);
+    m_limitGuard->runPeriodicTasks();
     updateTopology();
     const auto groupRouters = m_routerRegistry.aliveCountAmong(m_topology.ownGroup(), now) + 1;
     const bool othersTrusted = m_routerRegistry.isStoreTrustedByOthers(now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -75,6 +75,10 @@
     [[nodiscard]] PeerReport makeReport() override;
     void handleReport(const PeerReport &) override;
     [[nodiscard]] std::vector<ReportDestination> reportDestinations(ReportAudience) override;
+    [[nodiscard]] std::string encodedLimitNews() const override;
+    void handleLimitMessage(const LimitMessage &) override;
+    // Whether this router knows the others well enough to issue permits for limited targets.
+    [[nodiscard]] bool canIssuePermits(absl::Time now) const;
     [[nodiscard]] absl::Duration loadReportInterval(absl::Duration minInterval) const override
     {
         return m_topology.loadReportInterval(minInterval);
@@ -127,9 +131,11 @@
     TargetConnections m_connections;
     RouterRegistry m_routerRegistry;
     PromptGuard m_promptGuard;
+    PeerTopology m_topology;
+    // Never null.
+    std::shared_ptr<LimitGuard> m_limitGuard;
     GatewayContext m_gatewayContext;
     RouterRegistry::Member m_self;
-    PeerTopology m_topology;
     // Version of the registry's membership that the topology was computed from.
     std::uint64_t m_topologyVersion{0};
     DirectoryView m_configurationView;
--- a/Libraries/LibGateway/GatewayContext.h
+++ b/Libraries/LibGateway/GatewayContext.h
@@ -6,6 +6,7 @@
 #include <LibForwarding/TargetPool.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/LimitGuard.h>
 #include <LibGateway/PromptGuard.h>
 #include <LibGateway/StructuredLog.h>
 #include <LibGateway/TargetConnections.h>
@@ -28,6 +29,7 @@
     TargetPool &targets;
     TargetConnections &connections;
     PromptGuard &promptGuard;
+    LimitGuard &limits;
     StructuredLog &log;
     GatewayMetrics &metrics;
     // Answers to control requests may arrive after the gateway has been destroyed, so their handlers hold a
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -66,11 +66,14 @@
     const auto report = m_delegate.makeReport();
     const auto full = encodePeerReport(report);
     const auto brief = audience == ReportAudience::Group ? std::string() : encodePeerReport(report.brief());
+    const auto limitNews = m_delegate.encodedLimitNews();
     for (const auto &it : m_delegate.reportDestinations(audience)) {
         const bool isSilent = now - it.lastReportAt > RouterRegistry::livenessTimeout;
         if (it.isInOwnGroup && isSilent && m_reportRounds % silentPeerReportStride != 0)
             continue;
         send(it.isInOwnGroup ? full : brief, it.address);
+        if (!limitNews.empty())
+            send(limitNews, it.address);
     }
     startTimer(now + maxReportInterval);
 }
@@ -86,21 +89,33 @@
     m_sentBytes += bytes.size();
 }
 
+void PeerLink::handleMessage(std::string_view bytes)
+{
+    if (isLimitMessage(bytes)) {
+        if (const auto message = decodeLimitMessage(bytes, monotonicNow())) {
+            m_delegate.handleLimitMessage(*message);
+        } else {
+            LOG_EVERY_N(WARNING, 1000) << "ignoring malformed limit message: " << message.error().detail;
+        }
+        return;
+    }
+    if (const auto report = decodePeerReport(bytes)) {
+        m_delegate.handleReport(*report);
+    } else {
+        LOG_EVERY_N(WARNING, 1000) << "ignoring malformed peer report: " << report.error().detail;
+    }
+}
+
 void PeerLink::receive()
 {
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_receiveBuffer), m_senderEndpoint, [this](const auto &ec, std::size_t n) {
-            if (ec == boost::asio::error::operation_aborted)
-                return;
-            if (!ec) {
-                if (auto report = decodePeerReport({m_receiveBuffer.data(), n})) {
-                    m_delegate.handleReport(*report);
-                } else {
-                    LOG_EVERY_N(WARNING, 1000) << "ignoring malformed peer report: " << report.error().detail;
-                }
-            }
-            receive();
-        });
+    m_socket.async_receive_from(boost::asio::buffer(m_receiveBuffer), m_senderEndpoint,
+                                [this](const auto &ec, std::size_t n) {
+                                    if (ec == boost::asio::error::operation_aborted)
+                                        return;
+                                    if (!ec)
+                                        handleMessage({m_receiveBuffer.data(), n});
+                                    receive();
+                                });
 }
 
 } // namespace Wisteria
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -1,7 +1,8 @@
-// Exchanges reports with the other routers over UDP.
+// Exchanges reports and messages about limited targets with the other routers over UDP.
 
 #pragma once
 
+#include <LibForwarding/LimitMessages.h>
 #include <LibForwarding/PeerReport.h>
 
 #include <boost/asio/io_context.hpp>
@@ -49,6 +50,9 @@
     [[nodiscard]] virtual PeerReport makeReport() = 0;
     virtual void handleReport(const PeerReport &) = 0;
     [[nodiscard]] virtual std::vector<ReportDestination> reportDestinations(ReportAudience) = 0;
+    // A message that follows each report; empty for none.
+    [[nodiscard]] virtual std::string encodedLimitNews() const = 0;
+    virtual void handleLimitMessage(const LimitMessage &) = 0;
     // Minimum interval between reports that only contain changed loads.
     [[nodiscard]] virtual absl::Duration loadReportInterval(absl::Duration minInterval) const = 0;
 };
@@ -73,7 +77,8 @@
     void scheduleReport(ReportUrgency);
     // Sends a report at once and restarts the report timer.
     void sendReport(ReportAudience);
-    // Bytes of all reports sent so far.
+    void send(const std::string &bytes, const std::string &address);
+    // Bytes of all messages sent so far.
     [[nodiscard]] std::uint64_t sentBytes() const { return m_sentBytes; }
 
 private:
@@ -81,7 +86,7 @@
 
     void receive();
     void startTimer(absl::Time dueAt);
-    void send(const std::string &bytes, const std::string &address);
+    void handleMessage(std::string_view bytes);
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/Libraries/LibGateway/TargetNoticeRecorder.cpp
+++ b/Libraries/LibGateway/TargetNoticeRecorder.cpp
@@ -2,10 +2,6 @@
 
 #include <LibGateway/TargetNoticeRecorder.h>
 
-#include <LibCore/Views.h>
-
-#include <absl/strings/str_cat.h>
-
 namespace Wisteria {
 
 namespace detail {
@@ -14,36 +10,6 @@
 
 } // namespace detail
 
-std::string_view limitChangeName(TargetLimitChange change)
-{
-    switch (change) {
-    case TargetLimitChange::None:
-        return "none";
-    case TargetLimitChange::Named:
-        return "named";
-    case TargetLimitChange::Changed:
-        return "changed";
-    case TargetLimitChange::Ended:
-        return "ended";
-    }
-    return "unknown";
-}
-
-void TargetNoticeRecorder::logLimit(const TargetProcess &process, TargetLimitChange change, int status,
-                                    absl::Time now)
-{
-    const auto name = limitChangeName(change);
-    const auto *limit = m_targets.limitOf(process.id);
-    m_metrics.increment("target_limits_total", absl::StrCat("change=\"", abslView(name), "\""));
-    m_log.write("target_limit",
-                {{"target", process.id.value()},
-                 {"started_at_ms", process.startedAtMs},
-                 {"change", name},
-                 {"per_second", limit ? limit->rate->requestsPerSecond() : 0},
-                 {"status", status}},
-                now);
-}
-
 void TargetNoticeRecorder::record(const TargetProcess &process, const HttpResponseHead &head,
                                   absl::Time requestSentAt, absl::Time now)
 {
@@ -62,8 +28,7 @@
         m_log.write("target_leaving",
                     {{"target", process.id.value()}, {"started_at_ms", process.startedAtMs}}, now);
     }
-    if (effect.limit != TargetLimitChange::None)
-        logLimit(process, effect.limit, head.status, now);
+    m_limits.limitChanged(process, effect.limit, now);
     if (effect.hasBackedOff) {
         m_metrics.increment("target_backoff_total", "");
         m_log.write("target_backoff",
--- a/Libraries/LibGateway/TargetNoticeRecorder.h
+++ b/Libraries/LibGateway/TargetNoticeRecorder.h
@@ -5,6 +5,7 @@
 #include <LibForwarding/TargetPool.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/LimitGuard.h>
 #include <LibGateway/StructuredLog.h>
 
 #include <absl/time/time.h>
@@ -14,9 +15,9 @@
 class TargetNoticeRecorder
 {
 public:
-    TargetNoticeRecorder(const Dialect &dialect, TargetPool &targets, StructuredLog &log,
+    TargetNoticeRecorder(const Dialect &dialect, TargetPool &targets, LimitGuard &limits, StructuredLog &log,
                          GatewayMetrics &metrics)
-        : m_dialect(dialect), m_targets(targets), m_log(log), m_metrics(metrics)
+        : m_dialect(dialect), m_targets(targets), m_limits(limits), m_log(log), m_metrics(metrics)
     {
     }
 
@@ -24,10 +25,9 @@
     void record(const TargetProcess &, const HttpResponseHead &, absl::Time requestSentAt, absl::Time now);
 
 private:
-    void logLimit(const TargetProcess &, TargetLimitChange, int status, absl::Time now);
-
     const Dialect &m_dialect;
     TargetPool &m_targets;
+    LimitGuard &m_limits;
     StructuredLog &m_log;
     GatewayMetrics &m_metrics;
     absl::Time m_nextMalformedLogAt{absl::InfinitePast()};
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -37,7 +37,7 @@
     CPPUNIT_TEST(answerOfEarlierProcessIsIgnored);
     CPPUNIT_TEST(processWithoutKnownStartStaysOutAtItsAddress);
     CPPUNIT_TEST(targetIsNotChosenDuringItsBackoff);
-    CPPUNIT_TEST(earliestBackoffEndIsThatOfFirstTarget);
+    CPPUNIT_TEST(earliestAvailabilityIsThatOfFirstTarget);
     CPPUNIT_TEST(excessiveBackoffIsBounded);
     CPPUNIT_TEST(copyHolderDuringItsBackoffIsNotChosen);
     CPPUNIT_TEST(atMostOnceRequestAvoidsTargetThatLostResponse);
@@ -275,7 +275,7 @@
             m_pool.addLoad(id(1), load());
         }
         CPPUNIT_ASSERT(!m_pool.chooseCopyHolder(need(), id(1), m_now));
-        CPPUNIT_ASSERT(!m_pool.earliestBackoffEnd(ServiceName("s"), m_now));
+        CPPUNIT_ASSERT(!m_pool.earliestAvailability(ServiceName("s"), m_now));
     }
 
     // An entry expires while the store is down, or a restored store lists it as it was.
@@ -353,14 +353,14 @@
         CPPUNIT_ASSERT(m_pool.choose(need(), m_now + absl::Seconds(2)) == id(0));
     }
 
-    void earliestBackoffEndIsThatOfFirstTarget()
+    void earliestAvailabilityIsThatOfFirstTarget()
     {
         keepOnly(3);
         m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(2)}, m_now, m_now);
         m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(1)}, m_now, m_now);
-        CPPUNIT_ASSERT(!m_pool.earliestBackoffEnd(ServiceName("s"), m_now));
+        CPPUNIT_ASSERT(!m_pool.earliestAvailability(ServiceName("s"), m_now));
         m_pool.recordNotice(record(2).process(), {.isLeaving = true}, m_now, m_now);
-        CPPUNIT_ASSERT(m_pool.earliestBackoffEnd(ServiceName("s"), m_now) == m_now + absl::Seconds(1));
+        CPPUNIT_ASSERT(m_pool.earliestAvailability(ServiceName("s"), m_now)->at == m_now + absl::Seconds(1));
     }
 
     void excessiveBackoffIsBounded()
