LibGateway: Tell other routers of limits twice a second at most, and at once what has changed

A message with the limits followed each report. In a group of 89 routers a router sends 2 to 16 reports a second to each other one, so limits doubled the datagrams between routers for as long as they were in force, on small routers that spend most of their time on them. They now follow a report if something has changed, a router has started, or half a second has passed. TestLimitedEngines: a router that starts late hears of a limit (routerHearsOfALimitFromTheOthers) as before.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -436,9 +436,9 @@
     return out;
 }
 
-std::string Gateway::encodedLimitNews() const
+std::string Gateway::takeLimitNews()
 {
-    return m_limitGuard->encodedNews(monotonicNow());
+    return m_limitGuard->takeNews(monotonicNow());
 }
 
 void Gateway::handleLimitMessage(const LimitMessage &message)
@@ -490,6 +490,7 @@
                      {"phase", static_cast<int>(report.router.phase)}},
                     now);
         m_promptGuard.routerFound();
+        m_limitGuard->routerFound();
         m_peerLink->scheduleReport(ReportUrgency::Urgent);
     }
     // These are not repeated in later reports.
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -75,7 +75,7 @@
     [[nodiscard]] PeerReport makeReport() override;
     void handleReport(const PeerReport &) override;
     [[nodiscard]] std::vector<ReportDestination> reportDestinations(ReportAudience) override;
-    [[nodiscard]] std::string encodedLimitNews() const override;
+    [[nodiscard]] std::string takeLimitNews() override;
     void handleLimitMessage(const LimitMessage &) override;
     // Whether this router knows the others well enough to issue permits for limited targets.
     [[nodiscard]] bool canIssuePermits(absl::Time now) const;
--- a/Libraries/LibGateway/LimitGuard.cpp
+++ b/Libraries/LibGateway/LimitGuard.cpp
@@ -177,6 +177,7 @@
     if (change == TargetLimitChange::None)
         return;
     log(process, change, RouterId(), now);
+    m_newsDueAt = absl::InfinitePast();
     m_router.limitChanged();
 }
 
@@ -210,8 +211,11 @@
     handle(PermitEvents::AnswerReceived{answer});
 }
 
-std::string LimitGuard::encodedNews(absl::Time now) const
+std::string LimitGuard::takeNews(absl::Time now)
 {
+    if (now < m_newsDueAt)
+        return {};
+    m_newsDueAt = now + newsInterval;
     LimitNews news{.sender = self(), .limits = m_targets.limits().recent(LimitNews::maxLimits, now)};
     return news.limits.empty() ? std::string() : encodeLimitMessage(news, now);
 }
--- a/Libraries/LibGateway/LimitGuard.h
+++ b/Libraries/LibGateway/LimitGuard.h
@@ -40,6 +40,9 @@
 class LimitGuard final : public std::enable_shared_from_this<LimitGuard>, private PermitRouters
 {
 public:
+    // Limits that have not changed are told this often, for routers that have missed them.
+    static constexpr absl::Duration newsInterval = absl::Milliseconds(500);
+
     // Called once. If the permit is granted, the request may be sent now.
     using PermitHandler = std::function<void(const PermitOutcome &)>;
 
@@ -73,8 +76,10 @@
     // An answer has changed a limit.
     void limitChanged(const TargetProcess &, TargetLimitChange, absl::Time now);
     void handleMessage(const LimitMessage &, absl::Time now);
-    // Limits that other routers should know of; empty if there are none.
-    [[nodiscard]] std::string encodedNews(absl::Time now) const;
+    // Limits that other routers should know of; empty if there are none, or if a message has just told them.
+    [[nodiscard]] std::string takeNews(absl::Time now);
+    // A router has started; the next report is followed by the limits.
+    void routerFound() { m_newsDueAt = absl::InfinitePast(); }
     void runPeriodicTasks();
 
 private:
@@ -108,6 +113,7 @@
     boost::asio::steady_timer m_timer;
     // Time that `m_timer` is set to.
     absl::Time m_timerAt{absl::InfiniteFuture()};
+    absl::Time m_newsDueAt{absl::InfinitePast()};
     std::uint64_t m_lastRequest{0};
     absl::flat_hash_map<PermitRequestId, PermitHandler> m_handlers;
 };
--- a/Libraries/LibGateway/PeerLink.cpp
+++ b/Libraries/LibGateway/PeerLink.cpp
@@ -66,7 +66,7 @@
     const auto report = m_delegate.makeReport();
     const auto full = encodePeerReport(report);
     const auto brief = audience == ReportAudience::Group ? std::string() : encodePeerReport(report.brief());
-    const auto limitNews = m_delegate.encodedLimitNews();
+    const auto limitNews = m_delegate.takeLimitNews();
     for (const auto &it : m_delegate.reportDestinations(audience)) {
         const bool isSilent = now - it.lastReportAt > RouterRegistry::livenessTimeout;
         if (it.isInOwnGroup && isSilent && m_reportRounds % silentPeerReportStride != 0)
--- a/Libraries/LibGateway/PeerLink.h
+++ b/Libraries/LibGateway/PeerLink.h
@@ -50,8 +50,8 @@
     [[nodiscard]] virtual PeerReport makeReport() = 0;
     virtual void handleReport(const PeerReport &) = 0;
     [[nodiscard]] virtual std::vector<ReportDestination> reportDestinations(ReportAudience) = 0;
-    // A message that follows each report; empty for none.
-    [[nodiscard]] virtual std::string encodedLimitNews() const = 0;
+    // A message that follows the report; empty for none.
+    [[nodiscard]] virtual std::string takeLimitNews() = 0;
     virtual void handleLimitMessage(const LimitMessage &) = 0;
     // Minimum interval between reports that only contain changed loads.
     [[nodiscard]] virtual absl::Duration loadReportInterval(absl::Duration minInterval) const = 0;
