--- a/Libraries/LibGateway/RequestTimeline.cpp
+++ b/Libraries/LibGateway/RequestTimeline.cpp
@@ -20,7 +20,9 @@
 const std::set<std::string> processEvents = {"started",        "stopping",      "stopped",
                                              "reloaded",       "store_lost",    "store_regained",
                                              "store_restored", "reload_failed", "listening_stopped"};
-const std::set<std::string> targetEvents = {"target", "target_removed", "target_verified", "target_fault"};
+const std::set<std::string> targetEvents = {"target",        "target_removed", "target_verified",
+                                            "target_fault",  "target_limit",   "target_leaving",
+                                            "target_backoff"};
 
 // Explanations of the outcomes for on-call engineers.
 std::string_view describeOutcome(const std::string &outcome)
@@ -33,6 +35,11 @@
         {"targets_full",
          "targets rejected it (full or replaced), and the retry budget allowed no further attempt; it did "
          "not run"},
+        {"targets_backing_off", "all targets of the service wanted no requests for a while; it did not run"},
+        {"targets_limited",
+         "the targets that were left limit the requests of all routers, and no permit was expected in time; "
+         "it did not run"},
+        {"prompt_barred", "requests with such a prompt are barred, since they end their targets"},
         {"no_time_left", "no target could have finished it before the caller's deadline; it did not run"},
         {"attempts_used_up", "it was lost at as many targets as its route allows"},
         {"retry_budget_used_up", "it was lost, and the retry budget of all routers was exhausted"},
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_TEST(requestIsRefusedUntilFirstTargetEndsItsBackoff);
     CPPUNIT_TEST(retryAfterOfLongBackoffIsOneThatCallersHonor);
     CPPUNIT_TEST(requestThatMayHaveRunIsNotReportedAsNotRunDuringBackoff);
+    CPPUNIT_TEST(requestThatWaitsForAPermitIsRejectedAsNotRun);
+    CPPUNIT_TEST(runIsTimedFromItsPermit);
     CPPUNIT_TEST(routeTimeoutYields504);
     CPPUNIT_TEST(failedIdempotentRequestIsRetriedThenDelivered);
     CPPUNIT_TEST(stalledIdempotentAttemptIsRetried);
@@ -204,6 +206,52 @@
         CPPUNIT_ASSERT_EQUAL(502, refusal->status);
     }
 
+    void requestThatWaitsForAPermitIsRejectedAsNotRun()
+    {
+        const auto checkNotRun = [](const ForwardingActionList &actions, RefusalReason reason) {
+            const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+            CPPUNIT_ASSERT(refusal);
+            CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+            CPPUNIT_ASSERT(refusal->isNotExecuted);
+            CPPUNIT_ASSERT(refusal->reason == reason);
+            CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::CancelAttempt>(actions));
+        };
+        const auto waiting = [this](ForwardedRequest &request) -> ForwardedRequest & {
+            (void)request.begin(m_start);
+            const auto actions = request.handle(ForwardingEvents::AttemptDelayed{}, m_start);
+            CPPUNIT_ASSERT(detail::findAction<ForwardingActions::SetTimer>(actions)->at
+                           == request.deadline());
+            return request;
+        };
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest denied(detail::nonIdempotentParameters(), budget, m_start);
+        checkNotRun(
+            waiting(denied).handle(
+                ForwardingEvents::NoTarget{.backoff = absl::Milliseconds(300), .isLimited = true}, m_start),
+            RefusalReason::TargetsLimited);
+        ForwardedRequest stopped(detail::nonIdempotentParameters(), budget, m_start);
+        checkNotRun(waiting(stopped).handle(ForwardingEvents::ShutdownRequested{}, m_start),
+                    RefusalReason::Stopping);
+        ForwardedRequest late(detail::nonIdempotentParameters(), budget, m_start);
+        checkNotRun(waiting(late).handle(ForwardingEvents::Tick{}, late.deadline()), RefusalReason::TimedOut);
+    }
+
+    void runIsTimedFromItsPermit()
+    {
+        detail::FixedRetryBudget budget(detail::ampleRetries);
+        ForwardedRequest request(detail::idempotentParameters(), budget, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::AttemptDelayed{}, m_start);
+        const auto permitAt = m_start + absl::Milliseconds(250);
+        const auto actions = request.handle(ForwardingEvents::AttemptSent{}, permitAt);
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::SetTimer>(actions)->at
+                       == permitAt + absl::Milliseconds(300));
+        CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::FindReplacement>(
+            request.handle(ForwardingEvents::Tick{}, m_start + absl::Milliseconds(400))));
+        CPPUNIT_ASSERT(detail::findAction<ForwardingActions::FindReplacement>(
+            request.handle(ForwardingEvents::Tick{}, permitAt + absl::Milliseconds(300))));
+    }
+
     void routeTimeoutYields504()
     {
         detail::FixedRetryBudget budget(0);
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -38,6 +38,9 @@
     CPPUNIT_TEST(processWithoutKnownStartStaysOutAtItsAddress);
     CPPUNIT_TEST(targetIsNotChosenDuringItsBackoff);
     CPPUNIT_TEST(earliestAvailabilityIsThatOfFirstTarget);
+    CPPUNIT_TEST(limitedTargetWithoutAPermitIsNotChosen);
+    CPPUNIT_TEST(limitedTargetHoldsNoCopies);
+    CPPUNIT_TEST(laterProcessOfTargetHasNoLimit);
     CPPUNIT_TEST(excessiveBackoffIsBounded);
     CPPUNIT_TEST(copyHolderDuringItsBackoffIsNotChosen);
     CPPUNIT_TEST(atMostOnceRequestAvoidsTargetThatLostResponse);
@@ -278,6 +281,59 @@
         CPPUNIT_ASSERT(!m_pool.earliestAvailability(ServiceName("s"), m_now));
     }
 
+    void limitedTargetWithoutAPermitIsNotChosen()
+    {
+        keepOnly(2);
+        const auto limit = [&](int n, double perSecond) {
+            return m_pool
+                .recordNotice(record(n).process(), {.limit = RequestRate::perSecond(perSecond)}, m_now, m_now)
+                .limit;
+        };
+        CPPUNIT_ASSERT(limit(0, 2) == TargetLimitChange::Named);
+        m_pool.deferLimited(id(0), m_now + absl::Seconds(1));
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(1));
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+        CPPUNIT_ASSERT(m_pool.acceptsRequests(id(0), m_now));
+        CPPUNIT_ASSERT(m_pool.chooseDeferred(need(), m_now) == id(0));
+        CPPUNIT_ASSERT(!m_pool.earliestAvailability(ServiceName("s"), m_now));
+        (void)limit(1, 2);
+        m_pool.deferLimited(id(1), m_now + absl::Milliseconds(400));
+        CPPUNIT_ASSERT(!m_pool.choose(need(), m_now));
+        CPPUNIT_ASSERT(m_pool.chooseDeferred(need(), m_now) == id(1));
+        const auto available = m_pool.earliestAvailability(ServiceName("s"), m_now);
+        CPPUNIT_ASSERT(available->at == m_now + absl::Milliseconds(400) && available->isLimited);
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now + absl::Milliseconds(400)) == id(1));
+        auto avoiding = need();
+        avoiding.limitedTargets = LimitedTargets::Avoid;
+        CPPUNIT_ASSERT(!m_pool.choose(avoiding, m_now + absl::Seconds(2)));
+        // The limit has ended, and with it the wait for a permit.
+        m_pool.recordNotice(record(0).process(), {.hasNoLimit = true}, m_now, m_now);
+        CPPUNIT_ASSERT(m_pool.choose(avoiding, m_now) == id(0));
+    }
+
+    void limitedTargetHoldsNoCopies()
+    {
+        keepOnly(2);
+        CPPUNIT_ASSERT(m_pool.chooseCopyHolder(need(), id(0), m_now) == id(1));
+        m_pool.recordNotice(record(1).process(), {.limit = RequestRate::perSecond(2)}, m_now, m_now);
+        CPPUNIT_ASSERT(!m_pool.chooseCopyHolder(need(), id(0), m_now));
+    }
+
+    void laterProcessOfTargetHasNoLimit()
+    {
+        keepOnly(1);
+        m_pool.recordNotice(record(0).process(), {.limit = RequestRate::perSecond(2)}, m_now, m_now);
+        m_pool.deferLimited(id(0), m_now + absl::Seconds(1));
+        auto restarted = record(0);
+        restarted.startedAtMs += 1;
+        m_pool.upsert(restarted);
+        CPPUNIT_ASSERT(!m_pool.limitOf(id(0)));
+        CPPUNIT_ASSERT(m_pool.choose(need(), m_now) == id(0));
+        // What a router says of the process before changes nothing.
+        (void)m_pool.mergeLimit({record(0).process(), RequestRate::perSecond(2), m_now, m_now});
+        CPPUNIT_ASSERT(!m_pool.limitOf(id(0)));
+    }
+
     // An entry expires while the store is down, or a restored store lists it as it was.
     void leavingProcessStaysOutWhenDirectoryListsItAgain()
     {
