Tests: Let the soak's engines limit their requests, alone and all of a service at once

A limit lasts 7 to 12 s, since the rule binds after 3 s and looks at 4, and may overlap with any other fault. Judged as the users' rule says: arrivals in sliding periods of 4 s, from routers that had passed on such an answer half a second before and have run since.

--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -103,6 +103,7 @@
     void setRetryAfter(std::optional<std::chrono::milliseconds> after) { m_retryAfter = after; }
     // All answers carry this value as Server-Limit; empty for none.
     void setLimit(std::string value) { m_limit = std::move(value); }
+    [[nodiscard]] bool isLimited() const { return !m_limit.empty(); }
     // The most requests of any kind that arrived within a period of this length, since the given time.
     [[nodiscard]] int mostRequestsWithin(std::chrono::milliseconds,
                                          std::chrono::steady_clock::time_point since) const;
--- a/Tests/Soak/EngineRequests.cpp
+++ b/Tests/Soak/EngineRequests.cpp
@@ -4,6 +4,10 @@
 
 #include <LibPlatform/MonotonicClock.h>
 
+#include <absl/strings/str_cat.h>
+
+#include <iterator>
+
 namespace Wisteria {
 
 bool FaultPlan::announceLeaving()
@@ -57,4 +61,37 @@
     return true;
 }
 
+void FaultPlan::limitRequests(SoakEngine &engine, double perSecond, absl::Duration length)
+{
+    // The engine may be disturbed meanwhile: what it names goes on, and holds for its next process too.
+    engine.engine->setLimit(absl::StrCat(perSecond));
+    const auto id = engine.engine->id();
+    m_world.promises().signals().limits().begin(id, perSecond, monotonicNow());
+    m_world.after(length, [this, &engine, id] {
+        engine.engine->setLimit("");
+        m_world.promises().signals().limits().end(id, monotonicNow());
+    });
+}
+
+bool FaultPlan::limitRequests()
+{
+    auto *engine = drawEngine();
+    if (!engine || engine->engine->isLimited())
+        return false;
+    constexpr double limits[] = {0.3, 1, 2.1, 5};
+    limitRequests(*engine, limits[m_world.random().below(std::size(limits))],
+                  m_world.drawn(shortestLimit, longestLimit));
+    return true;
+}
+
+bool FaultPlan::limitRequestsOfService()
+{
+    const auto length = m_world.drawn(shortestLimit, longestLimit);
+    for (auto &it : m_world.engines()) {
+        if (it.engine->service() == "app" && !it.engine->isLimited())
+            limitRequests(it, 3, length);
+    }
+    return true;
+}
+
 } // namespace Wisteria
--- a/Tests/Soak/EngineSignals.cpp
+++ b/Tests/Soak/EngineSignals.cpp
@@ -27,6 +27,7 @@
     const auto sent = m_sent.find(request);
     if (sent == m_sent.end())
         return;
+    m_limits.notePassedOn(sent->second.engine, sent->second.router, sent->second.reachedAt, now);
     const auto leaving = m_leaving.find(sent->second.engine);
     if (leaving != m_leaving.end() && leaving->second <= sent->second.reachedAt)
         m_passedOn.emplace(RouterAndEngine{sent->second.router, sent->second.engine}, now);
@@ -40,6 +41,7 @@
         return {};
     sent->second.engine = engine;
     sent->second.reachedAt = now;
+    m_limits.noteArrival(engine, sent->second.router, now);
     return {judgeLeaving(sent->second, drainBound, now), judgePause(sent->second, now), sent->second.router};
 }
 
--- a/Tests/Soak/EngineSignals.h
+++ b/Tests/Soak/EngineSignals.h
@@ -1,9 +1,10 @@
-// What engines ask of the routers that they answer: to leave them, or to pause. Judges whether each router
-// keeps to it. No I/O.
+// What engines ask of the routers that they answer: to leave them, to pause, or to send less. Judges whether
+// each router keeps to it. No I/O.
 
 #pragma once
 
 #include "Disturbances.h"
+#include "EngineLimits.h"
 
 #include <absl/time/time.h>
 
@@ -22,13 +23,17 @@
     static constexpr absl::Duration pauseMargin = absl::Milliseconds(500);
     static constexpr int mostDuringPause = 2;
 
-    explicit EngineSignals(const Disturbances &disturbances) : m_disturbances(disturbances) { }
+    explicit EngineSignals(const Disturbances &disturbances)
+        : m_disturbances(disturbances), m_limits(disturbances)
+    {
+    }
 
     void noteSent(const std::string &request, const std::string &router, absl::Time now);
     // The engine carries Server-Leaving in all its answers from now on.
     void noteLeaving(const std::string &engine, absl::Time now);
     // The engine rejects requests with this Retry-After until it is unset.
     void setPause(const std::string &engine, std::optional<absl::Duration>);
+    [[nodiscard]] EngineLimits &limits() { return m_limits; }
     // The caller got the engine's answer of this request.
     void noteAnswered(const std::string &request, absl::Time now);
 
@@ -66,6 +71,7 @@
     [[nodiscard]] bool ranAllTheWhile(const std::string &router, absl::Time from, absl::Time to) const;
 
     const Disturbances &m_disturbances;
+    EngineLimits m_limits;
     std::map<std::string, Sent> m_sent;
     std::map<std::string, absl::Time> m_leaving;
     // When the router first passed on an answer of the leaving engine.
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -35,6 +35,8 @@
         {"engine released", [this] { return releaseEngine(); }},
         {"engine says that it leaves", [this] { return announceLeaving(); }},
         {"engine asks for a pause", [this] { return askForPause(); }},
+        {"engine limits its requests", [this] { return limitRequests(); }},
+        {"all plain engines limit their requests", [this] { return limitRequestsOfService(); }},
         {"requests crash engines", [this] { return sendCrashingRequests(); }},
         {"engine full", [this] { return setEngineMode(FakeEngineMode::Overloaded); }},
         {"engine breaks off answers", [this] { return setEngineMode(FakeEngineMode::Crashing); }},
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -15,6 +15,9 @@
 class FaultPlan
 {
 public:
+    // How long an engine limits its requests: the rule binds three seconds later and looks at four.
+    static constexpr absl::Duration shortestLimit = absl::Seconds(7);
+    static constexpr absl::Duration longestLimit = absl::Seconds(12);
     // Between the beginnings of two faults.
     static constexpr absl::Duration leastPause = absl::Milliseconds(150);
     static constexpr absl::Duration longestPause = absl::Milliseconds(1200);
@@ -74,6 +77,10 @@
     // The engine says that it leaves before the store does.
     bool announceLeaving();
     bool askForPause();
+    bool limitRequests();
+    // All engines of the plain service at once.
+    bool limitRequestsOfService();
+    void limitRequests(SoakEngine &, double perSecond, absl::Duration length);
     bool setEngineMode(FakeEngineMode);
     // Requests with another part end engines until this is drawn again.
     bool sendCrashingRequests();
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -144,6 +144,10 @@
     const auto isInTouch = [this](const auto &router, auto from, auto to) {
         return wasInTouch(router, from, to);
     };
+    for (const auto &it : m_signals.limits().judge(contact)) {
+        check(it.most <= it.allowed, "limits of engines are kept",
+              absl::StrCat(it.engine, " limited to ", it.perSecond, ": ", it.most, " in 4 s"));
+    }
     for (const auto &it : m_crashingRequests.judge(contact, isInTouch)) {
         check(it.late <= CrashingRequests::mostAfterBound, "requests that crash engines are not sent on",
               absl::StrCat(it.late, " after the fifth end, ", it.ends, " ended in all"));
