LibForwarding: Begin to issue permits when the role falls to a router, not with the first request

Cause: a router that begins to issue a target's permits waits 1 s, for those that the one before may have issued. It noticed that it had begun only when it was first asked, so that the wait hit the callers of that moment, long after the hand-over. Nobody had sent a request since, so nobody had heard that the limits were over, and a request that waited for a permit went on waiting when another answer told so.

The limits in force are reported to the permits each second, and a router that has become the issuer counts its wait from then. The end of a limit grants all requests that wait for its target.

--- a/Libraries/LibForwarding/PermitIssuer.cpp
+++ b/Libraries/LibForwarding/PermitIssuer.cpp
@@ -6,6 +6,21 @@
 
 namespace Wisteria {
 
+namespace detail {
+
+absl::Duration permitInterval(const TargetLimit &limit)
+{
+    return std::max(*limit.rate, PermitIssuer::minRate).interval();
+}
+
+// How much earlier than its time a permit may be used, because of permits that nobody asked for.
+absl::Duration burstTolerance(const TargetLimit &limit)
+{
+    return std::max(PermitIssuer::burstPeriod - permitInterval(limit), absl::ZeroDuration());
+}
+
+} // namespace detail
+
 PermitIssuer::Schedule &PermitIssuer::scheduleOf(const TargetLimit &limit, absl::Time now)
 {
     auto [it, isNew] = m_schedules.try_emplace(limit.process.id);
@@ -14,20 +29,24 @@
         return schedule;
     // Nobody has issued permits for a limit that was just named.
     const bool isLimitNew = now - limit.firstNamedAt < horizon;
-    schedule = {limit.process, isNew && !isLimitNew ? now + horizon : now};
+    const auto startAt = isNew && !isLimitNew ? now + horizon : now;
+    // There is nothing to catch up yet.
+    schedule = {limit.process, startAt + detail::burstTolerance(limit)};
     return schedule;
 }
 
+void PermitIssuer::startIssuing(const TargetLimit &limit, absl::Time now)
+{
+    (void)scheduleOf(limit, now);
+}
+
 PermitOutcome PermitIssuer::issue(const TargetLimit &limit, absl::Duration maxWait, absl::Time now)
 {
     auto &schedule = scheduleOf(limit, now);
-    const auto rate = std::max(*limit.rate, minRate);
-    const auto interval = rate.interval();
-    const auto burst = std::max(burstPeriod - interval, absl::ZeroDuration());
-    const auto delay = std::max(schedule.nextAt - burst - now, absl::ZeroDuration());
+    const auto delay = std::max(schedule.nextAt - detail::burstTolerance(limit) - now, absl::ZeroDuration());
     if (delay > std::min(maxWait, horizon))
         return {false, delay};
-    schedule.nextAt = std::max(schedule.nextAt, now) + interval;
+    schedule.nextAt = std::max(schedule.nextAt, now) + detail::permitInterval(limit);
     return {true, delay};
 }
 
--- a/Libraries/LibForwarding/PermitIssuer.h
+++ b/Libraries/LibForwarding/PermitIssuer.h
@@ -30,12 +30,14 @@
     // Permits are issued at most this long before their time. It is also how long a router that begins to
     // issue a target's permits waits, since the one before it may have issued permits up to this time.
     static constexpr absl::Duration horizon = absl::Seconds(1);
-    // Requests that were not used in this time may be caught up.
-    static constexpr absl::Duration burstPeriod = absl::Milliseconds(250);
+    // Permits that nobody asked for in this time may be issued at once.
+    static constexpr absl::Duration burstPeriod = absl::Seconds(1);
     // A target that names a lower limit, or none at all, is still sent requests at this rate: only an answer
     // can tell that the limit has ended.
     static constexpr RequestRate minRate = RequestRate::perSecond(0.1);
 
+    // This router issues the target's permits from now on, unless it already does.
+    void startIssuing(const TargetLimit &, absl::Time now);
     // Issues a permit if its time is at most `maxWait` away. The target's limit must be in force.
     [[nodiscard]] PermitOutcome issue(const TargetLimit &, absl::Duration maxWait, absl::Time now);
     // This router does not issue the target's permits, or does so no longer.
--- a/Libraries/LibForwarding/RequestPermits.cpp
+++ b/Libraries/LibForwarding/RequestPermits.cpp
@@ -198,12 +198,37 @@
             deny(id, absl::ZeroDuration());
         }
     }
+    stopIssuingForOthers(now);
+}
+
+void RequestPermits::stopIssuingForOthers(absl::Time now)
+{
     for (const auto &it : m_issuer.targets()) {
         if (!isIssuer(it, now))
             m_issuer.stopIssuing(it);
     }
 }
 
+void RequestPermits::on(const PermitEvents::LimitsObserved &event, absl::Time now)
+{
+    stopIssuingForOthers(now);
+    for (const auto &it : event.limits) {
+        if (isIssuer(it.process.id, now))
+            m_issuer.startIssuing(it, now);
+    }
+}
+
+void RequestPermits::on(const PermitEvents::LimitEnded &event, absl::Time)
+{
+    m_issuer.stopIssuing(event.process.id);
+    absl::erase_if(m_pending, [&](const auto &it) {
+        if (it.second.process != event.process)
+            return false;
+        m_actions.emplace_back(PermitActions::Granted{it.first});
+        return true;
+    });
+}
+
 void RequestPermits::dropOld(absl::Time now)
 {
     std::erase_if(m_spares, [now](const SparePermit &it) { return now - it.validFrom >= permitLifetime; });
--- a/Libraries/LibForwarding/RequestPermits.h
+++ b/Libraries/LibForwarding/RequestPermits.h
@@ -64,6 +64,17 @@
 {
     PermitAnswer answer;
 };
+// The target has ended its limit, so requests to it need no permit.
+struct LimitEnded
+{
+    TargetProcess process;
+};
+// The limits in force. Reported about once a second, so that a router that begins to issue a target's permits
+// knows since when it does.
+struct LimitsObserved
+{
+    std::vector<TargetLimit> limits;
+};
 // The time of the last SetTimer was reached, or the known routers have changed.
 struct Tick
 {
@@ -71,9 +82,9 @@
 
 } // namespace PermitEvents
 
-using PermitEvent =
-    std::variant<PermitEvents::Requested, PermitEvents::Withdrawn, PermitEvents::Unused,
-                 PermitEvents::RequestReceived, PermitEvents::AnswerReceived, PermitEvents::Tick>;
+using PermitEvent = std::variant<PermitEvents::Requested, PermitEvents::Withdrawn, PermitEvents::Unused,
+                                 PermitEvents::RequestReceived, PermitEvents::AnswerReceived,
+                                 PermitEvents::LimitEnded, PermitEvents::LimitsObserved, PermitEvents::Tick>;
 
 namespace PermitActions {
 
@@ -160,7 +171,10 @@
     void on(const PermitEvents::Unused &, absl::Time now);
     void on(const PermitEvents::RequestReceived &, absl::Time now);
     void on(const PermitEvents::AnswerReceived &, absl::Time now);
+    void on(const PermitEvents::LimitEnded &, absl::Time now);
+    void on(const PermitEvents::LimitsObserved &, absl::Time now);
     void on(const PermitEvents::Tick &, absl::Time now);
+    void stopIssuingForOthers(absl::Time now);
 
     // True if the router that issues the target's permits is this one.
     [[nodiscard]] bool isIssuer(const TargetId &, absl::Time now) const;
--- a/Libraries/LibForwarding/TargetLimits.cpp
+++ b/Libraries/LibForwarding/TargetLimits.cpp
@@ -91,6 +91,16 @@
     return it == m_limits.end() || !isInForce(it->second) ? nullptr : &it->second;
 }
 
+std::vector<TargetLimit> TargetLimits::inForce() const
+{
+    std::vector<TargetLimit> out;
+    for (const auto &[id, limit] : m_limits) {
+        if (isInForce(limit))
+            out.push_back(limit);
+    }
+    return out;
+}
+
 std::vector<TargetLimit> TargetLimits::recent(std::size_t most, absl::Time now) const
 {
     std::vector<TargetLimit> out;
--- a/Libraries/LibForwarding/TargetLimits.h
+++ b/Libraries/LibForwarding/TargetLimits.h
@@ -54,6 +54,7 @@
 
     // The limit in force; null if there is none.
     [[nodiscard]] const TargetLimit *find(const TargetId &) const;
+    [[nodiscard]] std::vector<TargetLimit> inForce() const;
     // Limits in force and those that ended a short time ago, the latest statements first.
     [[nodiscard]] std::vector<TargetLimit> recent(std::size_t most, absl::Time now) const;
     [[nodiscard]] std::size_t countInForce() const;
--- a/Libraries/LibGateway/LimitGuard.cpp
+++ b/Libraries/LibGateway/LimitGuard.cpp
@@ -156,8 +156,8 @@
         m_log.write("limit_message_undelivered", {{"router", id.value()}}, monotonicNow());
 }
 
-void LimitGuard::log(const TargetProcess &process, TargetLimitChange change, const RouterId &toldBy,
-                     absl::Time now)
+void LimitGuard::noteChange(const TargetProcess &process, TargetLimitChange change, const RouterId &toldBy,
+                            absl::Time now)
 {
     const auto name = detail::limitChangeName(change);
     const auto *limit = m_targets.limitOf(process.id);
@@ -170,13 +170,15 @@
                  // Empty if the target itself said so.
                  {"told_by", toldBy.value()}},
                 now);
+    if (change == TargetLimitChange::Ended)
+        handle(PermitEvents::LimitEnded{process});
 }
 
 void LimitGuard::limitChanged(const TargetProcess &process, TargetLimitChange change, absl::Time now)
 {
     if (change == TargetLimitChange::None)
         return;
-    log(process, change, RouterId(), now);
+    noteChange(process, change, RouterId(), now);
     m_newsDueAt = absl::InfinitePast();
     m_router.limitChanged();
 }
@@ -190,14 +192,14 @@
 {
     for (const auto &it : news.limits) {
         if (const auto change = m_targets.mergeLimit(it); change != TargetLimitChange::None)
-            log(it.process, change, news.sender, now);
+            noteChange(it.process, change, news.sender, now);
     }
 }
 
 void LimitGuard::on(const PermitRequest &request, absl::Time now)
 {
     if (const auto change = m_targets.mergeLimit(request.limit); change != TargetLimitChange::None)
-        log(request.limit.process, change, request.asker, now);
+        noteChange(request.limit.process, change, request.asker, now);
     auto known = request.limit;
     if (const auto *limit = m_targets.limitOf(known.process.id))
         known = *limit;
@@ -222,7 +224,7 @@
 
 void LimitGuard::runPeriodicTasks()
 {
-    handle(PermitEvents::Tick{});
+    handle(PermitEvents::LimitsObserved{m_targets.limits().inForce()});
     m_metrics.setGauge("targets_limited", static_cast<double>(m_targets.limits().countInForce()));
 }
 
--- a/Libraries/LibGateway/LimitGuard.h
+++ b/Libraries/LibGateway/LimitGuard.h
@@ -100,7 +100,8 @@
     void on(const LimitNews &, absl::Time now);
     void on(const PermitRequest &, absl::Time now);
     void on(const PermitAnswer &, absl::Time now);
-    void log(const TargetProcess &, TargetLimitChange, const RouterId &toldBy, absl::Time now);
+    // `toldBy` is empty if the target itself said so.
+    void noteChange(const TargetProcess &, TargetLimitChange, const RouterId &toldBy, absl::Time now);
 
     boost::asio::io_context &m_context;
     Router m_router;
--- a/Tests/LibForwarding/FakePermitFleet.cpp
+++ b/Tests/LibForwarding/FakePermitFleet.cpp
@@ -54,13 +54,16 @@
     {
         m_heardAt[router] = m_fleet.now();
         m_isServing[router] = isServing;
-        for (const auto &it : limits)
-            (void)m_pool.mergeLimit(it);
+        for (const auto &it : limits) {
+            if (m_pool.mergeLimit(it) == TargetLimitChange::Ended)
+                handle(PermitEvents::LimitEnded{it.process});
+        }
         handle(PermitEvents::Tick{});
     }
 
     void report()
     {
+        handle(PermitEvents::LimitsObserved{m_pool.limits().inForce()});
         const auto limits = m_pool.limits().recent(LimitNews::maxLimits, m_fleet.now());
         for (std::size_t n = 0; n < m_fleet.size(); ++n) {
             if (n != m_number)
@@ -103,7 +106,10 @@
             notice.limit = RequestRate::perSecond(*limit);
         else
             notice.hasNoLimit = true;
-        if (m_pool.recordNotice(process, notice, sentAt, m_fleet.now()).limit != TargetLimitChange::None)
+        const auto change = m_pool.recordNotice(process, notice, sentAt, m_fleet.now()).limit;
+        if (change == TargetLimitChange::Ended)
+            handle(PermitEvents::LimitEnded{process});
+        if (change != TargetLimitChange::None)
             report();
     }
 
@@ -292,6 +298,12 @@
     });
 }
 
+void FakePermitFleet::sendRequestAtEachRouter()
+{
+    for (std::size_t n = 0; n < m_routers.size(); ++n)
+        callAt(m_now, n, [](Router &it) { it.startRequest(); });
+}
+
 void FakePermitFleet::sendToTarget(std::size_t router, std::size_t target, absl::Duration waited)
 {
     m_longestWait = std::max(m_longestWait, waited);
--- a/Tests/LibForwarding/FakePermitFleet.h
+++ b/Tests/LibForwarding/FakePermitFleet.h
@@ -48,6 +48,8 @@
     // The limit that the target names from now on; empty for none.
     void setLimit(std::size_t target, std::optional<double> perSecond);
     void setRequestRate(double perSecond) { m_options.requestRate = perSecond; }
+    // One caller's request at each router.
+    void sendRequestAtEachRouter();
 
     // Faults. A frozen router handles nothing; a restarted one has forgotten everything; one that is cut off
     // sends and receives no messages of other routers.
--- a/Tests/LibForwarding/TestRequestPermits.cpp
+++ b/Tests/LibForwarding/TestRequestPermits.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(limitsAreKeptWhileMessagesAreLost);
     CPPUNIT_TEST(limitsAreKeptWhileAllRoutersStartAtOnce);
     CPPUNIT_TEST(targetsServeAsBeforeSoonAfterTheirLimitHasEnded);
+    CPPUNIT_TEST(requestsAfterAPauseAreServedWhenTheLimitsHaveEnded);
     CPPUNIT_TEST(changedLimitsHoldSoon);
     CPPUNIT_TEST(requestsWaitForAPermitOrAreRejectedAtOnce);
     CPPUNIT_TEST(permitMessagesDoNotGrowWithTheFleet);
@@ -140,6 +141,26 @@
         }
     }
 
+    // The issuers were replaced, and nobody sent a request since, so nobody has heard that the limits ended.
+    void requestsAfterAPauseAreServedWhenTheLimitsHaveEnded()
+    {
+        FakePermitFleet fleet({.routers = 4, .limits = {3, 3, 3}, .hasFreeTarget = false, .requestRate = 20});
+        start(fleet, {3, 3, 3});
+        fleet.setRequestRate(0.0001);
+        // The last router still knows the limits and tells the others.
+        for (std::size_t n = 0; n + 1 < fleet.size(); ++n)
+            fleet.restart(n);
+        fleet.run(absl::Seconds(5));
+        for (std::size_t n = 0; n < 3; ++n)
+            fleet.setLimit(n, std::nullopt);
+        fleet.run(absl::Seconds(10));
+        const int before = fleet.rejected();
+        fleet.sendRequestAtEachRouter();
+        fleet.sendRequestAtEachRouter();
+        fleet.run(absl::Seconds(1));
+        CPPUNIT_ASSERT_EQUAL(before, fleet.rejected());
+    }
+
     void changedLimitsHoldSoon()
     {
         FakePermitFleet fleet({.routers = 20, .limits = {8}});
