--- a/Tests/LibGateway/TestViewRelay.cpp
+++ b/Tests/LibGateway/TestViewRelay.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(configurationRelayDoesNotDelayTargetRelay);
     CPPUNIT_TEST(largeViewIsCompressed);
     CPPUNIT_TEST(failedCallIsLoggedAndRetried);
+    CPPUNIT_TEST(viewOfAPeerThatHasNotNoticedARestorationDoesNotEndTheSearch);
     CPPUNIT_TEST(unchangedViewYieldsNoContent);
     CPPUNIT_TEST(invalidPathsAreRejected);
     CPPUNIT_TEST(corruptedDataFailsToDecompress);
@@ -154,6 +155,26 @@
         close(pipeEnds[1]);
     }
 
+    // A restarted router asked such a peer once, and used an engine that had left.
+    void viewOfAPeerThatHasNotNoticedARestorationDoesNotEndTheSearch()
+    {
+        detail::FakePeerRouter before(m_context, DirectoryKind::Targets, "targets");
+        before.fixture().store.completeList(
+            {{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(5, 1)});
+        detail::FakePeerRouter after(m_context, DirectoryKind::Targets, "targets");
+        after.fixture().store.completeList(
+            {{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(3, 2)});
+        detail::DirectoryViewFixture local(DirectoryKind::Targets);
+        local.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(3, 2)});
+        ViewRelay relay(m_context, local.view, "targets", absl::Seconds(1), local.log, local.random);
+        relay.noteNewerContent(before.member());
+        CPPUNIT_ASSERT(runUntil([&] { return before.calls() == 1; }));
+        m_context.run_for(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(!relay.hasMergedView());
+        relay.noteNewerContent(after.member());
+        CPPUNIT_ASSERT(runUntil([&] { return relay.hasMergedView(); }));
+    }
+
     void unchangedViewYieldsNoContent()
     {
         detail::DirectoryViewFixture local(DirectoryKind::Targets);
