LibGateway: Ask once for the permit of an attempt

An attempt at a limited target first tried to take a permit at hand, which asks for one in advance where there is none, and then asked again for itself. The permit that came in advance was kept as a spare, and lost if no other request of this router came within half a second. Only replacements, which don't wait, ask in advance now. Found by reading; no test failed before.

--- a/Libraries/LibGateway/ForwardSessionPermits.cpp
+++ b/Libraries/LibGateway/ForwardSessionPermits.cpp
@@ -47,14 +47,12 @@
                                     const std::optional<CopySource> &source, absl::Duration maxWait,
                                     PermitDenial denial)
 {
-    const auto now = monotonicNow();
     const auto process = limit.process;
-    if (m_gatewayContext.limits.tryTake(limit, now)) {
-        permitGranted(process, action, source);
-        return;
-    }
     if (action.role == RunRole::Replacement) {
-        handle(ForwardingEvents::NoTarget{.role = action.role});
+        if (m_gatewayContext.limits.tryTake(limit, monotonicNow()))
+            permitGranted(process, action, source);
+        else
+            handle(ForwardingEvents::NoTarget{.role = action.role});
         return;
     }
     handle(ForwardingEvents::AttemptDelayed{});
--- a/Tests/LibForwarding/TestPeerTopology.cpp
+++ b/Tests/LibForwarding/TestPeerTopology.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 
 namespace Wisteria {
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(smallFleetIsOneGroup);
     CPPUNIT_TEST(groupsStayWithinDomainAndSize);
     CPPUNIT_TEST(membersAgreeOnTheirGroup);
+    CPPUNIT_TEST(eachRouterIsInTheOwnGroupOrInOneOtherGroup);
     CPPUNIT_TEST(addedRouterChangesFewGroups);
     CPPUNIT_TEST(briefPeersCoverAllOtherGroups);
     CPPUNIT_TEST(reportsStayWithinTheirLimit);
@@ -68,6 +70,20 @@
         }
     }
 
+    // A router that asks for a permit finds the group that issues it.
+    void eachRouterIsInTheOwnGroupOrInOneOtherGroup()
+    {
+        const auto routers = makeRouters(295, 5);
+        const auto topology = topologyOf(3, routers);
+        for (const auto &it : routers) {
+            const auto *group = topology.otherGroupOf(it.id);
+            const bool isInOwnGroup = it.id == routers[3].id || topology.isInOwnGroup(it.id);
+            CPPUNIT_ASSERT_EQUAL(isInOwnGroup, group == nullptr);
+            if (group)
+                CPPUNIT_ASSERT(std::find(group->begin(), group->end(), it.id) != group->end());
+        }
+    }
+
     // Of two routers that start together, one may not know the other yet.
     void addedRouterChangesFewGroups()
     {
