--- a/Tests/Platform/TestLimitedEngines.cpp
+++ b/Tests/Platform/TestLimitedEngines.cpp
@@ -135,29 +135,9 @@
         CPPUNIT_ASSERT(runUntil([&] { return gaugeValue("targets_limited") == 1; }));
     }
 
-    void retriesNeedAPermit()
-    {
-        startRouters(2);
-        engine("app-0").setLimit("1");
-        setModes("app-1", FakeEngineMode::Failing);
-        setModes("app-2", FakeEngineMode::Failing);
-        sendCalls(1s);
-        const auto since = std::chrono::steady_clock::now();
-        sendCalls(limitPeriod + 1s);
-        CPPUNIT_ASSERT(engine("app-0").mostRequestsWithin(limitPeriod, since) <= allowedAt(1));
-    }
+    void retriesNeedAPermit() { checkLimitIsKeptWhileOthersAre(FakeEngineMode::Failing); }
 
-    void replacementsNeedAPermit()
-    {
-        startRouters(2);
-        engine("app-0").setLimit("1");
-        setModes("app-1", FakeEngineMode::Stalled);
-        setModes("app-2", FakeEngineMode::Stalled);
-        sendCalls(1s);
-        const auto since = std::chrono::steady_clock::now();
-        sendCalls(limitPeriod + 1s);
-        CPPUNIT_ASSERT(engine("app-0").mostRequestsWithin(limitPeriod, since) <= allowedAt(1));
-    }
+    void replacementsNeedAPermit() { checkLimitIsKeptWhileOthersAre(FakeEngineMode::Stalled); }
 
     // The holder of a copy is lost, and the engine that runs the stream limits its requests.
     void copyRequestsAreNotSentToALimitedEngine()
@@ -281,6 +261,19 @@
             CPPUNIT_ASSERT_EQUAL(200, it.response.head.status);
     }
 
+    // Requests that fail at the other engines are sent to the limited one.
+    void checkLimitIsKeptWhileOthersAre(FakeEngineMode mode)
+    {
+        startRouters(2);
+        engine("app-0").setLimit("1");
+        setModes("app-1", mode);
+        setModes("app-2", mode);
+        sendCalls(1s);
+        const auto since = std::chrono::steady_clock::now();
+        sendCalls(limitPeriod + 1s);
+        CPPUNIT_ASSERT(engine("app-0").mostRequestsWithin(limitPeriod, since) <= allowedAt(1));
+    }
+
     std::vector<Router> m_routers;
     // Calls keep references to their elements.
     std::deque<Call> m_calls;
