LibForwarding: Spread only the denials of an issuer

A router that could issue nothing added the spread of denials that it had made long ago, up to seconds. Found by reading; no test failed before.

--- a/Libraries/LibForwarding/RequestPermits.cpp
+++ b/Libraries/LibForwarding/RequestPermits.cpp
@@ -172,14 +172,14 @@
         return;
     }
     PermitOutcome outcome{false, unansweredDelay};
-    if (!event.limit.rate)
+    if (!event.limit.rate) {
         outcome = {true, absl::ZeroDuration()};
-    else if (isKnown && issuers.front() == m_routers.self())
+    } else if (isKnown && issuers.front() == m_routers.self()) {
         outcome = issue(event.limit, request.maxWait, now);
-    // The spread grows with the number of routers that ask in vain.
-    if (!outcome.isGranted) {
+        // The spread grows with the number of routers that ask in vain.
         const double denials = std::max(m_denials.count, m_denials.previousCount);
-        outcome.delay += absl::Seconds(m_random.fraction() * denials / maxDenialsPerSecond);
+        if (!outcome.isGranted)
+            outcome.delay += absl::Seconds(m_random.fraction() * denials / maxDenialsPerSecond);
     }
     m_actions.emplace_back(PermitActions::SendAnswer{request.asker, {request.id, outcome}});
 }
