--- a/Libraries/LibGateway/LimitGuard.cpp
+++ b/Libraries/LibGateway/LimitGuard.cpp
@@ -30,6 +30,7 @@
 
 } // namespace detail
 
+// NOLINTNEXTLINE(bugprone-exception-escape): std::visit() throws only for a variant without a value.
 PermitTicket::~PermitTicket()
 {
     if (const auto guard = m_guard.lock())
@@ -65,7 +66,7 @@
                                                   PermitHandler handler)
 {
     const PermitRequestId id(++m_lastRequest);
-    m_handlers.emplace(id, std::move(handler));
+    m_handlers[id] = std::move(handler);
     handle(PermitEvents::Requested{id, limit, maxWait});
     return std::make_unique<PermitTicket>(weak_from_this(), id);
 }
--- a/Libraries/LibGateway/LimitGuard.h
+++ b/Libraries/LibGateway/LimitGuard.h
@@ -28,6 +28,7 @@
 public:
     PermitTicket(std::weak_ptr<LimitGuard> guard, PermitRequestId id)
         : m_guard(std::move(guard)), m_id(id) { }
+    // NOLINTNEXTLINE(bugprone-exception-escape): std::visit() throws only for a variant without a value.
     ~PermitTicket();
     PermitTicket(const PermitTicket &) = delete;
     PermitTicket &operator=(const PermitTicket &) = delete;
