--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -416,7 +416,10 @@
         m_pool.recordNotice(record(1).process(), {.backoff = absl::Seconds(1)}, m_now, m_now);
         CPPUNIT_ASSERT(!m_pool.earliestAvailability(ServiceName("s"), m_now));
         m_pool.recordNotice(record(2).process(), {.isLeaving = true}, m_now, m_now);
-        CPPUNIT_ASSERT(m_pool.earliestAvailability(ServiceName("s"), m_now)->at == m_now + absl::Seconds(1));
+        const auto available = m_pool.earliestAvailability(ServiceName("s"), m_now);
+        CPPUNIT_ASSERT(available);
+        CPPUNIT_ASSERT(available->at == m_now + absl::Seconds(1));
+        CPPUNIT_ASSERT(!available->isLimited);
     }
 
     void excessiveBackoffIsBounded()
