--- a/review/harness/harness.py
+++ b/review/harness/harness.py
@@ -120,7 +120,7 @@
 def reset(writer):
     """Resets the connection; a plain close would look like the end of an answer without a length."""
     sock = writer.get_extra_info("socket")
-    if sock:
+    if sock and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
