LibForwarding, LibGateway: Bound the time for which nobody has confirmed a view

Cause: routers that don't watch the store noticed the death of those that do after 2.1 s, looking once a second; whether a view is current was derived from which peers are believed to be alive.

Change: reports say how long ago the store confirmed the sender's position. A router whose view nobody has confirmed for 0.4 of the change deadline reads the changes itself. Watchers are replaced after half the deadline, and watches wait for at most 0.6 of it. The sums are in ViewFreshness.h.

--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -30,6 +30,11 @@
     Count
 };
 
+// Elements of a position after its era and revision.
+constexpr std::size_t configurationVersionIndex = 2;
+constexpr std::size_t configurationAgeIndex = 3;
+constexpr std::size_t targetsAgeIndex = 2;
+
 nlohmann::json encodeLoads(const TargetLoads &loads)
 {
     std::vector<std::pair<TargetId, TargetLoad>> sorted(loads.begin(), loads.end());
@@ -64,19 +69,44 @@
     return {StoreEra(json.at(0).get<std::uint64_t>()), ObjectVersion(json.at(1).get<std::uint64_t>())};
 }
 
-// A position of the configuration, followed by its version.
+// Age of a position that the store has not confirmed.
+constexpr std::int64_t noAge = -1;
+
+std::int64_t encodeOptionalAge(const std::optional<absl::Duration> &age)
+{
+    return age ? absl::ToInt64Milliseconds(*age) : noAge;
+}
+
+// Reports of earlier releases lack the age. Throws nlohmann::json::exception if it is malformed.
+std::optional<absl::Duration> decodeOptionalAge(const nlohmann::json &json, std::size_t index)
+{
+    const auto ms = json.size() > index ? json.at(index).get<std::int64_t>() : noAge;
+    return ms < 0 ? std::nullopt : std::optional(absl::Milliseconds(ms));
+}
+
+// A position of the targets, followed by its age.
+nlohmann::json encodeTargetsState(const PeerReport &report)
+{
+    auto out = encodePosition(report.targetsPosition);
+    out.push_back(encodeOptionalAge(report.targetsAge));
+    return out;
+}
+
+// A position of the configuration, followed by its version and its age.
 nlohmann::json encodeConfigurationState(const PeerReport &report)
 {
     auto out = encodePosition(report.configurationPosition);
     out.push_back(report.configurationVersion.value());
+    out.push_back(encodeOptionalAge(report.configurationAge));
     return out;
 }
 
 // Reports of earlier releases lack the version. Throws nlohmann::json::exception if it is malformed.
 ConfigVersion decodeConfigurationVersion(const nlohmann::json &json)
 {
-    constexpr std::size_t versionIndex = 2;
-    return ConfigVersion(json.size() > versionIndex ? json.at(versionIndex).get<std::uint64_t>() : 0);
+    return ConfigVersion(json.size() > configurationVersionIndex
+                             ? json.at(configurationVersionIndex).get<std::uint64_t>()
+                             : 0);
 }
 
 nlohmann::json encodeProcesses(const std::vector<TargetProcess> &processes)
@@ -169,6 +199,8 @@
     out.configurationPosition = configurationPosition;
     out.configurationVersion = configurationVersion;
     out.targetsPosition = targetsPosition;
+    out.configurationAge = configurationAge;
+    out.targetsAge = targetsAge;
     out.promptEvidence = promptEvidenceForOthers;
     return out;
 }
@@ -183,7 +215,7 @@
                                  static_cast<int>(report.router.phase),
                                  report.router.reportSequence,
                                  detail::encodeConfigurationState(report),
-                                 detail::encodePosition(report.targetsPosition),
+                                 detail::encodeTargetsState(report),
                                  detail::encodeLoads(report.loads),
                                  detail::encodeProcesses(report.faults),
                                  detail::encodeProcesses(report.gone),
@@ -217,7 +249,11 @@
         report.configurationPosition = detail::decodePosition(json.at(detail::ConfigurationPosition));
         report.configurationVersion =
             detail::decodeConfigurationVersion(json.at(detail::ConfigurationPosition));
+        report.configurationAge =
+            detail::decodeOptionalAge(json.at(detail::ConfigurationPosition), detail::configurationAgeIndex);
         report.targetsPosition = detail::decodePosition(json.at(detail::TargetsPosition));
+        report.targetsAge =
+            detail::decodeOptionalAge(json.at(detail::TargetsPosition), detail::targetsAgeIndex);
         for (const auto &it : json.at(detail::Loads)) {
             report.loads[TargetId(it.at(0).get<std::string>())] = {
                 it.at(1).get<std::int32_t>(), it.at(2).get<std::int64_t>(), it.at(3).get<std::int64_t>()};
--- a/Libraries/LibForwarding/PeerReport.h
+++ b/Libraries/LibForwarding/PeerReport.h
@@ -13,6 +13,7 @@
 #include <LibForwarding/ServiceRetryBudget.h>
 #include <LibForwarding/TargetPool.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,10 +30,14 @@
     // The reporting router. `lastReportAt` is not transmitted.
     RouterRegistry::Member router;
     StorePosition configurationPosition;
+    // How long ago the store confirmed the position to the router; empty if the router does not read the
+    // store.
+    std::optional<absl::Duration> configurationAge;
     // Zero without a configuration. It can be newer than what the store holds at the position, if the store
     // was restored from an older copy.
     ConfigVersion configurationVersion;
     StorePosition targetsPosition;
+    std::optional<absl::Duration> targetsAge;
     TargetLoads loads;
     std::vector<TargetProcess> faults;
     // Processes that no longer exist at their address.
--- a/Libraries/LibForwarding/RouterRegistry.cpp
+++ b/Libraries/LibForwarding/RouterRegistry.cpp
@@ -46,7 +46,12 @@
 bool RouterRegistry::isAlive(const RouterId &id, absl::Time now) const
 {
     const auto it = m_members.find(id);
-    return it != m_members.end() && now - it->second.lastReportAt <= livenessTimeout;
+    return it != m_members.end() && isHeard(it->second, livenessTimeout, now);
+}
+
+bool RouterRegistry::isHeard(const Member &member, absl::Duration maxSilence, absl::Time now)
+{
+    return now - member.lastReportAt <= maxSilence;
 }
 
 std::vector<RouterRegistry::Member> RouterRegistry::members() const
@@ -87,14 +92,14 @@
 }
 
 bool RouterRegistry::shouldWatchStore(const Member &self, const std::vector<RouterId> &group,
-                                      std::size_t perDomain, absl::Time now) const
+                                      std::size_t perDomain, absl::Duration maxSilence, absl::Time now) const
 {
     std::size_t earlierServing = 0;
     std::size_t earlierTrusted = 0;
     for (const auto &id : group) {
         const auto *member = find(id);
         if (!member || member->domain != self.domain || !(id < self.id)
-            || member->phase != RouterPhase::Serving || !isAlive(id, now))
+            || member->phase != RouterPhase::Serving || !isHeard(*member, maxSilence, now))
             continue;
         ++earlierServing;
         earlierTrusted += member->isStoreTrusted ? 1 : 0;
@@ -102,6 +107,15 @@
     return earlierTrusted < perDomain && earlierServing < maxWatcherFactor * perDomain;
 }
 
+std::size_t RouterRegistry::countHeardBefore(const RouterId &self, const std::vector<RouterId> &group,
+                                             absl::Duration maxSilence, absl::Time now) const
+{
+    return static_cast<std::size_t>(std::count_if(group.begin(), group.end(), [&](const RouterId &it) {
+        const auto *member = find(it);
+        return member && it < self && isHeard(*member, maxSilence, now);
+    }));
+}
+
 std::vector<std::string> RouterRegistry::entryPoints(const FailureDomain &domain, absl::Time now) const
 {
     std::vector<std::string> sameDomain;
--- a/Libraries/LibForwarding/RouterRegistry.h
+++ b/Libraries/LibForwarding/RouterRegistry.h
@@ -65,9 +65,15 @@
     // Returns true if fewer than `perDomain` live, serving routers of the group and domain with a reliable
     // view of the store have a smaller id. Only these watch the store; the others receive the changes from
     // them. A router that receives no reports watches the store itself. While the store is away, no router
-    // has a reliable view; then only the first few try, because the store is called by all of them.
+    // has a reliable view; then only the first few try, because the store is called by all of them. Routers
+    // that have been silent for longer than `maxSilence` don't count.
     [[nodiscard]] bool shouldWatchStore(const Member &self, const std::vector<RouterId> &group,
-                                        std::size_t perDomain, absl::Time now) const;
+                                        std::size_t perDomain, absl::Duration maxSilence,
+                                        absl::Time now) const;
+    // Number of routers of the group with a smaller id that have not been silent for longer than
+    // `maxSilence`.
+    [[nodiscard]] std::size_t countHeardBefore(const RouterId &self, const std::vector<RouterId> &group,
+                                               absl::Duration maxSilence, absl::Time now) const;
     // Caller addresses of the other serving routers; those in the given domain come first.
     [[nodiscard]] std::vector<std::string> entryPoints(const FailureDomain &, absl::Time now) const;
 
@@ -76,6 +82,7 @@
     static constexpr std::size_t maxWatcherFactor = 4;
 
     Member &memberFor(const RouterId &, const FailureDomain &);
+    [[nodiscard]] static bool isHeard(const Member &, absl::Duration maxSilence, absl::Time now);
 
     absl::btree_map<RouterId, Member> m_members;
     std::uint64_t m_membershipVersion{0};
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -12,11 +12,13 @@
 
 namespace detail {
 
-// Longest time that the store may hold a watch request. A dead connection is detected only after this time,
-// and leaving targets must be known within two seconds. Each watcher uses a random fraction of it, so that
-// watchers do not lose their view for the same period.
+// A watcher uses a random fraction of the longest watch, so that watchers do not lose their view for the same
+// period.
+constexpr double minWatchFraction = 0.75;
+// Longest watch, however late a change may take effect: a dead connection is noticed only after it.
 constexpr absl::Duration maxWatchDuration = absl::Milliseconds(2500);
-constexpr double minWatchFraction = 0.4;
+// A view that can't be read now is looked at again after this time at the earliest.
+constexpr absl::Duration minFreshnessCheckInterval = absl::Milliseconds(20);
 
 ObjectMetadata metadataOf(const DirectoryObject &object)
 {
@@ -67,7 +69,8 @@
                              const DirectoryDecoder &decoder, DirectoryListener &listener, StructuredLog &log,
                              RandomSource &random)
     : m_kind(kind), m_store(store), m_decoder(decoder), m_listener(listener), m_log(log), m_random(random),
-      m_synchronizer(random, changeDeadline), m_timer(context)
+      m_synchronizer(random, changeDeadline), m_freshness(changeDeadline), m_changeDeadline(changeDeadline),
+      m_timer(context)
 {
 }
 
@@ -126,38 +129,17 @@
 void DirectoryView::perform(const DirectorySyncAction &action)
 {
     if (std::holds_alternative<DirectorySyncActions::StartList>(action)) {
-        m_store.list(m_kind, [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
-            if (lifetime.expired())
-                return;
-            if (!result) {
-                handle(DirectorySyncEvents::CallFailed{});
-                return;
-            }
-            stage(result->objects);
-            handle(
-                DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
-        });
-    } else if (const auto *watch = std::get_if<DirectorySyncActions::StartWatch>(&action)) {
+        list();
+    } else if (const auto *it = std::get_if<DirectorySyncActions::StartWatch>(&action)) {
         if (!m_isWatching) {
             m_isWatchDeferred = true;
             return;
         }
-        const double waitFraction =
+        const double fraction =
             detail::minWatchFraction + (1 - detail::minWatchFraction) * m_random.fraction();
-        m_store.watch(m_kind, watch->after, waitFraction * detail::maxWatchDuration,
-                      [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
-                          if (lifetime.expired())
-                              return;
-                          if (!result && result.error().code == ErrorCode::Conflict) {
-                              handle(DirectorySyncEvents::RevisionExpired{});
-                          } else if (!result) {
-                              handle(DirectorySyncEvents::CallFailed{});
-                          } else {
-                              stage(result->objects);
-                              handle(DirectorySyncEvents::WatchCompleted{
-                                  detail::metadataOfAll(result->objects), result->position});
-                          }
-                      });
+        const auto longest =
+            std::min(detail::maxWatchDuration, ViewFreshness::maxWatchFraction * m_changeDeadline);
+        watch({monotonicNow(), fraction * longest}, it->after);
     } else if (const auto *it = std::get_if<DirectorySyncActions::Apply>(&action)) {
         apply(it->name);
     } else if (const auto *it = std::get_if<DirectorySyncActions::Remove>(&action)) {
@@ -196,6 +178,94 @@
     }
 }
 
+void DirectoryView::list()
+{
+    m_openCall = OpenCall{monotonicNow(), absl::ZeroDuration()};
+    m_store.list(m_kind, [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
+        if (lifetime.expired())
+            return;
+        const auto call = std::exchange(m_openCall, std::nullopt);
+        if (!result) {
+            handle(DirectorySyncEvents::CallFailed{});
+            return;
+        }
+        storeAnswered(*call);
+        stage(result->objects);
+        handle(DirectorySyncEvents::ListCompleted{detail::metadataOfAll(result->objects), result->position});
+    });
+}
+
+void DirectoryView::watch(const OpenCall &call, StorePosition after)
+{
+    m_openCall = call;
+    m_store.watch(m_kind, after, call.wait,
+                  [this, lifetime = std::weak_ptr(m_lifetime)](ErrorOr<DirectoryBatch> result) {
+                      if (!lifetime.expired())
+                          handleWatchResult(std::move(result));
+                  });
+}
+
+void DirectoryView::handleWatchResult(ErrorOr<DirectoryBatch> result)
+{
+    const auto call = std::exchange(m_openCall, std::nullopt);
+    if (!result && result.error().code == ErrorCode::Conflict) {
+        handle(DirectorySyncEvents::RevisionExpired{});
+    } else if (!result && call->isSingleRead && !m_isWatching) {
+        // The router does not watch the store, so it still follows its peers.
+        m_isWatchDeferred = true;
+    } else if (!result) {
+        handle(DirectorySyncEvents::CallFailed{});
+    } else {
+        storeAnswered(*call);
+        stage(result->objects);
+        handle(DirectorySyncEvents::WatchCompleted{detail::metadataOfAll(result->objects), result->position});
+        if (call->isSingleRead)
+            m_listener.viewRead(m_kind);
+    }
+}
+
+void DirectoryView::storeAnswered(const OpenCall &call)
+{
+    // The store may have answered long before the answer arrived, but not before the end of the wait unless
+    // there were changes.
+    m_storeConfirmedAt = std::min(monotonicNow(), call.startedAt + call.wait);
+    m_freshness.confirmByStore(m_storeConfirmedAt);
+}
+
+void DirectoryView::notePeerView(StorePosition position, std::optional<absl::Duration> age, absl::Time now)
+{
+    if (age)
+        m_freshness.confirmByPeer(position, *age, changePosition(), now);
+    else
+        m_freshness.notePosition(position);
+}
+
+std::optional<absl::Duration> DirectoryView::storeAge(absl::Time now) const
+{
+    // The store answers an open watch at once if there is a change.
+    if (m_openCall && m_openCall->wait > absl::ZeroDuration()
+        && now <= m_openCall->startedAt + m_openCall->wait
+                + ViewFreshness::maxAnswerDelayFraction * m_changeDeadline)
+        return absl::ZeroDuration();
+    const auto age = now - m_storeConfirmedAt;
+    return age <= m_changeDeadline ? std::optional(age) : std::nullopt;
+}
+
+absl::Time DirectoryView::readIfUnconfirmed(std::size_t routersBefore, absl::Time now)
+{
+    if (m_isWatchDeferred && now >= m_freshness.readDueAt(routersBefore)) {
+        m_log.write("unconfirmed_view_read",
+                    {{"kind", kindLabel()},
+                     {"unconfirmed_ms", absl::ToInt64Milliseconds(now - m_freshness.confirmedAt())},
+                     {"routers_before", routersBefore}},
+                    now);
+        m_isWatchDeferred = false;
+        m_freshness.readStarted(now);
+        watch({now, absl::ZeroDuration(), true}, m_synchronizer.resumeWatch().after);
+    }
+    return std::max(m_freshness.readDueAt(routersBefore), now + detail::minFreshnessCheckInterval);
+}
+
 void DirectoryView::apply(const std::string &name)
 {
     // A batch may contain several changes of an object; the latest content is applied with the first one.
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -5,6 +5,7 @@
 
 #include <LibForwarding/DirectorySynchronizer.h>
 #include <LibForwarding/RouteTable.h>
+#include <LibForwarding/ViewFreshness.h>
 #include <LibGateway/DirectoryStore.h>
 #include <LibGateway/GatewayContext.h>
 
@@ -15,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Wisteria {
 
@@ -27,6 +29,8 @@
     virtual void targetChanged(const ForwardingTarget &) = 0;
     virtual void targetRemoved(const TargetId &) = 0;
     virtual void routerChanged(const RouterRecord &) = 0;
+    // This router has read the store because no other one had confirmed the view, and can now confirm it.
+    virtual void viewRead(DirectoryKind) = 0;
     // The store was restored from an older copy. Records that this process wrote there may be lost.
     virtual void storeRestored(StorePosition from, StorePosition to) = 0;
 };
@@ -48,6 +52,16 @@
     void start();
     // While false, the store is not watched and changes come from other routers.
     void setWatching(bool);
+    // Another router's view was at the position. `age` says how long ago the store confirmed it; empty if
+    // that router does not read the store.
+    void notePeerView(StorePosition, std::optional<absl::Duration> age, absl::Time now);
+    // How long ago the store confirmed this view to this router; empty if that was longer ago than a change
+    // may take.
+    [[nodiscard]] std::optional<absl::Duration> storeAge(absl::Time now) const;
+    // Reads the changes from the store, once, if this router does not watch it and nobody has confirmed the
+    // view for too long. Returns when that is to be called again. `routersBefore` is the number of routers
+    // that should read first.
+    absl::Time readIfUnconfirmed(std::size_t routersBefore, absl::Time now);
     [[nodiscard]] StorePosition changePosition() const { return m_synchronizer.changePosition(); }
     // Number of changes of the view. It also counts deferred removals and the objects held back, which do not
     // advance the position.
@@ -70,8 +84,21 @@
     [[nodiscard]] ErrorOr<void> mergePeerView(const nlohmann::json &);
 
 private:
+    struct OpenCall
+    {
+        absl::Time startedAt;
+        // How long the store may wait for changes before it answers.
+        absl::Duration wait;
+        // Made by readIfUnconfirmed().
+        bool isSingleRead{false};
+    };
+
     void handle(const DirectorySyncEvent &);
     void perform(const DirectorySyncAction &);
+    void list();
+    void watch(const OpenCall &, StorePosition after);
+    void handleWatchResult(ErrorOr<DirectoryBatch>);
+    void storeAnswered(const OpenCall &);
     void stage(const std::vector<DirectoryObject> &);
     void apply(const std::string &name);
     void applyConfiguration(DirectoryObject);
@@ -91,6 +118,8 @@
     StructuredLog &m_log;
     RandomSource &m_random;
     DirectorySynchronizer m_synchronizer;
+    ViewFreshness m_freshness;
+    absl::Duration m_changeDeadline;
     boost::asio::steady_timer m_timer;
     // Applied objects, and objects of the current batch that are not applied yet.
     std::map<std::string, DirectoryObject> m_objects;
@@ -109,6 +138,10 @@
     ConfigVersion m_configVersion;
     bool m_isWatching{true};
     bool m_isWatchDeferred{false};
+    // The call that the store has not answered yet.
+    std::optional<OpenCall> m_openCall;
+    // The store's last answer to this router contained all changes up to this time.
+    absl::Time m_storeConfirmedAt{absl::InfinitePast()};
     // Expires with the view. Calls of the store may end after that.
     std::shared_ptr<bool> m_lifetime{std::make_shared<bool>(true)};
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -35,6 +35,8 @@
 // Assumed timeout of a caller that does not send one.
 constexpr absl::Duration defaultCallerTimeout = absl::Seconds(10);
 constexpr absl::Duration publishRetryInterval = absl::Milliseconds(500);
+// Watching routers that are silent for longer than this fraction of the change deadline are replaced.
+constexpr double maxWatcherSilenceFraction = 0.5;
 // A starting router has just listed all objects, and needs a moment to hear from those that watch them.
 constexpr absl::Duration firstWatchDelay = absl::Milliseconds(900);
 
@@ -105,7 +107,7 @@
       m_configurationRelay(context, m_configurationView, "configuration", detail::configurationCallTimeout,
                            m_log, m_random),
       m_targetsRelay(context, m_targetsView, "targets", detail::targetsCallTimeout, m_log, m_random),
-      m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context)
+      m_freshnessTimer(context), m_periodicTimer(context), m_shutdownTimer(context), m_publishTimer(context)
 {
     m_self.id = settings.id;
     m_self.domain = settings.domain;
@@ -151,6 +153,7 @@
     publishOwnRecord();
     m_peerLink->start();
     runPeriodicTasks();
+    keepViewsConfirmed();
 }
 
 void Gateway::publishOwnRecord()
@@ -398,6 +401,12 @@
     m_peerLink->scheduleReport(ReportUrgency::Urgent);
 }
 
+void Gateway::viewRead(DirectoryKind)
+{
+    m_metrics.increment("unconfirmed_view_reads_total", "");
+    m_peerLink->scheduleReport(ReportUrgency::Urgent);
+}
+
 void Gateway::updateTopology()
 {
     if (m_topologyVersion == m_routerRegistry.membershipVersion())
@@ -462,6 +471,8 @@
     report.configurationPosition = m_configurationView.changePosition();
     report.configurationVersion = m_configurationView.configurationVersion();
     report.targetsPosition = m_targetsView.changePosition();
+    report.configurationAge = m_configurationView.storeAge(monotonicNow());
+    report.targetsAge = m_targetsView.storeAge(monotonicNow());
     report.loads = m_targets.ownLoads();
     report.faults = std::exchange(m_unreportedFaults, {});
     report.gone = std::exchange(m_unreportedGone, {});
@@ -514,6 +525,8 @@
                         isInOwnGroup ? PromptQuarantine::EvidenceSource::OwnGroup
                                      : PromptQuarantine::EvidenceSource::OtherGroup,
                         now);
+    m_configurationView.notePeerView(report.configurationPosition, report.configurationAge, now);
+    m_targetsView.notePeerView(report.targetsPosition, report.targetsAge, now);
     m_configurationRelay.notePosition(report.router, report.configurationPosition);
     if (report.configurationVersion > m_configurationView.configurationVersion()
         && report.configurationPosition <= m_configurationView.changePosition())
@@ -606,7 +619,38 @@
         return false;
     const auto watchers =
         std::max<std::size_t>(m_settings.watchersPerDomain / m_topology.groupsInOwnDomain(), 1);
-    return m_routerRegistry.shouldWatchStore(m_self, m_topology.ownGroup(), watchers, now);
+    return m_routerRegistry.shouldWatchStore(m_self, m_topology.ownGroup(), watchers, maxWatcherSilence(),
+                                             now);
+}
+
+absl::Duration Gateway::maxWatcherSilence() const
+{
+    // A lost report is no reason for another watcher.
+    return std::clamp(detail::maxWatcherSilenceFraction * m_settings.changeDeadline,
+                      2 * PeerLink::maxReportInterval, RouterRegistry::livenessTimeout);
+}
+
+bool Gateway::updateWatching(absl::Time now)
+{
+    const bool isWatcher = shouldWatchStore(now);
+    m_configurationView.setWatching(isWatcher);
+    m_targetsView.setWatching(isWatcher);
+    return isWatcher;
+}
+
+void Gateway::keepViewsConfirmed()
+{
+    const auto now = monotonicNow();
+    updateWatching(now);
+    const auto routersBefore =
+        m_routerRegistry.countHeardBefore(m_self.id, m_topology.ownGroup(), maxWatcherSilence(), now);
+    const auto nextAt = std::min(m_configurationView.readIfUnconfirmed(routersBefore, now),
+                                 m_targetsView.readIfUnconfirmed(routersBefore, now));
+    m_freshnessTimer.expires_after(absl::ToChronoNanoseconds(nextAt - now));
+    m_freshnessTimer.async_wait([this](const auto &ec) {
+        if (!ec)
+            keepViewsConfirmed();
+    });
 }
 
 void Gateway::runPeriodicTasks()
@@ -618,11 +662,9 @@
     updateTopology();
     const auto groupRouters = m_routerRegistry.aliveCountAmong(m_topology.ownGroup(), now) + 1;
     const bool othersTrusted = m_routerRegistry.isStoreTrustedByOthers(now);
-    const bool isWatcher = shouldWatchStore(now);
-    for (auto *it : {&m_configurationView, &m_targetsView}) {
-        it->setStoreTrustedByOthers(othersTrusted);
-        it->setWatching(isWatcher);
-    }
+    m_configurationView.setStoreTrustedByOthers(othersTrusted);
+    m_targetsView.setStoreTrustedByOthers(othersTrusted);
+    const bool isWatcher = updateWatching(now);
     for (auto &[service, budget] : m_budgets)
         budget.setRouterCounts(groupRouters, m_routerRegistry.size() + 1);
     if (++m_periodicRuns % detail::reconcileIntervalSeconds == 0 && !isWatcher)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -71,6 +71,7 @@
     void targetChanged(const ForwardingTarget &) override;
     void targetRemoved(const TargetId &) override;
     void routerChanged(const RouterRecord &) override;
+    void viewRead(DirectoryKind) override;
     void storeRestored(StorePosition from, StorePosition to) override;
     [[nodiscard]] PeerReport makeReport() override;
     void handleReport(const PeerReport &) override;
@@ -85,6 +86,12 @@
     }
     // Returns true if this router is one of those that watch the store for the others.
     [[nodiscard]] bool shouldWatchStore(absl::Time now) const;
+    // A router that watches the store is replaced if it has been silent for longer than this.
+    [[nodiscard]] absl::Duration maxWatcherSilence() const;
+    // Lets the views watch the store or follow other routers. Returns whether they watch.
+    bool updateWatching(absl::Time now);
+    // Reads the views that nobody has confirmed for too long, now and whenever that happens.
+    void keepViewsConfirmed();
     // Recomputes the groups if the known routers have changed.
     void updateTopology();
     void addReportDestination(const RouterId &, bool isInOwnGroup, std::vector<ReportDestination> &) const;
@@ -149,6 +156,7 @@
     absl::flat_hash_set<std::shared_ptr<ForwardSession>> m_sessions;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::unique_ptr<PeerLink> m_peerLink;
+    boost::asio::steady_timer m_freshnessTimer;
     boost::asio::steady_timer m_periodicTimer;
     std::uint64_t m_periodicRuns{0};
     boost::asio::steady_timer m_shutdownTimer;
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -158,6 +158,8 @@
         CPPUNIT_ASSERT(decoded->configurationPosition == report.configurationPosition);
         CPPUNIT_ASSERT(decoded->configurationVersion == report.configurationVersion);
         CPPUNIT_ASSERT(decoded->targetsPosition == report.targetsPosition);
+        CPPUNIT_ASSERT(decoded->configurationAge == report.configurationAge);
+        CPPUNIT_ASSERT(!decoded->targetsAge);
         CPPUNIT_ASSERT(decoded->promptEvidence == report.promptEvidence);
         CPPUNIT_ASSERT(decodePeerReport(encodePeerReport(report.brief()))->promptEvidence
                        == report.promptEvidenceForOthers);
@@ -252,14 +254,14 @@
         RouterRegistry registry;
         const auto self = member("r3", 1, RouterPhase::Serving);
         const std::vector<RouterId> group = {RouterId("r1")};
-        CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, m_now));
+        CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, RouterRegistry::livenessTimeout, m_now));
         auto other = member("r1", 1, RouterPhase::Serving);
         registry.recordReport(other, m_now);
-        CPPUNIT_ASSERT(!registry.shouldWatchStore(self, group, 1, m_now));
+        CPPUNIT_ASSERT(!registry.shouldWatchStore(self, group, 1, RouterRegistry::livenessTimeout, m_now));
         other.isStoreTrusted = false;
         ++other.reportSequence;
         registry.recordReport(other, m_now);
-        CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, m_now));
+        CPPUNIT_ASSERT(registry.shouldWatchStore(self, group, 1, RouterRegistry::livenessTimeout, m_now));
     }
 
     // During an outage no router has a reliable view. If all of a large fleet tried to reach the store, its
@@ -281,14 +283,18 @@
             std::vector<RouterId> others = group;
             std::erase(others, id);
             const auto self = member(id.value(), 1, RouterPhase::Serving);
-            calling += registry.shouldWatchStore(self, others, watchers, m_now) ? 1 : 0;
+            calling +=
+                registry.shouldWatchStore(self, others, watchers, RouterRegistry::livenessTimeout, m_now) ? 1
+                                                                                                          : 0;
         }
         CPPUNIT_ASSERT_EQUAL(8, calling);
         // A router that hears from nobody watches the store itself.
         const auto last = member("r999", 1, RouterPhase::Serving);
-        CPPUNIT_ASSERT(!registry.shouldWatchStore(last, group, watchers, m_now));
+        CPPUNIT_ASSERT(
+            !registry.shouldWatchStore(last, group, watchers, RouterRegistry::livenessTimeout, m_now));
         const auto later = m_now + RouterRegistry::livenessTimeout + absl::Milliseconds(1);
-        CPPUNIT_ASSERT(registry.shouldWatchStore(last, group, watchers, later));
+        CPPUNIT_ASSERT(
+            registry.shouldWatchStore(last, group, watchers, RouterRegistry::livenessTimeout, later));
     }
 
     void briefReportOmitsLoadsAndCounts()
@@ -337,6 +343,7 @@
         report.router = member("r1", 17, RouterPhase::Draining);
         report.configurationPosition = {StoreEra(3), ObjectVersion(98)};
         report.configurationVersion = ConfigVersion(7);
+        report.configurationAge = absl::Milliseconds(250);
         report.targetsPosition = {StoreEra(3), ObjectVersion(99)};
         report.loads[TargetId("t1")] = {.requests = 2, .pendingPrefillTokens = 8000, .memoryTokens = 18000};
         report.faults = {{TargetId("t2"), 5, "127.0.0.1:3"}};
--- a/Tests/LibGateway/FakeDirectory.h
+++ b/Tests/LibGateway/FakeDirectory.h
@@ -74,9 +74,11 @@
     }
     void targetRemoved(const TargetId &id) override { targets.erase(id.value()); }
     void routerChanged(const RouterRecord &) override { }
+    void viewRead(DirectoryKind) override { ++viewReads; }
     void storeRestored(StorePosition from, StorePosition to) override { restorations.emplace_back(from, to); }
 
     std::vector<std::uint64_t> versions;
+    int viewReads{0};
     std::map<std::string, std::string> targets;
     std::vector<std::pair<StorePosition, StorePosition>> restorations;
 };
