LibGateway: Serve at each address only what it is for

Callers saw: /metrics and /v1/peer/views/... at the callers' address were answered by the gateway, without a key, although a route covered them.

Cause: all listeners shared a handler that served every path before it looked for a route, and forwarded everything else.

Change: listeners have roles, and a request that the gateway answers itself is a type that needs a role to compile. Listeners that aren't for callers forward nothing. Equal addresses have the sum of their roles.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -22,8 +22,8 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
+constexpr int statusMethodNotAllowed = 405;
 constexpr int statusUnavailable = 503;
-constexpr std::string_view metricsPath = "/metrics";
 // Target changes are small and must arrive quickly; a configuration of thousands of routes takes longer on a
 // slow link.
 constexpr absl::Duration targetsCallTimeout = absl::Milliseconds(600);
@@ -125,14 +125,11 @@
 
 ErrorOr<void> Gateway::listen()
 {
-    std::vector<std::string> addresses = {m_settings.callerListen, m_settings.entryPointListen,
-                                          m_settings.readinessListen, m_settings.peerListen};
-    if (!m_settings.metricsListen.empty())
-        addresses.push_back(m_settings.metricsListen);
-    std::sort(addresses.begin(), addresses.end());
-    addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
-    for (const auto &it : addresses)
-        m_servers.push_back(TRY(HttpServer::create(m_context, TRY(Address::parse(it)), *this, {})));
+    for (const auto &it : planListeners(m_settings)) {
+        m_listeners.push_back(std::make_unique<Listener>(*this, it.roles));
+        m_servers.push_back(
+            TRY(HttpServer::create(m_context, TRY(Address::parse(it.address)), *m_listeners.back(), {})));
+    }
     m_peerLink = TRY(PeerLink::create(m_context, m_settings.peerListen, *this));
     return {};
 }
@@ -206,13 +203,27 @@
     return m_routes && m_targetsView.hasView() && !m_shutdownStartedAt;
 }
 
-void Gateway::handleRequest(const std::shared_ptr<HttpServerConnection> &caller, HttpRequest message)
+void Gateway::Listener::handleRequest(const std::shared_ptr<HttpServerConnection> &caller,
+                                      HttpRequest message)
 {
-    if (!tryHandleLocally(caller, message))
-        forward(caller, std::move(message));
+    const auto target = message.target();
+    const auto request = readLocalRequest(m_roles, m_gateway.m_site.dialect, {target.data(), target.size()});
+    if (!request && m_roles.has(ListenerRole::Callers))
+        return m_gateway.forward(caller, std::move(message));
+    if (!request) {
+        caller->respond(makeResponse(detail::statusNotFound, "", ""));
+        return;
+    }
+    if (message.method() != boost::beast::http::verb::get) {
+        auto response = makeResponse(detail::statusMethodNotAllowed, "", "");
+        response.head.fields.set("Allow", "GET");
+        caller->respond(response);
+        return;
+    }
+    caller->respond(std::visit([this](const auto &it) { return m_gateway.answer(it); }, *request));
 }
 
-void Gateway::connectionClosed(const ConnectionClosure &closure)
+void Gateway::logClosure(const ConnectionClosure &closure)
 {
     const auto reason = closureReasonName(closure.reason);
     m_metrics.increment("connections_closed_total",
@@ -238,33 +249,12 @@
     return n;
 }
 
-bool Gateway::tryHandleLocally(const std::shared_ptr<HttpServerConnection> &caller,
-                               const HttpRequest &message)
+HttpResponse Gateway::answer(const ReadinessCheck &) const
 {
-    const auto target = message.target();
-    const std::string_view view(target.data(), target.size());
-    if (m_site.dialect.isReadinessCheck(view)) {
-        caller->respond(makeResponse(isReady() ? detail::statusOk : detail::statusUnavailable, "", ""));
-        return true;
-    }
-    if (const auto query = m_site.dialect.readEntryPointQuery(view)) {
-        caller->respond(entryPoints(*query));
-        return true;
-    }
-    if (const auto request = ViewRelay::readRequest(view)) {
-        auto &relay = request->view == m_targetsRelay.name() ? m_targetsRelay : m_configurationRelay;
-        caller->respond(request->view == relay.name() ? relay.responseFor(request->after)
-                                                      : makeResponse(detail::statusNotFound, "", ""));
-        return true;
-    }
-    if (view == detail::metricsPath) {
-        caller->respond(makeResponse(detail::statusOk, "text/plain; version=0.0.4", m_metrics.render()));
-        return true;
-    }
-    return false;
+    return makeResponse(isReady() ? detail::statusOk : detail::statusUnavailable, "", "");
 }
 
-HttpResponse Gateway::entryPoints(const EntryPointQuery &query) const
+HttpResponse Gateway::answer(const EntryPointQuery &query) const
 {
     auto addresses = m_routerRegistry.entryPoints(query.domain, monotonicNow());
     if (isReady())
@@ -274,6 +264,20 @@
     return m_site.dialect.writeEntryPoints(addresses, m_settings.entryPointLifetime);
 }
 
+HttpResponse Gateway::answer(const ViewRequest &request)
+{
+    for (auto *it : {&m_configurationRelay, &m_targetsRelay}) {
+        if (it->name() == request.view)
+            return it->responseFor(request.after);
+    }
+    return makeResponse(detail::statusNotFound, "", "");
+}
+
+HttpResponse Gateway::answer(const MetricsQuery &) const
+{
+    return makeResponse(detail::statusOk, "text/plain; version=0.0.4", m_metrics.render());
+}
+
 void Gateway::refuse(const std::shared_ptr<HttpServerConnection> &caller, int status, std::string_view reason,
                      const std::string &requestId, std::optional<absl::Duration> after)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -8,6 +8,7 @@
 #include <LibGateway/DirectoryView.h>
 #include <LibGateway/ForwardSession.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/ListenerRoles.h>
 #include <LibGateway/PeerLink.h>
 #include <LibGateway/ViewRelay.h>
 #include <LibNet/HttpServer.h>
@@ -31,7 +32,7 @@
     DirectoryStore &store;
 };
 
-class Gateway final : private HttpRequestHandler, private DirectoryListener, private PeerLinkDelegate
+class Gateway final : private DirectoryListener, private PeerLinkDelegate
 {
 public:
     // A router that is shutting down keeps listening for at least this long, because callers cache entry
@@ -60,13 +61,25 @@
     void startShutdown();
 
 private:
+    // Takes the requests of one listen address.
+    class Listener final : public HttpRequestHandler
+    {
+    public:
+        Listener(Gateway &gateway, const ListenerRoles &roles) : m_gateway(gateway), m_roles(roles) { }
+
+        void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) override;
+        void connectionClosed(const ConnectionClosure &closure) override { m_gateway.logClosure(closure); }
+
+    private:
+        Gateway &m_gateway;
+        ListenerRoles m_roles;
+    };
+
     Gateway(boost::asio::io_context &, const GatewaySettings &, const SiteAdapter &);
 
     ErrorOr<void> listen();
     void start();
 
-    void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) override;
-    void connectionClosed(const ConnectionClosure &) override;
     void configurationChanged(std::shared_ptr<const RouteTable>) override;
     void targetChanged(const ForwardingTarget &) override;
     void targetRemoved(const TargetId &) override;
@@ -96,12 +109,15 @@
     void updateTopology();
     void addReportDestination(const RouterId &, bool isInOwnGroup, std::vector<ReportDestination> &) const;
 
-    // Handles requests addressed to the gateway itself; false if the request must be forwarded.
-    bool tryHandleLocally(const std::shared_ptr<HttpServerConnection> &, const HttpRequest &);
+    void logClosure(const ConnectionClosure &);
+    // Answers a request addressed to the gateway itself.
+    [[nodiscard]] HttpResponse answer(const ReadinessCheck &) const;
+    [[nodiscard]] HttpResponse answer(const EntryPointQuery &) const;
+    [[nodiscard]] HttpResponse answer(const ViewRequest &);
+    [[nodiscard]] HttpResponse answer(const MetricsQuery &) const;
     void forward(const std::shared_ptr<HttpServerConnection> &, HttpRequest);
     void refuse(const std::shared_ptr<HttpServerConnection> &, int status, std::string_view reason,
                 const std::string &requestId, std::optional<absl::Duration> after = std::nullopt);
-    [[nodiscard]] HttpResponse entryPoints(const EntryPointQuery &) const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] ServiceRetryBudget &budgetFor(const ServiceName &);
     void targetFailed(const TargetProcess &, TargetFault);
@@ -154,6 +170,8 @@
     // Sessions hold references to the budgets, so the map must not move its elements.
     absl::node_hash_map<ServiceName, ServiceRetryBudget> m_budgets;
     absl::flat_hash_set<std::shared_ptr<ForwardSession>> m_sessions;
+    // The servers refer to the listeners.
+    std::vector<std::unique_ptr<Listener>> m_listeners;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::unique_ptr<PeerLink> m_peerLink;
     boost::asio::steady_timer m_freshnessTimer;
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -13,12 +13,12 @@
 {
     RouterId id;
     FailureDomain domain;
-    // Listen addresses intended for callers' requests, entry point queries and the platform's readiness
-    // checks. Every listener serves every path, including /metrics.
+    // Listen addresses for callers' requests, entry point queries and the platform's readiness checks. Each
+    // serves only what it is for; addresses that are equal serve the sum (ListenerRoles).
     std::string callerListen;
     std::string entryPointListen;
     std::string readinessListen;
-    // Additional listen address, intended for metrics; empty for none.
+    // Listen address for metrics; empty for none.
     std::string metricsListen;
     // Listen address for UDP reports and HTTP requests of other routers, on the same port number.
     std::string peerListen;
--- a/Tests/Platform/FakeDeployment.cpp
+++ b/Tests/Platform/FakeDeployment.cpp
@@ -89,7 +89,7 @@
     }
 }
 
-FakeDeployment::Router FakeDeployment::createRouter(const std::string &id, const std::string &zone)
+GatewaySettings FakeDeployment::makeSettings(const std::string &id, const std::string &zone) const
 {
     GatewaySettings settings;
     settings.id = RouterId(id);
@@ -97,9 +97,15 @@
     settings.callerListen = unusedLoopbackAddress();
     settings.entryPointListen = settings.callerListen;
     settings.readinessListen = settings.callerListen;
+    settings.metricsListen = settings.callerListen;
     settings.peerListen = unusedLoopbackAddress();
     settings.store = m_store->address();
     settings.retryLimits = {.ratio = 0.8, .minRetriesPerWindow = 150, .window = absl::Seconds(10)};
+    return settings;
+}
+
+FakeDeployment::Router FakeDeployment::createRouter(const GatewaySettings &settings)
+{
     Router router;
     router.settings = settings;
     router.address = settings.callerListen;
--- a/Tests/Platform/FakeDeployment.h
+++ b/Tests/Platform/FakeDeployment.h
@@ -51,7 +51,13 @@
         std::unique_ptr<Platform::StoreClient> client;
         std::unique_ptr<Gateway> gateway;
     };
-    [[nodiscard]] Router createRouter(const std::string &id, const std::string &zone = "z0");
+    // One address for callers, entry points, readiness and metrics.
+    [[nodiscard]] GatewaySettings makeSettings(const std::string &id, const std::string &zone = "z0") const;
+    [[nodiscard]] Router createRouter(const GatewaySettings &);
+    [[nodiscard]] Router createRouter(const std::string &id, const std::string &zone = "z0")
+    {
+        return createRouter(makeSettings(id, zone));
+    }
     // Destroys a router while the event loop goes on. Handlers that are ready run before, since they refer to
     // it.
     void endRouter(std::unique_ptr<Gateway> &, std::unique_ptr<Platform::StoreClient> &);
