LibForwarding: Count simultaneous ends of targets as one piece of evidence

Cause: three ends of targets barred the part that their prompts share, also if they ended together, which needs no other explanation than the crash.

Change: a verdict takes three independent ends. Ends within 1.5 s count once, unless a run with the part was sent after an end before; runs name that end.

In TestPromptQuarantine targets end one after the other now; the checks are the same.

--- a/Libraries/LibForwarding/PeerReport.cpp
+++ b/Libraries/LibForwarding/PeerReport.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t configurationVersionIndex = 2;
 constexpr std::size_t configurationAgeIndex = 3;
 constexpr std::size_t targetsAgeIndex = 2;
+// Elements of the end of a target.
+constexpr std::size_t endRunsIndex = 2;
+constexpr std::size_t endsBeforeRunsIndex = 3;
 
 nlohmann::json encodeLoads(const TargetLoads &loads)
 {
@@ -137,13 +140,18 @@
     nlohmann::json out = nlohmann::json::array();
     for (const auto &it : ends) {
         nlohmann::json runs = nlohmann::json::array();
+        nlohmann::json before = nlohmann::json::array();
         for (const auto &run : it.runs) {
             nlohmann::json parts = nlohmann::json::array();
-            for (const auto &part : run)
+            for (const auto &part : run.parts)
                 parts.push_back(part.value());
             runs.push_back(std::move(parts));
+            nlohmann::json ends = nlohmann::json::array();
+            for (const auto &id : run.after)
+                ends.push_back(id.value());
+            before.push_back(std::move(ends));
         }
-        out.push_back({it.id.value(), absl::ToInt64Milliseconds(it.age), std::move(runs)});
+        out.push_back({it.id.value(), absl::ToInt64Milliseconds(it.age), std::move(runs), std::move(before)});
     }
     return out;
 }
@@ -162,18 +170,33 @@
     return absl::Milliseconds(std::max<std::int64_t>(json.get<std::int64_t>(), 0));
 }
 
+// The ends after which a run was sent. Reports of earlier releases don't name them, so that ends that come
+// together count as one piece of evidence. Throws nlohmann::json::exception if an element is malformed.
+std::vector<TargetEndId> decodeEndsBefore(const nlohmann::json &end, std::size_t run)
+{
+    std::vector<TargetEndId> out;
+    if (end.size() <= endsBeforeRunsIndex)
+        return out;
+    for (const auto &it : end.at(endsBeforeRunsIndex).at(run))
+        out.emplace_back(it.get<std::uint64_t>());
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
 // Throws nlohmann::json::exception if an element is malformed.
 std::vector<PromptEvidence::End> decodeEnds(const nlohmann::json &json)
 {
     std::vector<PromptEvidence::End> out;
     for (const auto &it : json) {
         PromptEvidence::End end{TargetEndId(it.at(0).get<std::uint64_t>()), decodeAge(it.at(1)), {}};
-        for (const auto &parts : it.at(2)) {
-            PromptParts run;
-            for (const auto &part : parts)
-                run.emplace_back(part.get<std::uint64_t>());
-            std::sort(run.begin(), run.end());
-            run.erase(std::unique(run.begin(), run.end()), run.end());
+        const auto &runs = it.at(endRunsIndex);
+        for (std::size_t n = 0; n < runs.size(); ++n) {
+            SuspectRun run{{}, decodeEndsBefore(it, n)};
+            for (const auto &part : runs.at(n))
+                run.parts.emplace_back(part.get<std::uint64_t>());
+            std::sort(run.parts.begin(), run.parts.end());
+            run.parts.erase(std::unique(run.parts.begin(), run.parts.end()), run.parts.end());
             end.runs.push_back(std::move(run));
         }
         out.push_back(std::move(end));
--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace Wisteria {
@@ -32,11 +34,26 @@
     return std::binary_search(parts.begin(), parts.end(), part);
 }
 
-// Returns whether the run is new.
-bool addRun(std::vector<PromptParts> &runs, const PromptParts &run)
+// Returns whether that adds anything.
+bool addEndsBefore(SuspectRun &run, const std::vector<TargetEndId> &after)
 {
-    if (run.empty() || runs.size() >= PromptQuarantine::maxRunsPerEnd
-        || std::find(runs.begin(), runs.end(), run) != runs.end())
+    std::vector<TargetEndId> merged;
+    std::set_union(run.after.begin(), run.after.end(), after.begin(), after.end(),
+                   std::back_inserter(merged));
+    merged.resize(std::min(merged.size(), PromptQuarantine::maxEndsBeforeRun));
+    return std::exchange(run.after, merged) != merged;
+}
+
+// Returns whether that adds anything.
+bool addRun(std::vector<SuspectRun> &runs, const SuspectRun &run)
+{
+    if (run.parts.empty())
+        return false;
+    const auto known = std::find_if(runs.begin(), runs.end(),
+                                    [&run](const SuspectRun &it) { return it.parts == run.parts; });
+    if (known != runs.end())
+        return addEndsBefore(*known, run.after);
+    if (runs.size() >= PromptQuarantine::maxRunsPerEnd)
         return false;
     runs.push_back(run);
     return true;
@@ -44,7 +61,8 @@
 
 } // namespace detail
 
-void PromptQuarantine::recordLostRun(const TargetProcess &process, const PromptParts &parts, absl::Time now)
+void PromptQuarantine::recordLostRun(const TargetProcess &process, const PromptParts &parts,
+                                     absl::Time startedAt, absl::Time now)
 {
     if (parts.empty())
         return;
@@ -54,7 +72,10 @@
         return;
     if (process.isLaterThan(lost.process))
         lost = LostRuns{process, {}, now};
-    detail::addRun(lost.runs, parts);
+    if (lost.startedAt.size() < maxRunsPerEnd || lost.startedAt.contains(parts)) {
+        auto &start = lost.startedAt.try_emplace(parts, startedAt).first->second;
+        start = std::max(start, startedAt);
+    }
     lost.at = now;
 }
 
@@ -67,7 +88,13 @@
         return false;
     const auto lost = std::move(it->second);
     m_lostRuns.erase(it);
-    return now - lost.at <= confirmationTime && addEnd(id, lost.at, lost.runs, newsReports, now);
+    std::vector<SuspectRun> runs;
+    for (const auto &[parts, startedAt] : lost.startedAt) {
+        runs.push_back({parts, {}});
+        if (const auto before = lastEndBefore(startedAt, parts))
+            runs.back().after.push_back(*before);
+    }
+    return now - lost.at <= confirmationTime && addEnd(id, lost.at, runs, newsReports, now);
 }
 
 QuarantineChange PromptQuarantine::confirmEnd(const TargetId &id, absl::Time now)
@@ -115,13 +142,22 @@
 bool PromptQuarantine::End::hasPart(PromptPartId part) const
 {
     return std::any_of(runs.begin(), runs.end(),
-                       [part](const PromptParts &it) { return detail::hasPart(it, part); });
+                       [part](const SuspectRun &it) { return detail::hasPart(it.parts, part); });
+}
+
+bool PromptQuarantine::End::hasRunAfter(const std::vector<TargetEndId> &ends, PromptPartId part) const
+{
+    return std::any_of(runs.begin(), runs.end(), [&](const SuspectRun &it) {
+        return detail::hasPart(it.parts, part)
+            && std::find_first_of(it.after.begin(), it.after.end(), ends.begin(), ends.end())
+            != it.after.end();
+    });
 }
 
 bool PromptQuarantine::End::hasRunWith(const PromptParts &parts) const
 {
-    return std::any_of(runs.begin(), runs.end(), [&parts](const PromptParts &it) {
-        return std::includes(it.begin(), it.end(), parts.begin(), parts.end());
+    return std::any_of(runs.begin(), runs.end(), [&parts](const SuspectRun &it) {
+        return std::includes(it.parts.begin(), it.parts.end(), parts.begin(), parts.end());
     });
 }
 
@@ -138,14 +174,31 @@
     return out;
 }
 
-bool PromptQuarantine::addEnd(TargetEndId id, absl::Time at, const std::vector<PromptParts> &runs,
+std::optional<TargetEndId> PromptQuarantine::lastEndBefore(absl::Time startedAt,
+                                                           const PromptParts &parts) const
+{
+    std::optional<TargetEndId> out;
+    auto lastAt = startedAt - maxEventSpread;
+    for (const auto &[id, end] : m_ends) {
+        if (end.at < lastAt || end.at > startedAt)
+            continue;
+        if (std::any_of(parts.begin(), parts.end(),
+                        [&it = end](const auto &part) { return it.hasPart(part); })) {
+            lastAt = end.at;
+            out = id;
+        }
+    }
+    return out;
+}
+
+bool PromptQuarantine::addEnd(TargetEndId id, absl::Time at, const std::vector<SuspectRun> &runs,
                               int newsReports, absl::Time now)
 {
     const auto known = m_ends.find(id);
     End end = known == m_ends.end() ? End{.at = at} : known->second;
     bool isChanged = false;
     for (const auto &it : runs)
-        isChanged = detail::addRun(end.runs, suspectParts(it, end.at, now)) || isChanged;
+        isChanged = detail::addRun(end.runs, {suspectParts(it.parts, end.at, now), it.after}) || isChanged;
     if (!isChanged)
         return false;
     end.newsReportsLeft = std::max(end.newsReportsLeft, newsReports);
@@ -170,7 +223,7 @@
         if (end.hasPart(part) && isCleared(part, end.at)) {
             wasSuspect = true;
             for (auto &run : std::exchange(end.runs, {})) {
-                std::erase(run, part);
+                std::erase(run.parts, part);
                 detail::addRun(end.runs, run);
             }
         }
@@ -204,14 +257,8 @@
     PromptEvidence out;
     std::vector<std::pair<absl::Time, TargetEndId>> chosen;
     for (const auto &verdict : m_verdicts) {
-        std::vector<std::pair<absl::Time, TargetEndId>> supporting;
-        for (const auto &[id, end] : m_ends) {
-            if (end.hasRunWith(verdict.parts))
-                supporting.emplace_back(end.at, id);
-        }
-        std::sort(supporting.rbegin(), supporting.rend());
-        supporting.resize(std::min(supporting.size(), endsForVerdict));
-        chosen.insert(chosen.end(), supporting.begin(), supporting.end());
+        for (const auto &it : endsSupporting(verdict))
+            chosen.emplace_back(m_ends.at(it).at, it);
     }
     for (const auto &[id, end] : m_ends) {
         if (scope == EvidenceScope::Recent && now - end.at <= reportTime)
@@ -331,7 +378,7 @@
             continue;
         PromptParts parts;
         for (const auto &it : end.runs)
-            parts.insert(parts.end(), it.begin(), it.end());
+            parts.insert(parts.end(), it.parts.begin(), it.parts.end());
         std::sort(parts.begin(), parts.end());
         parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
         for (const auto &it : parts)
@@ -340,16 +387,56 @@
     return out;
 }
 
+std::vector<TargetEndId> PromptQuarantine::independentEnds(PromptPartId part,
+                                                           std::vector<TargetEndId> ends) const
+{
+    std::sort(ends.begin(), ends.end(), [this](TargetEndId a, TargetEndId b) {
+        return std::pair(m_ends.at(a).at, a) < std::pair(m_ends.at(b).at, b);
+    });
+    std::vector<TargetEndId> out;
+    // The ends that are one piece of evidence with the last one of `out`.
+    std::vector<TargetEndId> event;
+    for (const auto &id : ends) {
+        const auto &end = m_ends.at(id);
+        if (out.empty() || end.at - m_ends.at(out.back()).at > maxEventSpread
+            || end.hasRunAfter(event, part)) {
+            event.clear();
+            out.push_back(id);
+        }
+        event.push_back(id);
+    }
+    return out;
+}
+
+std::vector<TargetEndId> PromptQuarantine::endsSupporting(const Verdict &verdict) const
+{
+    std::vector<TargetEndId> ends;
+    for (const auto &[id, end] : m_ends) {
+        if (end.hasRunWith(verdict.parts))
+            ends.push_back(id);
+    }
+    auto out = independentEnds(verdict.parts.front(), ends);
+    if (out.size() > endsForVerdict)
+        out.erase(out.begin(), out.end() - static_cast<std::ptrdiff_t>(endsForVerdict));
+    // The next trial depends on the last end.
+    const auto last = std::max_element(ends.begin(), ends.end(), [this](TargetEndId a, TargetEndId b) {
+        return m_ends.at(a).at < m_ends.at(b).at;
+    });
+    if (last != ends.end() && m_ends.at(out.back()).at < m_ends.at(*last).at)
+        out.push_back(*last);
+    return out;
+}
+
 PromptParts PromptQuarantine::commonParts(PromptPartId part, const std::vector<TargetEndId> &ends) const
 {
     std::optional<PromptParts> common;
     for (const auto &id : ends) {
         for (const auto &run : m_ends.at(id).runs) {
-            if (!detail::hasPart(run, part))
+            if (!detail::hasPart(run.parts, part))
                 continue;
             if (!common)
-                common = run;
-            std::erase_if(*common, [&run](const auto &it) { return !detail::hasPart(run, it); });
+                common = run.parts;
+            std::erase_if(*common, [&run](const auto &it) { return !detail::hasPart(run.parts, it); });
         }
     }
     return common.value_or(PromptParts());
@@ -367,30 +454,33 @@
     for (std::size_t n = endsForVerdict; n < times.size(); ++n)
         trials += times[n] - times[n - 1] > detail::trialGap ? 1 : 0;
     const auto delay = std::min(firstTrialDelay * std::pow(trialDelayFactor, trials), maxTrialDelay);
-    return {std::move(parts), ends.size(), times.back(), times.back() + delay};
+    const auto independent = independentEnds(parts.front(), ends).size();
+    return {std::move(parts), ends.size(), independent, times.back(), times.back() + delay};
 }
 
 std::optional<PromptQuarantine::Verdict> PromptQuarantine::nextVerdict()
 {
     const auto endsByPart = unexplainedEndsByPart();
-    std::size_t most = 0;
-    for (const auto &[part, ends] : endsByPart)
-        most = std::max(most, ends.size());
-    if (most < endsForVerdict)
-        return std::nullopt;
     // Of parts with equal evidence, the one whose runs have most in common is judged, so that as few other
     // requests as possible are barred.
+    using Weight = std::tuple<std::size_t, std::size_t, std::size_t>;
+    Weight most;
     PromptParts parts;
     const std::vector<TargetEndId> *judged = nullptr;
     for (const auto &[part, ends] : endsByPart) {
-        if (ends.size() != most)
+        const auto independent = ends.size() < endsForVerdict ? 0 : independentEnds(part, ends).size();
+        if (independent < endsForVerdict)
             continue;
         auto common = commonParts(part, ends);
-        if (judged && common.size() <= parts.size())
+        const Weight weight{independent, ends.size(), common.size()};
+        if (judged && weight <= most)
             continue;
+        most = weight;
         parts = std::move(common);
         judged = &ends;
     }
+    if (!judged)
+        return std::nullopt;
     for (const auto &it : *judged)
         m_ends.at(it).isExplained = true;
     return makeVerdict(std::move(parts), *judged);
--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -7,10 +7,15 @@
 //
 // Evidence is the end of a target's process together with its suspect runs: requests on which it had not
 // written for long. Each part of a suspect run is suspect, unless a target has written an answer on it and
-// lived on about the same time. A verdict takes several ends, and each end counts for one verdict only: the
-// part with the most ends explains them, and parts that were merely beside it lose theirs. A verdict names
-// all parts that its suspect runs have in common, since any of them may be the cause; a request is barred if
-// it has them all.
+// lived on about the same time. A verdict takes several independent ends, and each end counts for one verdict
+// only: the part with the most independent ends explains them, and parts that were merely beside it lose
+// theirs. A verdict names all parts that its suspect runs have in common, since any of them may be the cause;
+// a request is barred if it has them all.
+//
+// Targets that end at about the same time may have a cause of their own in common, such as the loss of their
+// failure domain, and requests that arrive together often share parts. Such ends are one piece of evidence,
+// unless a run with the part was sent after the end before: then the part has met another target, and that
+// one ended, too.
 //
 // Routers exchange their evidence, not their verdicts, and merge it in any order and any number of times. A
 // verdict ends when a target writes on the part and lives on. To find out, one router forwards one request
@@ -39,6 +44,17 @@
 // Sorted, each part once.
 using PromptParts = std::vector<PromptPartId>;
 
+// A run that was lost with its target.
+struct SuspectRun
+{
+    PromptParts parts;
+    // Ends after which the run, or another one with the same parts, was sent. Sorted. Named rather than
+    // derived from times, which differ between routers by more than it takes to send a run on.
+    std::vector<TargetEndId> after;
+
+    bool operator==(const SuspectRun &) const = default;
+};
+
 // What a router tells the others. Ages count from the time of the report.
 struct PromptEvidence
 {
@@ -46,8 +62,7 @@
     {
         TargetEndId id;
         absl::Duration age;
-        // Suspect parts of each run.
-        std::vector<PromptParts> runs;
+        std::vector<SuspectRun> runs;
 
         bool operator==(const End &) const = default;
     };
@@ -77,12 +92,15 @@
 class PromptQuarantine
 {
 public:
-    // Number of ends that a verdict takes. A bystander is rarely on three ending targets in a row without a
-    // sign of life in between.
+    // Number of independent ends that a verdict takes. A bystander is rarely on three ending targets in a row
+    // without a sign of life in between.
     static constexpr std::size_t endsForVerdict = 3;
     // A target that has written an answer for this long lives on. Targets that end on a part do so with the
     // first tokens.
     static constexpr absl::Duration survivalTime = absl::Seconds(1);
+    // Ends within this time are one piece of evidence. The runs of a target that falls silent are not all
+    // lost at the same moment.
+    static constexpr absl::Duration maxEventSpread = absl::Milliseconds(1500);
     // A sign of life clears a part of ends that come up to this much later, so that requests whose prompts
     // are still being processed don't become suspect.
     static constexpr absl::Duration trustTime = absl::Seconds(2);
@@ -105,6 +123,7 @@
     static constexpr std::size_t maxEnds = 256;
     static constexpr std::size_t maxRunsPerEnd = 16;
     static constexpr std::size_t maxPartsPerRun = 32;
+    static constexpr std::size_t maxEndsBeforeRun = 8;
     static constexpr std::size_t maxSurvivals = 4096;
     static constexpr std::size_t maxReportedEnds = 24;
     static constexpr std::size_t maxReportedSurvivals = 32;
@@ -114,7 +133,8 @@
     // The connection of a run was lost, or the run was given up, before the target had written for
     // survivalTime. This becomes evidence when the end of the process is confirmed. A target may end on a run
     // that has just been given up; without that run, only the bystanders of the end would be suspect.
-    void recordLostRun(const TargetProcess &, const PromptParts &, absl::Time now);
+    // `startedAt` is the time at which the run was sent to the target.
+    void recordLostRun(const TargetProcess &, const PromptParts &, absl::Time startedAt, absl::Time now);
     // The process that the target's lost runs were sent to has ended.
     QuarantineChange confirmEnd(const TargetId &, absl::Time now);
     // The directory lists this process, so earlier ones of the target or at its address have ended.
@@ -147,6 +167,7 @@
         // A request is barred if it has all of these parts.
         PromptParts parts;
         std::size_t ends{0};
+        std::size_t independentEnds{0};
         absl::Time lastEndAt;
         absl::Time nextTrialAt;
     };
@@ -170,20 +191,23 @@
     {
         absl::Time at;
         // Invariant: not empty; each run once, not empty, and without parts that survived near the end.
-        std::vector<PromptParts> runs;
+        std::vector<SuspectRun> runs;
         // A verdict explains the end.
         bool isExplained{false};
         // Reports that still have to contain it.
         int newsReportsLeft{0};
 
         [[nodiscard]] bool hasPart(PromptPartId) const;
+        // A run with the part was sent after one of these ends.
+        [[nodiscard]] bool hasRunAfter(const std::vector<TargetEndId> &, PromptPartId) const;
         // One run has all of these parts.
         [[nodiscard]] bool hasRunWith(const PromptParts &) const;
     };
     struct LostRuns
     {
         TargetProcess process;
-        std::vector<PromptParts> runs;
+        // Starts of the runs, by their parts.
+        absl::btree_map<PromptParts, absl::Time> startedAt;
         absl::Time at;
     };
     struct Survival
@@ -197,9 +221,10 @@
 
     // Adds the lost runs of the process that ended. Returns whether that changed anything.
     bool addLostRuns(TargetEndId, absl::Time now);
+    // The last end with one of the parts, unless it is too long ago to matter.
+    [[nodiscard]] std::optional<TargetEndId> lastEndBefore(absl::Time, const PromptParts &) const;
     // Adds runs to an end, which is then part of so many reports. Returns whether that changed anything.
-    bool addEnd(TargetEndId, absl::Time at, const std::vector<PromptParts> &, int newsReports,
-                absl::Time now);
+    bool addEnd(TargetEndId, absl::Time at, const std::vector<SuspectRun> &, int newsReports, absl::Time now);
     // Returns whether the part was suspect.
     bool addSurvival(PromptPartId, absl::Time at, int newsReports, absl::Time now);
     // Whoever reported evidence against the part does not know of the survival yet.
@@ -210,10 +235,14 @@
     void limitEnds();
     void limitSurvivals();
     [[nodiscard]] EndsByPart unexplainedEndsByPart() const;
+    // The ends with this part that are independent of each other, in order of time.
+    [[nodiscard]] std::vector<TargetEndId> independentEnds(PromptPartId, std::vector<TargetEndId>) const;
+    // The ends that other routers need in order to reach the same verdict.
+    [[nodiscard]] std::vector<TargetEndId> endsSupporting(const Verdict &) const;
     // The parts that all suspect runs with this part have in common.
     [[nodiscard]] PromptParts commonParts(PromptPartId, const std::vector<TargetEndId> &) const;
     [[nodiscard]] Verdict makeVerdict(PromptParts, const std::vector<TargetEndId> &) const;
-    // The verdict on the part with the most unexplained ends, if they are enough.
+    // The verdict on the part with the most independent unexplained ends, if they are enough.
     [[nodiscard]] std::optional<Verdict> nextVerdict();
     // Derives the verdicts from the evidence.
     void judge(QuarantineChange &);
--- a/Libraries/LibForwarding/ViewFreshness.h
+++ b/Libraries/LibForwarding/ViewFreshness.h
@@ -13,7 +13,8 @@
 //
 //     maxUnconfirmed   0.40   the last confirmation was sent just before the change
 //     maxSpread        0.15   unconfirmed routers read one after the other
-//     what remains     0.45   the read, a busy machine, and a second read if the answer to the first one is lost
+//     what remains     0.45   the read, a busy machine, and a second read if the answer to the first one is
+//     lost
 //
 // and if all watching routers are cut off from the store, but not from the others:
 //
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -371,7 +371,7 @@
 {
     const auto now = monotonicNow();
     if (!run.firstEventAt() || run.writingTime(now) < PromptQuarantine::survivalTime)
-        m_gatewayContext.promptGuard.runLost(run.process(), m_routed.request.sharedParts, now);
+        m_gatewayContext.promptGuard.runLost(run.process(), m_routed.request.sharedParts, run.sentAt(), now);
 }
 
 std::optional<absl::Duration> ForwardSession::barTime(absl::Time now) const
--- a/Libraries/LibGateway/PromptGuard.cpp
+++ b/Libraries/LibGateway/PromptGuard.cpp
@@ -107,6 +107,7 @@
         m_log.write("prompt_barred",
                     {{"parts", partNames(it)},
                      {"ends", verdict->ends},
+                     {"independent_ends", verdict->independentEnds},
                      {"last_end_ms_ago", absl::ToInt64Milliseconds(now - verdict->lastEndAt)},
                      {"next_trial_ms", absl::ToInt64Milliseconds(verdict->nextTrialAt - now)}},
                     now);
--- a/Libraries/LibGateway/PromptGuard.h
+++ b/Libraries/LibGateway/PromptGuard.h
@@ -42,9 +42,9 @@
     [[nodiscard]] std::optional<absl::Duration> barOf(const PromptParts &, absl::Time now) const;
 
     // A run was lost or given up before its target had written for PromptQuarantine::survivalTime.
-    void runLost(const TargetProcess &process, const PromptParts &parts, absl::Time now)
+    void runLost(const TargetProcess &process, const PromptParts &parts, absl::Time startedAt, absl::Time now)
     {
-        m_quarantine.recordLostRun(process, parts, now);
+        m_quarantine.recordLostRun(process, parts, startedAt, now);
     }
     void runSurvived(const PromptParts &, absl::Time now);
     void targetEnded(const TargetId &, absl::Time now);
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -348,9 +348,11 @@
         report.loads[TargetId("t1")] = {.requests = 2, .pendingPrefillTokens = 8000, .memoryTokens = 18000};
         report.faults = {{TargetId("t2"), 5, "127.0.0.1:3"}};
         report.gone = {{TargetId("t3"), 6, "127.0.0.1:4"}, {.id = TargetId("t4"), .address = {}}};
-        report.promptEvidence.ends = {{.id = TargetEndId(~std::uint64_t{0}),
-                                       .age = absl::Milliseconds(1500),
-                                       .runs = {{PromptPartId(4), PromptPartId(7)}, {PromptPartId(7)}}}};
+        report.promptEvidence.ends = {
+            {.id = TargetEndId(~std::uint64_t{0}),
+             .age = absl::Milliseconds(1500),
+             .runs = {{{PromptPartId(4), PromptPartId(7)}, {TargetEndId(3), TargetEndId(5)}},
+                      {{PromptPartId(7)}, {}}}}};
         report.promptEvidenceForOthers = report.promptEvidence;
         report.promptEvidence.survivals = {{.part = PromptPartId(9), .age = absl::Milliseconds(20)}};
         return report;
--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -146,7 +146,7 @@
     {
         PromptQuarantine quarantine;
         for (int n = 0; n < 9; ++n) {
-            quarantine.recordLostRun(process(n), parts({9}), m_now);
+            quarantine.recordLostRun(process(n), parts({9}), m_now, m_now);
             CPPUNIT_ASSERT(!quarantine.confirmEnd(process(100 + n).id, m_now).isNews);
         }
         CPPUNIT_ASSERT(quarantine.verdicts().empty());
@@ -158,7 +158,7 @@
         PromptQuarantine quarantine;
         for (int n = 0; n < 2; ++n) {
             auto later = process(n);
-            quarantine.recordLostRun(later, parts({9}), m_now);
+            quarantine.recordLostRun(later, parts({9}), m_now, m_now);
             CPPUNIT_ASSERT(!quarantine.confirmEarlierEnds(later, m_now).isNews);
             CPPUNIT_ASSERT(!quarantine.confirmEarlierEnds(process(50), m_now).isNews);
             later.startedAtMs = 2;
@@ -175,7 +175,7 @@
         PromptQuarantine routers[2];
         for (int n = 0; n < 3; ++n)
             (void)end(routers[0], n, {{1, 9}});
-        routers[0].recordLostRun(process(3), parts({1, 9}), m_now);
+        routers[0].recordLostRun(process(3), parts({1, 9}), m_now, m_now);
         (void)end(routers[1], 3, {{1}});
         exchange(routers);
         exchange(routers);
@@ -189,7 +189,7 @@
     {
         PromptQuarantine quarantine;
         for (int n = 0; n < 9; ++n)
-            quarantine.recordLostRun(process(n), parts({9}), m_now);
+            quarantine.recordLostRun(process(n), parts({9}), m_now, m_now);
         pass(PromptQuarantine::confirmationTime + absl::Milliseconds(1));
         for (int n = 0; n < 9; ++n)
             CPPUNIT_ASSERT(!quarantine.confirmEnd(process(n).id, m_now).isNews);
@@ -211,8 +211,10 @@
     void evidenceOfSeveralRoutersIsAdded()
     {
         PromptQuarantine routers[3];
-        for (int n = 0; n < 3; ++n)
+        for (int n = 0; n < 3; ++n) {
             (void)end(routers[n], n, {{n, 9}});
+            pass(PromptQuarantine::maxEventSpread + absl::Milliseconds(1));
+        }
         exchange(routers);
         for (const auto &it : routers)
             CPPUNIT_ASSERT(isBarred(it, {9}));
@@ -297,8 +299,10 @@
                 (void)to.merge(evidence, PromptQuarantine::EvidenceSource::OtherGroup, m_now);
             }
         }
-        for (int n = 10; n < 13; ++n)
+        for (int n = 10; n < 13; ++n) {
             (void)end(routers[n % 2], n, {{9}});
+            pass(PromptQuarantine::maxEventSpread + absl::Milliseconds(1));
+        }
         exchange(routers);
         CPPUNIT_ASSERT(isBarred(routers[0], {9}));
         CPPUNIT_ASSERT(isBarred(routers[1], {9}));
@@ -449,7 +453,7 @@
                 many.emplace_back(1000 + 100 * n + k);
             (void)quarantine.recordSurvival(many, m_now);
             pass(PromptQuarantine::trustTime + absl::Seconds(1));
-            quarantine.recordLostRun(process(10 + n), many, m_now);
+            quarantine.recordLostRun(process(10 + n), many, m_now, m_now);
             (void)quarantine.confirmEnd(process(10 + n).id, m_now);
         }
         CPPUNIT_ASSERT(isBarred(quarantine, {9}));
@@ -458,7 +462,7 @@
         for (const auto &it : evidence.ends) {
             CPPUNIT_ASSERT(it.runs.size() <= PromptQuarantine::maxRunsPerEnd);
             for (const auto &run : it.runs)
-                CPPUNIT_ASSERT(run.size() <= PromptQuarantine::maxPartsPerRun);
+                CPPUNIT_ASSERT(run.parts.size() <= PromptQuarantine::maxPartsPerRun);
         }
     }
 
@@ -478,11 +482,12 @@
         return {TargetId(absl::StrCat("t", n)), 1, absl::StrCat("10.0.0.", n, ":1")};
     }
 
-    // The target ends while these requests have just begun on it.
+    // The target ends while these requests have just begun on it, later than all ends before.
     QuarantineChange end(PromptQuarantine &quarantine, int target, const std::vector<std::vector<int>> &runs)
     {
+        pass(absl::Milliseconds(1));
         for (const auto &it : runs)
-            quarantine.recordLostRun(process(target), parts(it), m_now);
+            quarantine.recordLostRun(process(target), parts(it), m_now, m_now);
         return quarantine.confirmEnd(process(target).id, m_now);
     }
 
--- a/Tests/Platform/TestRequestsThatCrashEngines.cpp
+++ b/Tests/Platform/TestRequestsThatCrashEngines.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <functional>
 
@@ -23,6 +25,7 @@
     CPPUNIT_TEST(enginesThatRestartAtOnceCount);
     CPPUNIT_TEST(soundRequestsWithTheSameOtherPartsAreServed);
     CPPUNIT_TEST(requestsOfEnginesThatEndByThemselvesAreServed);
+    CPPUNIT_TEST(streamsOfCrashedDomainGoOnElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +153,35 @@
         CPPUNIT_ASSERT_EQUAL(8, m_engineState.ends);
     }
 
+    // Half of the engines end at one moment, while they read prompts with a part that all requests share: the
+    // streams were resumed at sound engines and cut there, as if that part had ended the engines.
+    void streamsOfCrashedDomainGoOnElsewhere()
+    {
+        startGateway();
+        m_engineState.crashingPart.clear();
+        m_engineState.prefillTime = std::chrono::milliseconds(400);
+        m_prompt = "5a:200,77:20";
+        m_callTimeout = std::chrono::milliseconds(10000);
+        constexpr std::size_t streams = 24;
+        std::array<HttpResponse, streams> responses;
+        std::array<bool, streams> areDone{};
+        for (std::size_t n = 0; n < streams; ++n)
+            startCall("POST", "/stream/x", absl::StrCat("batch-", n), "key", responses[n], areDone[n]);
+        m_context->run_for(std::chrono::milliseconds(200));
+        int ended = 0;
+        for (auto &[name, engine] : m_engines) {
+            if (name.rfind("llm", 0) != 0 || ended++ % 2 != 0)
+                continue;
+            engine->end();
+        }
+        CPPUNIT_ASSERT(runUntil([&] {
+            return std::all_of(areDone.begin(), areDone.end(), [](bool isDone) { return isDone; });
+        }));
+        for (const auto &it : responses)
+            CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), it.body);
+        CPPUNIT_ASSERT_EQUAL(8, m_engineState.ends);
+    }
+
 private:
     // The users' rule counts from the fifth.
     static constexpr int mostEnds = 5;
--- a/Tests/Platform/TestVerdictsOnBegunAnswers.cpp
+++ b/Tests/Platform/TestVerdictsOnBegunAnswers.cpp
@@ -52,13 +52,14 @@
         CPPUNIT_ASSERT_EQUAL(1, m_engineState.runsByRequest["r1"]);
     }
 
-    // Three targets, unknown here, ended on the first two parts of the prompt.
+    // Three targets, unknown here, ended on the first two parts of the prompt, one after the other.
     void reportEnds()
     {
         PromptEvidence evidence;
         for (std::uint64_t n = 1; n <= PromptQuarantine::endsForVerdict; ++n)
             evidence.ends.push_back(
-                {.id = TargetEndId(n), .runs = {{PromptPartId(0x5a), PromptPartId(0xbad1)}}});
+                {.id = TargetEndId(n),
+                 .runs = {{{PromptPartId(0x5a), PromptPartId(0xbad1)}, {TargetEndId(n - 1)}}}});
         m_peerRouter->report(m_peerAddress, evidence);
     }
 
