--- a/Libraries/LibCore/JsonText.h
+++ b/Libraries/LibCore/JsonText.h
@@ -1,4 +1,4 @@
-// Reading of JSON from peers that are not trusted.
+// Reading of JSON from peers that are not trusted, and writing of text that came from them.
 
 #pragma once
 
@@ -14,11 +14,12 @@
 inline constexpr int maxJsonDepth = 100;
 
 // Errors: InvalidRequest on malformed or too deeply nested text, also for bad UTF-8.
-[[nodiscard]] inline ErrorOr<nlohmann::json> parseUntrustedJson(std::string_view text)
+[[nodiscard]] inline ErrorOr<nlohmann::json> parseUntrustedJson(std::string_view text,
+                                                                int maxDepth = maxJsonDepth)
 {
     bool isTooDeep = false;
-    auto checkDepth = [&isTooDeep](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
-        isTooDeep = isTooDeep || depth > maxJsonDepth;
+    auto checkDepth = [&isTooDeep, maxDepth](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
+        isTooDeep = isTooDeep || depth > maxDepth;
         return !isTooDeep;
     };
     try {
