LibGateway, platform: Believe an answer on a kept connection only by its id

Cause: an answer without the request's id was believed on any connection. Beside it, attempts closed their connection when their session was destroyed, also if it had gone back to the pool, or on to another request.

Change: without an id, only answers on new connections are believed. Attempts release the connection when the answer ends.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -68,6 +68,10 @@
     Untrusted,
 };
 
+// Whether an answer may be one more copy of an answer to an earlier request on its connection. On a kept one,
+// only the request's id shows whose it is.
+enum class ConnectionAge { New, Kept };
+
 struct EntryPointQuery
 {
     FailureDomain domain;
@@ -82,8 +86,8 @@
     [[nodiscard]] virtual ErrorOr<CallerRequest> readRequest(const HttpFields &) const = 0;
     // Replaces the caller's header fields with those for the target.
     virtual void writeTargetFields(HttpFields &, const CallerRequest &, const AttemptParameters &) const = 0;
-    [[nodiscard]] virtual ResponseClass classifyResponse(const HttpResponseHead &,
-                                                         const RequestId &) const = 0;
+    [[nodiscard]] virtual ResponseClass classifyResponse(const HttpResponseHead &, const RequestId &,
+                                                         ConnectionAge) const = 0;
     // Fields that are malformed are ignored.
     [[nodiscard]] virtual TargetNotice readTargetNotice(const HttpResponseHead &) const = 0;
     [[nodiscard]] virtual bool isEventStream(const HttpResponseHead &) const = 0;
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -21,7 +21,8 @@
 void TargetAttempt::fail(TargetFault fault)
 {
     auto *listener = takeListener();
-    m_connection->cancel();
+    if (m_connection)
+        m_connection->cancel();
     if (listener)
         listener->attemptLost(*this, fault);
 }
@@ -29,7 +30,8 @@
 void TargetAttempt::answerHead(const HttpResponseHead &head)
 {
     m_response.head = head;
-    m_responseClass = m_dialect.classifyResponse(head, m_id);
+    m_responseClass = m_dialect.classifyResponse(
+        head, m_id, m_connection->hasAnsweredBefore() ? ConnectionAge::Kept : ConnectionAge::New);
     if (m_responseClass == ResponseClass::Untrusted) {
         fail(TargetFault::InvalidResponse);
         return;
@@ -39,7 +41,7 @@
         m_listener->headReceived(*this, head);
     if (m_responseClass != ResponseClass::Executed) {
         // The head of a rejection is authoritative. Its body may be slow or have no end.
-        m_connection->discardRest();
+        std::exchange(m_connection, nullptr)->discardRest();
         auto *listener = takeListener();
         if (listener)
             listener->attemptNotRun(*this,
@@ -94,6 +96,7 @@
 
 void TargetAttempt::answerEnded(AnswerEnd end)
 {
+    m_connection.reset();
     if (m_isStream && end == AnswerEnd::ConnectionClosed && !m_hasEvents) {
         // A generation has at least one event.
         fail(TargetFault::ConnectionLost);
@@ -114,6 +117,7 @@
 
 void TargetAttempt::answerFailed(HttpFailure failure)
 {
+    m_connection.reset();
     auto *listener = takeListener();
     if (!listener)
         return;
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -63,6 +63,7 @@
     RequestId m_id;
     // Null after the final call.
     AttemptListener *m_listener;
+    // Null once the answer has ended, since the connection may then carry another request.
     std::shared_ptr<HttpClientConnection> m_connection;
     std::optional<EventNumber> m_lastEvent;
     HttpResponse m_response;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -230,6 +230,7 @@
     const auto listener = takeListener();
     if (isClean) {
         m_state = State::Idle;
+        m_hasAnsweredBefore = true;
         if (m_becameIdle)
             m_becameIdle(shared_from_this());
     } else {
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -80,6 +80,8 @@
 
     // The connection can take another request.
     [[nodiscard]] bool isReusable() const { return m_state == State::Idle; }
+    // An answer to an earlier request has ended on this connection.
+    [[nodiscard]] bool hasAnsweredBefore() const { return m_hasAnsweredBefore; }
     // The peer has closed the idle connection, or has sent bytes that belong to no request. The event loop
     // may not have handled that yet.
     [[nodiscard]] bool hasUnexpectedInput() const;
@@ -121,6 +123,7 @@
     std::string m_sending;
     bool m_isWriting{false};
     bool m_headTaken{false};
+    bool m_hasAnsweredBefore{false};
     bool m_discardsRest{false};
     std::optional<Parser> m_parser;
     FramingLimit m_framingLimit;
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -92,18 +92,21 @@
         HttpResponseHead head;
         head.status = 200;
         head.fields.set("Request-Id", "9c41");
-        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, id) == ResponseClass::Untrusted);
+        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, id, ConnectionAge::New) == ResponseClass::Untrusted);
         head.fields.set("Engine-Seal", "s");
-        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, id) == ResponseClass::Executed);
-        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, RequestId("other")) == ResponseClass::Untrusted);
+        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, id, ConnectionAge::New) == ResponseClass::Executed);
+        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, RequestId("other"), ConnectionAge::New)
+                       == ResponseClass::Untrusted);
         head.fields.set("Content-Encoding", "gzip");
-        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, id) == ResponseClass::Untrusted);
+        CPPUNIT_ASSERT(m_dialect.classifyResponse(head, id, ConnectionAge::New) == ResponseClass::Untrusted);
         HttpResponseHead refused;
         refused.status = 503;
         refused.fields.set("Not-Executed", "1");
-        CPPUNIT_ASSERT(m_dialect.classifyResponse(refused, id) == ResponseClass::RejectedFull);
+        CPPUNIT_ASSERT(m_dialect.classifyResponse(refused, id, ConnectionAge::New)
+                       == ResponseClass::RejectedFull);
         refused.status = 421;
-        CPPUNIT_ASSERT(m_dialect.classifyResponse(refused, id) == ResponseClass::RejectedReplaced);
+        CPPUNIT_ASSERT(m_dialect.classifyResponse(refused, id, ConnectionAge::New)
+                       == ResponseClass::RejectedReplaced);
     }
 
     void noticesOfTargetsAreDecoded()
--- a/Tests/Platform/TestRequestsThatCrashEngines.cpp
+++ b/Tests/Platform/TestRequestsThatCrashEngines.cpp
@@ -174,9 +174,8 @@
                 continue;
             engine->end();
         }
-        CPPUNIT_ASSERT(runUntil([&] {
-            return std::all_of(areDone.begin(), areDone.end(), [](bool isDone) { return isDone; });
-        }));
+        CPPUNIT_ASSERT(runUntil(
+            [&] { return std::all_of(areDone.begin(), areDone.end(), [](bool isDone) { return isDone; }); }));
         for (const auto &it : responses)
             CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), it.body);
         CPPUNIT_ASSERT_EQUAL(8, m_engineState.ends);
