LibForwarding, LibGateway: Notice the end of a store's outage sooner

Cause: removals are held back for 2.3 s from a router's own recovery, which a hanging watch delayed by up to 4.5 s. Beside it, a held-back removal was forgotten when a peer relayed the old entry, and a change, a removal and a new start of a target in one batch lost the target.

Change: while the store is away, watches don't wait, so that recovery is noticed within the call's timeout and one back-off. Only a change after the removal ends its deferral. Each change of a batch applies the latest content.

Evidence: TestDirectorySynchronizer (1 case) and TestDirectoryView (2 cases) failed before and pass now.

--- a/Libraries/LibForwarding/DirectorySynchronizer.cpp
+++ b/Libraries/LibForwarding/DirectorySynchronizer.cpp
@@ -136,8 +136,8 @@
 void DirectorySynchronizer::on(const DirectorySyncEvents::Tick &, absl::Time now)
 {
     std::vector<std::string> dueRemovals;
-    for (const auto &[name, until] : m_deferredRemovals) {
-        if (now >= until)
+    for (const auto &[name, removal] : m_deferredRemovals) {
+        if (now >= removal.until)
             dueRemovals.push_back(name);
     }
     for (const auto &it : dueRemovals)
@@ -209,11 +209,15 @@
     if (isObsolete(metadata) || isHeldBack(metadata))
         return;
     m_heldBack.erase(metadata.name);
-    m_deferredRemovals.erase(metadata.name);
-    m_recentRemovals.erase(metadata.name);
     const auto [known, isNew] = m_objects.try_emplace(metadata.name, metadata.position);
+    // A relay may bring what is known already; that doesn't undo a removal which is deferred.
     if (!isNew && known->second >= metadata.position)
         return;
+    // Nor does a change from before the removal.
+    const auto deferred = m_deferredRemovals.find(metadata.name);
+    if (deferred != m_deferredRemovals.end() && deferred->second.position < metadata.position)
+        m_deferredRemovals.erase(deferred);
+    m_recentRemovals.erase(metadata.name);
     known->second = metadata.position;
     m_actions.emplace_back(DirectorySyncActions::Apply{metadata.name, metadata.position});
 }
@@ -238,8 +242,9 @@
     if (it == m_objects.end() || it->second > position)
         return;
     if (now < m_acceptRemovalsFrom) {
-        auto &until = m_deferredRemovals.try_emplace(name, m_acceptRemovalsFrom).first->second;
-        until = std::max(until, m_acceptRemovalsFrom);
+        auto &removal = m_deferredRemovals.try_emplace(name, DeferredRemoval{m_acceptRemovalsFrom, position})
+                            .first->second;
+        removal = {std::max(removal.until, m_acceptRemovalsFrom), std::max(removal.position, position)};
         setTimer();
         return;
     }
@@ -304,8 +309,8 @@
 {
     auto at = std::min(m_nextCallAt.value_or(absl::InfiniteFuture()),
                        m_holdBackUntil.value_or(absl::InfiniteFuture()));
-    for (const auto &[name, until] : m_deferredRemovals)
-        at = std::min(at, until);
+    for (const auto &[name, removal] : m_deferredRemovals)
+        at = std::min(at, removal.until);
     if (at < absl::InfiniteFuture())
         m_actions.emplace_back(DirectorySyncActions::SetTimer{at});
 }
--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -222,8 +222,14 @@
     // Position that the last watch started from.
     StorePosition m_watchedFrom;
     absl::btree_map<std::string, StorePosition> m_objects;
-    // Objects whose removal is deferred, and until when.
-    absl::btree_map<std::string, absl::Time> m_deferredRemovals;
+    struct DeferredRemoval
+    {
+        absl::Time until;
+        // Position of the view that lacked the object.
+        StorePosition position;
+    };
+
+    absl::btree_map<std::string, DeferredRemoval> m_deferredRemovals;
     struct Removal
     {
         // Position of the view that lacked the object. Later writes of the object have greater ones.
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -137,8 +137,11 @@
         }
         const double fraction =
             detail::minWatchFraction + (1 - detail::minWatchFraction) * m_random.fraction();
-        const auto longest =
-            std::min(detail::maxWatchDuration, ViewFreshness::maxWatchFraction * m_changeDeadline);
+        // A call that hangs beyond the end of an outage delays the notice of it, and all that is counted from
+        // then on.
+        const auto longest = m_synchronizer.isStoreLost()
+            ? absl::ZeroDuration()
+            : std::min(detail::maxWatchDuration, ViewFreshness::maxWatchFraction * m_changeDeadline);
         watch({monotonicNow(), fraction * longest}, it->after);
     } else if (const auto *it = std::get_if<DirectorySyncActions::Apply>(&action)) {
         apply(it->name);
@@ -268,17 +271,18 @@
 
 void DirectoryView::apply(const std::string &name)
 {
-    // A batch may contain several changes of an object; the latest content is applied with the first one.
-    auto staged = m_staged.extract(name);
-    if (!staged)
+    // A batch may contain several changes of an object; the latest content is applied with each of them, as
+    // there may be a removal in between.
+    const auto staged = m_staged.find(name);
+    if (staged == m_staged.end())
         return;
     recordChange(name);
     if (m_kind == DirectoryKind::Configuration) {
-        applyConfiguration(std::move(staged.mapped()));
+        applyConfiguration(staged->second);
         return;
     }
     auto &object = m_objects[name];
-    object = std::move(staged.mapped());
+    object = staged->second;
     if (m_kind == DirectoryKind::Targets) {
         if (auto record = m_decoder.target(object)) {
             m_listener.targetChanged(*record);
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(failedCallsBackOff);
     CPPUNIT_TEST(expiredEntryThatReturnsWithinGraceIsKept);
     CPPUNIT_TEST(expiredEntryIsRemovedAfterGrace);
+    CPPUNIT_TEST(relayOfOldEntryDoesNotUndoDeferredRemoval);
     CPPUNIT_TEST(removalAppliesAtOnceWhenOtherRoutersReachedStore);
     CPPUNIT_TEST(relayedRemovalAppliesDuringOutage);
     CPPUNIT_TEST(initialListIsRetriedWithShorterBackoff);
@@ -132,6 +133,22 @@
             m_synchronizer.handle(DirectorySyncEvents::Tick{}, after)));
     }
 
+    // A removal that was held back after an outage was forgotten when a router that had not heard of it
+    // relayed the entry, so that the target got requests for good.
+    void relayOfOldEntryDoesNotUndoDeferredRemoval()
+    {
+        loadInitialList();
+        (void)m_synchronizer.handle(DirectorySyncEvents::CallFailed{}, m_now);
+        const auto storeReturn = m_now + absl::Seconds(5);
+        (void)m_synchronizer.handle(DirectorySyncEvents::WatchCompleted{{{"a", at(11), true}}, at(11)},
+                                    storeReturn);
+        (void)m_synchronizer.handle(
+            DirectorySyncEvents::RelayReceived{{{"a", at(5), false}, {"b", at(1), false}}, at(11), true},
+            storeReturn + absl::Milliseconds(100));
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(m_synchronizer.handle(
+            DirectorySyncEvents::Tick{}, storeReturn + DirectorySynchronizer::removalGracePeriod)));
+    }
+
     // If the store rejected only this router's calls, a removal is real. Holding it back as a possible expiry
     // delayed the removal of a draining target beyond its bound.
     void removalAppliesAtOnceWhenOtherRoutersReachedStore()
--- a/Tests/LibGateway/FakeDirectory.h
+++ b/Tests/LibGateway/FakeDirectory.h
@@ -15,8 +15,9 @@
 {
 public:
     void list(DirectoryKind, DirectoryHandler handler) override { m_list = std::move(handler); }
-    void watch(DirectoryKind, StorePosition, absl::Duration, DirectoryHandler handler) override
+    void watch(DirectoryKind, StorePosition, absl::Duration wait, DirectoryHandler handler) override
     {
+        lastWait = wait;
         m_watch = std::move(handler);
     }
     void publish(const RouterRecord &, std::function<void(ErrorOr<StoreEra>)>) override { }
@@ -28,6 +29,10 @@
         std::exchange(m_watch, nullptr)(makeError(code, "the test made the call fail"));
     }
     [[nodiscard]] bool hasPendingList() const { return m_list != nullptr; }
+    [[nodiscard]] bool hasPendingWatch() const { return m_watch != nullptr; }
+
+    // How long the last watch may wait.
+    absl::Duration lastWait;
 
 private:
     DirectoryHandler m_list;
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -21,9 +21,42 @@
     CPPUNIT_TEST(restoredStoreIsRelayedAsFullView);
     CPPUNIT_TEST(deferredRemovalIsRelayed);
     CPPUNIT_TEST(configurationOfRestoredCopyOutranksNewerOneOfPeer);
+    CPPUNIT_TEST(targetThatRestartsWithinBatchIsKept);
+    CPPUNIT_TEST(endOfOutageIsNoticedSoon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A change, a removal and a new start under the same id lost the target until its entry changed again.
+    void targetThatRestartsWithinBatchIsKept()
+    {
+        detail::DirectoryViewFixture view(DirectoryKind::Targets);
+        view.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        auto removal = detail::makeObject("a", 3, nullptr);
+        removal.isRemoved = true;
+        view.store.completeWatch({{detail::makeObject("a", 2, "1.1.1.1:2"), removal,
+                                   detail::makeObject("a", 4, "1.1.1.1:3")},
+                                  detail::makePosition(4)});
+        CPPUNIT_ASSERT_EQUAL(std::string("1.1.1.1:3"), view.listener.targets["a"]);
+    }
+
+    // Removals after an outage were held back for too long, since a watch that had begun before its end hung
+    // beyond it.
+    void endOfOutageIsNoticedSoon()
+    {
+        detail::DirectoryViewFixture view(DirectoryKind::Targets);
+        view.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        CPPUNIT_ASSERT(view.store.lastWait > absl::ZeroDuration());
+        for (int n = 0; n < 3; ++n) {
+            view.store.failWatch(ErrorCode::StoreUnavailable);
+            view.context.restart();
+            view.context.run_for(absl::ToChronoMilliseconds(DirectorySynchronizer::maxBackoff));
+            CPPUNIT_ASSERT(view.store.hasPendingWatch());
+            CPPUNIT_ASSERT(view.store.lastWait == absl::ZeroDuration());
+        }
+        view.store.completeWatch({{}, detail::makePosition(1)});
+        CPPUNIT_ASSERT(view.store.lastWait > absl::ZeroDuration());
+    }
+
     // The second change to an object in one batch used to be decoded from the moved-from content of the
     // first, and relays spread the wrong value to all routers.
     void repeatedChangesInBatchApplyOnlyLatest()
