platform, LibCore: Write bytes of others as JSON without throwing

Callers saw: a Request-Id with a byte that is not UTF-8 ended the process, and all its requests, if the request was a stream without a copy holder.

Cause: the id was written as JSON, which throws, and nothing caught it. The same held for addresses from peers' reports in the list of entry points.

Change: text with bytes of others is written with replacements, and an exception that leaves a handler is logged instead of ending the process.

The test was not run on the code before.

--- a/Libraries/LibCore/JsonText.h
+++ b/Libraries/LibCore/JsonText.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <string>
 #include <string_view>
 
 namespace Wisteria {
@@ -32,4 +33,11 @@
     }
 }
 
+// The text of a value that may contain bytes of others. Bytes that are not UTF-8 are replaced; writing them
+// as they are would throw.
+[[nodiscard]] inline std::string writeUntrustedJson(const nlohmann::json &json)
+{
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace Wisteria
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -78,7 +78,7 @@
     m_encodedChangeCount = m_view.changeCount();
     auto &encoded = m_encodedResponses[after];
     if (encoded.empty())
-        encoded = compressBytes(m_view.changesAfter(after).dump());
+        encoded = compressBytes(writeUntrustedJson(m_view.changesAfter(after)));
     auto response = makeResponse(detail::statusOk, "application/json", encoded);
     response.head.fields.set("Content-Encoding", "deflate");
     return response;
--- a/Services/Gateway/main.cpp
+++ b/Services/Gateway/main.cpp
@@ -73,6 +73,20 @@
     std::string m_lastText;
 };
 
+// Runs the handlers until there are none left. An exception that left one would end all requests of the
+// process.
+void runHandlers(boost::asio::io_context &context)
+{
+    for (bool isRunning = true; isRunning;) {
+        try {
+            context.run();
+            isRunning = false;
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "a handler failed: " << error.what();
+        }
+    }
+}
+
 int serve(const GatewaySettings &settings, const std::string &file)
 {
     boost::asio::io_context context(1);
@@ -96,7 +110,7 @@
             (*gateway)->startShutdown();
     });
     releaseSignals();
-    context.run();
+    runHandlers(context);
     return exitOk;
 }
 
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(malformedRequestIsRejected);
     CPPUNIT_TEST(callerCannotForgeReservedHeaders);
     CPPUNIT_TEST(responseOriginIsClassified);
+    CPPUNIT_TEST(requestIdThatIsNotUtf8IsWritten);
     CPPUNIT_TEST(noticesOfTargetsAreDecoded);
     CPPUNIT_TEST(malformedNoticesAreIgnored);
     CPPUNIT_TEST(limitsOfTargetsAreDecoded);
@@ -86,6 +87,15 @@
             CPPUNIT_ASSERT_MESSAGE(name, value(fields, name).empty());
     }
 
+    // Writing it as JSON threw, which ended the process.
+    void requestIdThatIsNotUtf8IsWritten()
+    {
+        const auto request = m_dialect.makeCopyRequest(RequestId("caf\xe9"), "10.0.0.1:1");
+        CPPUNIT_ASSERT(nlohmann::json::accept(request.body));
+        const auto response = m_dialect.writeEntryPoints({"\xff"}, absl::Seconds(1));
+        CPPUNIT_ASSERT(nlohmann::json::accept(response.body));
+    }
+
     void responseOriginIsClassified()
     {
         const RequestId id("9c41");
