LibForwarding, platform: Require keys also when the last workspace has gone

Cause: an empty list was taken for no list.

Change: the configuration says whether there are workspaces at all.

Evidence: TestGatewayOnPlatform::keysAreRequiredWhenLastWorkspaceIsGone; not run on the code before.

--- a/Libraries/LibForwarding/RouteTable.h
+++ b/Libraries/LibForwarding/RouteTable.h
@@ -26,7 +26,7 @@
 
     [[nodiscard]] const TrafficConfiguration &configuration() const { return m_configuration; }
     [[nodiscard]] ConfigVersion version() const { return m_configuration.version; }
-    [[nodiscard]] bool requiresApiKey() const { return !m_configuration.workspaces.empty(); }
+    [[nodiscard]] bool requiresApiKey() const { return m_configuration.hasWorkspaces; }
 
 private:
     explicit RouteTable(TrafficConfiguration);
--- a/Libraries/LibForwarding/TrafficConfiguration.h
+++ b/Libraries/LibForwarding/TrafficConfiguration.h
@@ -105,7 +105,8 @@
     ConfigVersion version;
     std::vector<RouteSpec> routes;
     std::vector<ForwardedService> services;
-    // If empty, requests need no API key.
+    // Requests need the key of a workspace, also while there is none.
+    bool hasWorkspaces{false};
     std::vector<WorkspaceKeys> workspaces;
     CallerLimits limits;
 };
--- a/Tests/LibForwarding/TestForwardingTables.cpp
+++ b/Tests/LibForwarding/TestForwardingTables.cpp
@@ -322,6 +322,7 @@
         route.pathPrefix = "/x/y/";
         route.name = "long";
         out.routes.push_back(route);
+        out.hasWorkspaces = true;
         out.workspaces.push_back({.name = WorkspaceName("w"), .apiKeys = {"k1", "k2"}});
         return out;
     }
--- a/Tests/Platform/TestGatewayOnPlatform.cpp
+++ b/Tests/Platform/TestGatewayOnPlatform.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(idempotentRequestIsRetriedWhenResponseIsLost);
     CPPUNIT_TEST(overloadedEnginesYield503WithoutRun);
     CPPUNIT_TEST(unknownKeyAndRouteAreRejected);
+    CPPUNIT_TEST(keysAreRequiredWhenLastWorkspaceIsGone);
     CPPUNIT_TEST(newConfigurationTakesEffect);
     CPPUNIT_TEST(objectsAreRelistedAfterHistoryCompaction);
     CPPUNIT_TEST(missingConfigurationYields503UntilStoreRecovers);
@@ -86,6 +87,21 @@
         CPPUNIT_ASSERT_EQUAL(0, m_engineState.runsByRequest["r1"]);
     }
 
+    // An empty list was taken for none, so that any request was forwarded.
+    void keysAreRequiredWhenLastWorkspaceIsGone()
+    {
+        auto configuration = fakeConfiguration(2);
+        configuration["tenants"] = nlohmann::json::array();
+        m_store->put("config", "main", configuration);
+        startGateway();
+        CPPUNIT_ASSERT_EQUAL(401, call("POST", "/book/x", "r1").head.status);
+        configuration = fakeConfiguration(3);
+        configuration.erase("tenants");
+        m_store->put("config", "main", configuration);
+        CPPUNIT_ASSERT(runUntil([&] { return configurationVersion() == 3; }));
+        CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", "r2").head.status);
+    }
+
     void unknownKeyAndRouteAreRejected()
     {
         startGateway();
