LibNet: Refuse bodies whose last transfer coding isn't chunked

Callers saw: what followed such a head was run as a second request, where RFC 9112, section 6.3, asks for 400.

Cause: the parser takes an unknown transfer coding for no body.

Change: such requests are refused and their connection closes.

Evidence: TestHttp::bodiesWithoutAnEndAreRefused; not run on the code before.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace Wisteria {
 
@@ -102,6 +104,23 @@
     read();
 }
 
+namespace detail {
+
+// A body whose last transfer coding isn't `chunked` has no end that could be found (RFC 9112, section 6.3).
+bool hasUnknownFraming(const HttpFields &fields)
+{
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    if (first == last)
+        return false;
+    const auto codings = std::prev(last)->value();
+    const absl::string_view text(codings.data(), codings.size());
+    const auto comma = text.rfind(',');
+    const auto lastCoding = comma == absl::string_view::npos ? text : text.substr(comma + 1);
+    return !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(lastCoding), "chunked");
+}
+
+} // namespace detail
+
 void HttpServerConnection::parse()
 {
     const auto &limits = m_server->m_limits;
@@ -125,6 +144,10 @@
             refuse(detail::statusOfParserError(ec));
             return;
         }
+        if (m_parser->is_header_done() && detail::hasUnknownFraming(m_parser->get())) {
+            refuse(detail::statusBadRequest);
+            return;
+        }
         if (!hadHeader && m_parser->is_header_done() && !m_parser->is_done()
             && absl::EqualsIgnoreCase(abslView(fieldValue(m_parser->get(), "Expect")), "100-continue"))
             write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(chunkedAndSizedBodiesArrive);
     CPPUNIT_TEST(requestsInOnePacketAreAnsweredInOrder);
     CPPUNIT_TEST(conflictingLengthsAreRefused);
+    CPPUNIT_TEST(bodiesWithoutAnEndAreRefused);
     CPPUNIT_TEST(garbageIsRefused);
     CPPUNIT_TEST(largeHeadsAndBodiesAreRefused);
     CPPUNIT_TEST(slowRequestTimesOut);
@@ -160,6 +161,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_handler.bodies.size());
     }
 
+    // Taken for requests without a body, what followed was run as a second request.
+    void bodiesWithoutAnEndAreRefused()
+    {
+        for (const auto *codings : {"gzip", "identity", "chunked, gzip", ""}) {
+            const auto answer =
+                exchange(absl::StrCat("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: ", codings,
+                                      "\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(codings, answer.rfind("HTTP/1.1 400", 0) == 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(codings, std::string::npos, answer.find("HTTP/1.1 ", 1));
+        }
+    }
+
     void conflictingLengthsAreRefused()
     {
         for (const auto *fields : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
