LibGateway: Check plain answers that end with their connection like streams

Cause: a close ends such an answer, and the end of the process looks the same. Streams were checked by a probe, plain answers were not, and the probe's time-out counted as proof.

Change: plain answers are checked, and only an accepted connection at a target without a later process is proof.

Evidence: plainAnswerOfEngineThatEndsIsNotDelivered failed before and passes now; errorAfterAStreamBeganIsNotSent passed before, too.

--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -477,26 +477,29 @@
 
 void ForwardSession::streamEnded(const TargetAttempt &attempt, AnswerEnd end)
 {
-    const auto role = roleOf(attempt);
     if (end == AnswerEnd::Framed)
-        completeStream(role);
+        completeStream(roleOf(attempt));
     else
-        completeStreamIfTargetRuns(*runOf(role));
+        completeIfTargetRuns(attempt, [](ForwardSession &self, RunRole role) { self.completeStream(role); });
 }
 
-void ForwardSession::completeStreamIfTargetRuns(const TargetRun &run)
+void ForwardSession::completeIfTargetRuns(const TargetAttempt &attempt,
+                                          std::function<void(ForwardSession &, RunRole)> complete)
 {
+    const auto &run = *runOf(roleOf(attempt));
     const ForwardingTarget record{.id = run.target(), .address = run.process().address};
     m_gatewayContext.connections.probe(
-        record, [weak = weak_from_this(), attempt = std::weak_ptr(run.attempt())](ProbeResult result) {
-            const auto session = weak.lock();
-            const auto ended = attempt.lock();
-            if (!session || !ended || session->isFinished())
+        record,
+        [weak = weak_from_this(), ended = std::weak_ptr(run.attempt()), process = run.process(),
+         complete = std::move(complete)](ProbeResult result) {
+            const auto self = weak.lock();
+            const auto running = ended.lock();
+            if (!self || !running || self->isFinished())
                 return;
-            if (result == ProbeResult::Refused)
-                session->attemptLost(*ended, TargetFault::ConnectionLost);
+            if (result == ProbeResult::Connected && !self->m_gatewayContext.targets.isSuperseded(process))
+                complete(*self, self->roleOf(*running));
             else
-                session->completeStream(session->roleOf(*ended));
+                self->attemptLost(*running, TargetFault::ConnectionLost);
         });
 }
 
@@ -509,9 +512,19 @@
     handle(ForwardingEvents::StreamCompleted{role});
 }
 
-void ForwardSession::responseReceived(const TargetAttempt &attempt, HttpResponse response)
+void ForwardSession::responseReceived(const TargetAttempt &attempt, HttpResponse response, AnswerEnd end)
+{
+    if (end == AnswerEnd::Framed) {
+        completeResponse(roleOf(attempt), std::move(response));
+        return;
+    }
+    completeIfTargetRuns(attempt, [response = std::move(response)](ForwardSession &self, RunRole role) {
+        self.completeResponse(role, response);
+    });
+}
+
+void ForwardSession::completeResponse(RunRole role, HttpResponse response)
 {
-    const auto role = roleOf(attempt);
     const auto &run = *runOf(role);
     if (response.head.status < detail::firstServerError) {
         m_gatewayContext.targets.recordSuccess(run.target());
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,7 +58,7 @@
     void streamOpened(const TargetAttempt &, const HttpResponseHead &) override;
     void eventsReceived(const TargetAttempt &, const std::vector<RawEvent> &) override;
     void streamEnded(const TargetAttempt &, AnswerEnd) override;
-    void responseReceived(const TargetAttempt &, HttpResponse) override;
+    void responseReceived(const TargetAttempt &, HttpResponse, AnswerEnd) override;
     void attemptLost(const TargetAttempt &, TargetFault) override;
 
 private:
@@ -120,8 +121,10 @@
     // Adds the request's load to the run's target and, if the route uses copies, to a copy holder.
     void reserveLoad(TargetRun &);
     void completeStream(RunRole);
-    // Completes the stream, unless its target's process has ended.
-    void completeStreamIfTargetRuns(const TargetRun &);
+    void completeResponse(RunRole, HttpResponse);
+    // Completes an answer that ended with its connection, unless the target's process has ended, which looks
+    // the same.
+    void completeIfTargetRuns(const TargetAttempt &, std::function<void(ForwardSession &, RunRole)> complete);
     void runLost(RunRole, TargetFault);
     // Records that the run has ended before its target had written for long.
     void noteLostRun(const TargetRun &);
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -112,7 +112,7 @@
     if (m_isStream)
         listener->streamEnded(*this, end);
     else
-        listener->responseReceived(*this, std::move(m_response));
+        listener->responseReceived(*this, std::move(m_response), end);
 }
 
 void TargetAttempt::answerFailed(HttpFailure failure)
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -28,7 +28,7 @@
     virtual void streamOpened(const TargetAttempt &, const HttpResponseHead &) = 0;
     virtual void eventsReceived(const TargetAttempt &, const std::vector<RawEvent> &) = 0;
     virtual void streamEnded(const TargetAttempt &, AnswerEnd) = 0;
-    virtual void responseReceived(const TargetAttempt &, HttpResponse) = 0;
+    virtual void responseReceived(const TargetAttempt &, HttpResponse, AnswerEnd) = 0;
     virtual void attemptLost(const TargetAttempt &, TargetFault) = 0;
 };
 
--- a/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
+++ b/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(engineThatEndsInAnAnswerCountsAgainstItsParts);
     CPPUNIT_TEST(wholePlainAnswerIsDelivered);
     CPPUNIT_TEST(plainAnswerThatIsResetIsNotDelivered);
+    CPPUNIT_TEST(plainAnswerOfEngineThatEndsIsNotDelivered);
+    CPPUNIT_TEST(errorAfterAStreamBeganIsNotSent);
     CPPUNIT_TEST(rejectionIsNotExecuted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +113,35 @@
         CPPUNIT_ASSERT(!m_engineState.runsByRequest.contains("r2"));
     }
 
+    // The end of the process closes the connection like the end of an answer.
+    void plainAnswerOfEngineThatEndsIsNotDelivered()
+    {
+        replaceEngine("app-0", detail::plainHead + "half", FakeEnding::CloseWithProcess);
+        CPPUNIT_ASSERT_EQUAL(std::string("answer of r1"), call("GET", "/look/x", "r1").body);
+        replaceEngine("app-0", detail::plainHead + "half", FakeEnding::CloseWithProcess);
+        CPPUNIT_ASSERT_EQUAL(502, call("POST", "/book/x", "r2").head.status);
+        CPPUNIT_ASSERT(!m_engineState.runsByRequest.contains("r2"));
+    }
+
+    // Neither does the error stand in the stream, nor does the stream look complete.
+    void errorAfterAStreamBeganIsNotSent()
+    {
+        for (const auto mode :
+             {FakeEngineMode::Failing, FakeEngineMode::Overloaded, FakeEngineMode::LosingStreams}) {
+            for (const auto ending : {FakeEnding::Reset, FakeEnding::CloseWithProcess}) {
+                replaceEngine("llm-0", detail::streamHead + beginOfStream(2), ending);
+                setModes("llm", mode);
+                HttpResponse response;
+                bool isDone = false;
+                startCall("POST", "/stream/x", absl::StrCat("r", m_calls++), "key", response, isDone);
+                CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+                // The call has failed: its answer was cut.
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 0, response.head.status);
+                setModes("llm", FakeEngineMode::Healthy);
+            }
+        }
+    }
+
     void rejectionIsNotExecuted()
     {
         for (const auto *status : {"429 Too Many", "503 Full"}) {
