--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -33,9 +33,9 @@
         view.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
         auto removal = detail::makeObject("a", 3, nullptr);
         removal.isRemoved = true;
-        view.store.completeWatch({{detail::makeObject("a", 2, "1.1.1.1:2"), removal,
-                                   detail::makeObject("a", 4, "1.1.1.1:3")},
-                                  detail::makePosition(4)});
+        view.store.completeWatch(
+            {{detail::makeObject("a", 2, "1.1.1.1:2"), removal, detail::makeObject("a", 4, "1.1.1.1:3")},
+             detail::makePosition(4)});
         CPPUNIT_ASSERT_EQUAL(std::string("1.1.1.1:3"), view.listener.targets["a"]);
     }
 
