LibGateway: Look less often at a view that can't be read now

While the store is away, a watching router has nothing to read by itself, yet looked at its views 50 times a second. Found by reading the diff; not measured.

--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -18,7 +18,7 @@
 // Longest watch, however late a change may take effect: a dead connection is noticed only after it.
 constexpr absl::Duration maxWatchDuration = absl::Milliseconds(2500);
 // A view that can't be read now is looked at again after this time at the earliest.
-constexpr absl::Duration minFreshnessCheckInterval = absl::Milliseconds(20);
+constexpr absl::Duration minFreshnessCheckInterval = absl::Milliseconds(100);
 
 ObjectMetadata metadataOf(const DirectoryObject &object)
 {
