Tests: Give routers of TestChangesBesideLostRouters addresses of their own

Suspected: the port of one at 127.0.0.1 was taken by a client of another test between the choice and the start; not shown, as its log was deleted. Each router has a loopback address of its own now, and a router that has ended or doesn't follow is named. A cast that the linter found is mended.

--- a/Tests/LibForwarding/TestLostTargetsAndPoisonedPrompts.cpp
+++ b/Tests/LibForwarding/TestLostTargetsAndPoisonedPrompts.cpp
@@ -340,7 +340,7 @@
     static int drawRequests(detail::QuarantineWorld &world, SeededRandom &random, int targets)
     {
         if (random.below(2) == 0) {
-            const int n = targets + static_cast<int>(random.below(static_cast<std::uint64_t>(2 * targets)));
+            const int n = targets + static_cast<int>(random.below(2 * static_cast<std::uint64_t>(targets)));
             world.sendBatch(n, false);
             return n;
         }
--- a/Tests/Processes/TestChangesBesideLostRouters.cpp
+++ b/Tests/Processes/TestChangesBesideLostRouters.cpp
@@ -82,8 +82,8 @@
             m_routers.push_back(std::make_unique<GatewayProcess>(
                 GatewayPlace{.id = absl::StrCat("g", 100 + n),
                              .domain = absl::StrCat("d", n % detail::domains),
-                             .callerAddress = unusedLoopbackAddress(),
-                             .peerAddress = unusedLoopbackAddress(),
+                             .callerAddress = unusedAddress(n),
+                             .peerAddress = unusedAddress(n),
                              .storeAddress = m_store->address()},
                 absl::StrCat(WISTERIA_BINARIES, "/wisteria-gateway"), m_folder));
             m_routers.back()->start();
@@ -137,6 +137,14 @@
         return out;
     }
 
+    // At a loopback address of the router's own: at 127.0.0.1, a client of another test may take the port
+    // before the router does.
+    [[nodiscard]] static std::string unusedAddress(std::size_t router)
+    {
+        const auto address = unusedLoopbackAddress();
+        return absl::StrCat("127.0.36.", router + 1, address.substr(address.find(':')));
+    }
+
     [[nodiscard]] std::string keyName() const { return absl::StrCat("key-", m_version); }
 
     void putTarget(const std::string &state)
@@ -260,8 +268,11 @@
         const auto end = monotonicNow() + detail::patience;
         const auto follows = std::make_shared<std::vector<bool>>(m_routers.size());
         while (std::find(follows->begin(), follows->end(), false) != follows->end()) {
-            CPPUNIT_ASSERT(monotonicNow() < end);
             for (std::size_t n = 0; n < m_routers.size(); ++n) {
+                const auto &id = m_routers[n]->place().id;
+                int exitCode = 0;
+                CPPUNIT_ASSERT_MESSAGE(id + " has ended", !m_routers[n]->hasEnded(exitCode));
+                CPPUNIT_ASSERT_MESSAGE(id + " does not follow", (*follows)[n] || monotonicNow() < end);
                 call(m_routers[n]->place().peerAddress, "GET", "/v1/peer/views/configuration/0/0", "",
                      [follows, n, key = keyName()](const HttpCallResult &result) {
                          (*follows)[n] = (*follows)[n] || (result && viewHas(*result, key));
