LibGateway: Move what ends and replaces runs to a file of its own

No logic is changed.

Tests: FakeEngine records when it works on each stream

An engine works on a stream from its acceptance until it ends it, or drops it since its connection has closed. Stand-ins may ignore closes, make a first event later than its head, and stop a run on request.

--- /dev/null
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -0,0 +1,150 @@
+// How the runs of a request are suspected, cancelled, replaced and lost.
+
+#include <LibGateway/ForwardSession.h>
+
+#include <LibCore/Views.h>
+#include <LibPlatform/MonotonicClock.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace Wisteria {
+
+namespace detail {
+
+// A single connect timeout may be caused by a lost packet; the target is suspected after this many in a row.
+constexpr int maxProbeAttempts = 2;
+
+} // namespace detail
+
+void ForwardSession::noteLostRun(const TargetRun &run)
+{
+    const auto now = monotonicNow();
+    if (!run.firstEventAt() || run.writingTime(now) < PromptQuarantine::survivalTime)
+        m_gatewayContext.promptGuard.runLost(run.process(), m_routed.request.sharedParts, run.sentAt(), now);
+}
+
+void ForwardSession::noteFault(const TargetRun &run, TargetFault fault)
+{
+    const auto &process = run.process();
+    m_gatewayContext.targets.recordFault(process, fault, monotonicNow());
+    m_gatewayContext.metrics.increment("target_faults_total",
+                                       absl::StrCat("fault=\"", abslView(targetFaultName(fault)), "\""));
+    log("target_fault", {{"target", process.id.value()}, {"fault", targetFaultName(fault)}});
+    if (!m_interruptedAt)
+        m_interruptedAt = monotonicNow();
+    m_gatewayContext.targetFailed(process, fault);
+}
+
+void ForwardSession::attemptNotRun(const TargetAttempt &attempt, TargetFault fault, bool wasRefused)
+{
+    const auto role = roleOf(attempt);
+    const auto &run = *runOf(role);
+    const bool isFull = wasRefused && fault != TargetFault::Gone;
+    const bool isCopyMissing = run.origin().isFromCopy && isFull;
+    // Another process answered at the address.
+    if (fault == TargetFault::Gone)
+        m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
+    if (!wasRefused && m_gatewayContext.targets.limitOf(run.target()))
+        m_gatewayContext.limits.giveBack(run.process());
+    if (!isFull)
+        noteFault(run, fault);
+    else
+        log("target_full", {{"target", run.target().value()}, {"copy_missing", isCopyMissing}});
+    if (isCopyMissing) {
+        // A rejected resume is taken to mean that the target no longer has the copy. The target is healthy,
+        // so it may process the prompt from the start.
+        std::erase(m_triedTargets, run.target());
+    }
+    if (role == RunRole::Replacement)
+        m_replacement.reset();
+    handle(ForwardingEvents::AttemptNotExecuted{
+        .fault = fault, .wasRefused = wasRefused, .isCopyMissing = isCopyMissing, .role = role});
+}
+
+void ForwardSession::attemptLost(const TargetAttempt &attempt, TargetFault fault)
+{
+    runLost(roleOf(attempt), fault);
+}
+
+void ForwardSession::runLost(RunRole role, TargetFault fault)
+{
+    auto &run = *runOf(role);
+    run.cancel();
+    // Tells a request that its target ended on from one that merely ran there.
+    log("attempt_lost",
+        {{"target", run.target().value()},
+         {"fault", targetFaultName(fault)},
+         {"replacement", role == RunRole::Replacement},
+         {"events", run.eventCount()},
+         {"writing_ms", absl::ToInt64Milliseconds(run.writingTime(monotonicNow()))},
+         {"parts", partNames(m_routed.request.sharedParts)}});
+    noteLostRun(run);
+    if (fault == TargetFault::Gone)
+        m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
+    noteFault(run, fault);
+    if (role == RunRole::Replacement)
+        m_replacement.reset();
+    handle(ForwardingEvents::AttemptLost{fault, role});
+}
+
+void ForwardSession::perform(const ForwardingActions::ReportSuspicion &action)
+{
+    if (m_run)
+        noteFault(*m_run, action.fault);
+}
+
+void ForwardSession::perform(const ForwardingActions::CancelAttempt &action)
+{
+    auto &run = runOf(action.role);
+    if (!run)
+        return;
+    run->cancel();
+    noteLostRun(*run);
+    if (action.fault)
+        noteFault(*run, *action.fault);
+    if (action.role == RunRole::Replacement) {
+        log("replacement_cancelled", {{"target", run->target().value()}});
+        m_gatewayContext.metrics.increment("replacements_total", R"(outcome="cancelled")");
+        run.reset();
+    }
+}
+
+void ForwardSession::perform(const ForwardingActions::AdoptReplacement &)
+{
+    m_run = std::move(m_replacement);
+    handleCopyEvent(KvCopyEvents::AttemptStarted{m_run->copyHolder()});
+    m_gatewayContext.metrics.increment("replacements_total", R"(outcome="adopted")");
+    log("replacement_adopted", {{"target", targetName()}, {"events", m_run->eventCount()}});
+}
+
+void ForwardSession::perform(const ForwardingActions::ProbeTarget &action)
+{
+    const auto *run = runOf(action.role).get();
+    const auto *record = run ? m_gatewayContext.targets.find(run->target()) : nullptr;
+    if (!record)
+        return;
+    const auto probe = std::make_shared<std::function<void(int)>>();
+    *probe = [weak = weak_from_this(), attempt = std::weak_ptr(run->attempt()), record = *record,
+              self = std::weak_ptr<std::function<void(int)>>(probe)](int number) {
+        const auto session = weak.lock();
+        const auto retry = self.lock();
+        if (!session || !retry)
+            return;
+        session->m_gatewayContext.connections.probe(
+            record, [session, attempt, retry, number](ProbeResult result) {
+                const auto running = attempt.lock();
+                if (result == ProbeResult::Connected || !running || session->isFinished())
+                    return;
+                if (result == ProbeResult::TimedOut && number < detail::maxProbeAttempts) {
+                    (*retry)(number + 1);
+                    return;
+                }
+                session->handle(ForwardingEvents::TargetSuspected{
+                    result == ProbeResult::Refused ? TargetFault::Refused : TargetFault::Unresponsive,
+                    session->roleOf(*running)});
+            });
+    };
+    (*probe)(1);
+}
+
+} // namespace Wisteria
--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -73,7 +73,8 @@
 {
     m_id = id;
     ++m_restarts;
-    m_running.clear();
+    while (!m_running.empty())
+        endRun(m_running.begin()->first);
     std::erase_if(m_engineState.copies,
                   [this](const std::string &it) { return absl::StartsWith(it, m_publishedAddress + "/"); });
 }
@@ -81,16 +82,53 @@
 void FakeEngine::copyRun(const std::shared_ptr<HttpServerConnection> &connection, const std::string &body)
 {
     const auto json = nlohmann::json::parse(body);
-    if (!m_running.contains(json["id"].get<std::string>())) {
+    const bool isStop = json.value("last", false);
+    const auto stream = std::find_if(m_running.begin(), m_running.end(), [&](const auto &it) {
+        return it.second.request == json["id"].template get<std::string>();
+    });
+    m_engineState.stopRequests += isStop ? 1 : 0;
+    if (stream == m_running.end()) {
         respond(connection, makeResponse(404, "application/json", "{}"));
         return;
     }
+    if (isStop) {
+        ++m_engineState.stoppedRuns;
+        const auto stopped = stream->second.connection.lock();
+        endRun(stream->first);
+        if (stopped)
+            stopped->abort();
+    }
     const auto handle = absl::StrCat("h", ++m_engineState.lastHandle);
     m_engineState.copies.insert(m_publishedAddress + "/" + handle);
     respond(connection,
             makeResponse(200, "application/json", nlohmann::json{{"handle", handle}, {"created", 1}}.dump()));
 }
 
+void FakeEngine::beginRun(const std::shared_ptr<HttpServerConnection> &connection,
+                          const std::string &requestId)
+{
+    m_running[connection.get()] = {requestId, connection, m_engineState.runs.begin(requestId, m_id)};
+    connection->setCallerLeftHandler([this, lifetime = std::weak_ptr(m_lifetime), stream = connection.get()] {
+        if (!lifetime.expired() && !m_ignoresCloses)
+            endRun(stream);
+    });
+}
+
+void FakeEngine::endRun(const HttpServerConnection *connection)
+{
+    const auto it = m_running.find(connection);
+    if (it == m_running.end())
+        return;
+    m_engineState.runs.end(it->second.span);
+    m_running.erase(it);
+}
+
+void FakeEngine::abortStream(const std::shared_ptr<HttpServerConnection> &connection)
+{
+    endRun(connection.get());
+    connection->abort();
+}
+
 void FakeEngine::setCommonFields(HttpResponseHead &head) const
 {
     if (m_isLeaving)
@@ -200,7 +238,7 @@
     }
     response.head.fields.set("Content-Type", "text/event-stream");
     setCommonFields(response.head);
-    m_running.insert(requestId);
+    beginRun(connection, requestId);
     m_streams.push_back(connection);
     startStream(connection, response.head, request);
 }
@@ -239,7 +277,7 @@
     // The server must not end within its own handler.
     if (m_engineState.prefillTime == std::chrono::milliseconds::zero() && !isCrashing) {
         connection->openStream(head);
-        sendEventsFrom(connection, event);
+        sendFirstEvent(connection, event);
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_engineState.prefillTime);
@@ -247,37 +285,56 @@
     timer->async_wait(
         [this, timer, connection, sharedHead, isCrashing, event, restarts = m_restarts](const auto &) {
             if (restarts != m_restarts) {
-                connection->abort();
+                abortStream(connection);
                 return;
             }
             connection->openStream(*sharedHead);
             if (!isCrashing) {
-                sendEventsFrom(connection, event);
+                sendFirstEvent(connection, event);
                 return;
             }
-            connection->abort();
+            abortStream(connection);
             end();
         });
 }
 
+void FakeEngine::sendFirstEvent(const std::shared_ptr<HttpServerConnection> &connection, int event)
+{
+    if (m_engineState.firstEventDelay == std::chrono::milliseconds::zero()) {
+        sendEventsFrom(connection, event);
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_engineState.firstEventDelay);
+    timer->async_wait([this, timer, connection, event, restarts = m_restarts](const auto &) {
+        if (restarts == m_restarts)
+            sendEventsFrom(connection, event);
+        else
+            abortStream(connection);
+    });
+}
+
 void FakeEngine::sendEventsFrom(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
     runAfterPause([this, connection, event, restarts = m_restarts] {
         if (restarts == m_restarts)
             sendEvent(connection, event);
         else
-            connection->abort();
+            abortStream(connection);
     });
 }
 
 void FakeEngine::sendEvent(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
     const int events = m_engineState.eventsPerStream;
+    // Stopped, or dropped since its connection has closed.
+    if (!m_running.contains(connection.get()))
+        return;
     if (m_mode == FakeEngineMode::LosingStreams) {
-        connection->abort();
+        abortStream(connection);
         return;
     }
     if (event > events) {
+        endRun(connection.get());
         connection->endStream();
         return;
     }
@@ -287,7 +344,7 @@
     if (event > events / 2 && m_mode == FakeEngineMode::Crashing) {
         // The engine crashes after sending half of an event.
         connection->writeStream(text.substr(0, text.size() / 2));
-        connection->abort();
+        abortStream(connection);
         return;
     }
     connection->writeStream(text);
@@ -296,7 +353,7 @@
         if (restarts == m_restarts)
             sendEventsFrom(connection, event + 1);
         else
-            connection->abort();
+            abortStream(connection);
     });
 }
 
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "FakeHttp.h"
+#include "FakeRunRecords.h"
 
 #include <LibNet/HttpServer.h>
 
@@ -41,10 +42,17 @@
     int rejectionsByFullEngines{0};
     // Runs that engines accepted, also those that resume from a copy.
     std::map<std::string, int> acceptedByRequest;
+    // Work on streams.
+    FakeRunRecords runs;
+    // Requests to stop a run that reached an engine, and those that found it running.
+    int stopRequests{0};
+    int stoppedRuns{0};
     // An engine ends as soon as it begins to write an answer to a prompt with this part; empty for none.
     std::string crashingPart;
     // Time before the head of a stream.
     std::chrono::milliseconds prefillTime{0};
+    // Time from the head of a stream to its first event.
+    std::chrono::milliseconds firstEventDelay{0};
     // Requests with the crashing part that reached an engine, and ends of engines.
     int crashingRequests{0};
     int ends{0};
@@ -97,6 +105,8 @@
     // The engine is silent for this long and then goes on: it handles no request and sends no event. Its
     // connections stay open and new ones are accepted.
     void pauseFor(std::chrono::milliseconds);
+    // While set, the engine goes on with streams whose connection has closed.
+    void setIgnoresCloses(bool ignoresCloses) { m_ignoresCloses = ignoresCloses; }
     // While set, all answers carry Server-Leaving. The engine goes on serving.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     // Rejections in mode Overloaded carry this as Retry-After.
@@ -123,10 +133,16 @@
     // Sends the head of the stream after the prefill time, then its events.
     void startStream(const std::shared_ptr<HttpServerConnection> &, const HttpResponseHead &,
                      const HttpRequest &);
+    void sendFirstEvent(const std::shared_ptr<HttpServerConnection> &, int event);
     void sendEventsFrom(const std::shared_ptr<HttpServerConnection> &, int event);
     void sendEvent(const std::shared_ptr<HttpServerConnection> &, int event);
-    // Handles /-/kv-move: records a copy of a running request's KV cache under a new handle.
+    // Handles /-/kv-move: records a copy of a running request's KV cache under a new handle. With `last`, the
+    // run stops first and its stream closes without its end.
     void copyRun(const std::shared_ptr<HttpServerConnection> &, const std::string &body);
+    // Opens the span of the stream, which ends at the latest when the engine drops the request.
+    void beginRun(const std::shared_ptr<HttpServerConnection> &, const std::string &requestId);
+    void endRun(const HttpServerConnection *);
+    void abortStream(const std::shared_ptr<HttpServerConnection> &);
 
     boost::asio::io_context &m_context;
     FakeEngineState &m_engineState;
@@ -137,17 +153,27 @@
     std::string m_publishedAddress;
     // Streams begun before the latest restart are aborted.
     int m_restarts{0};
-    std::set<std::string> m_running;
+    struct Stream
+    {
+        std::string request;
+        std::weak_ptr<HttpServerConnection> connection;
+        std::size_t span;
+    };
+    // Streams that the engine works on.
+    std::map<const HttpServerConnection *, Stream> m_running;
     // Connections of streams; those that have ended or closed hold no slot.
     std::vector<std::weak_ptr<HttpServerConnection>> m_streams;
     FakeEngineMode m_mode{FakeEngineMode::Healthy};
     bool m_isLeaving{false};
+    bool m_ignoresCloses{false};
     std::optional<std::chrono::milliseconds> m_retryAfter;
     std::string m_limit;
     int m_requestCount{0};
     // Arrivals of all requests, in order.
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::chrono::steady_clock::time_point m_pausedUntil;
+    // Expires with the engine; its connections may be closed later.
+    std::shared_ptr<bool> m_lifetime{std::make_shared<bool>(true)};
     // Keeps the port of an engine that has ended: bound, so that no other socket gets it, but not listening.
     std::optional<boost::asio::ip::tcp::socket> m_portReservation;
     std::unique_ptr<HttpServer> m_server;
