LibGateway: Log when each run of a request ended, and how long two overlapped

For one request the logs didn't tell when each run was accepted, made its first event and ended, and for how long two runs were at work. run_ended tells it for requests with more than one run; run_overlap_seconds is a histogram of all overlaps, and run_overlaps_too_long_total counts those of streams beyond 400 ms. No decision is changed.

--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -254,13 +254,16 @@
     handle(ForwardingEvents::AttemptSent{wait + performance().prefillTime(m_routed.request.size.promptTokens),
                                          action.role});
     auto &run = runOf(action.role);
-    run = std::make_unique<TargetRun>(
-        m_gatewayContext, record,
-        TargetRun::Origin{.isFromCopy = source.has_value(), .wasTargetIdle = load.pendingPrefillTokens == 0},
-        now);
+    run = std::make_unique<TargetRun>(m_gatewayContext, record,
+                                      TargetRun::Origin{.isFromCopy = source.has_value(),
+                                                        .wasTargetIdle = load.pendingPrefillTokens == 0,
+                                                        .number = action.number},
+                                      now);
     reserveLoad(*run);
-    if (action.role == RunRole::Replacement)
+    if (action.role == RunRole::Replacement) {
         m_gatewayContext.metrics.increment("replacements_total", R"(outcome="started")");
+        m_overlapBeganAt = now;
+    }
     if (action.role == RunRole::Current)
         handleCopyEvent(KvCopyEvents::AttemptStarted{run->copyHolder()});
     AttemptParameters parameters;
@@ -391,7 +394,7 @@
 
 void ForwardSession::streamOpened(const TargetAttempt &attempt, const HttpResponseHead &head)
 {
-    runOf(roleOf(attempt))->setStreamHead(head);
+    runOf(roleOf(attempt))->setStreamHead(head, monotonicNow());
     handle(ForwardingEvents::StreamOpened{});
 }
 
@@ -490,9 +493,11 @@
     m_response = std::move(response);
     removeConnectionFields(m_response.head.fields);
     // A plain answer can't continue a stream that has started.
-    if (role == RunRole::Replacement
-        && (status >= detail::firstServerError || m_forwardedRequest.hasResponseStarted()))
-        m_replacement.reset();
+    if (status >= detail::firstServerError || m_forwardedRequest.hasResponseStarted()) {
+        noteRunEnd(role, "failed");
+        if (role == RunRole::Replacement)
+            m_replacement.reset();
+    }
     handle(ForwardingEvents::ResponseReceived{status, role});
 }
 
@@ -555,6 +560,8 @@
     m_copyTimer.cancel();
     m_permit.reset();
     handleCopyEvent(KvCopyEvents::AttemptEnded{});
+    for (const auto role : {RunRole::Replacement, RunRole::Current})
+        noteRunEnd(role, outcome);
     m_replacement.reset();
     m_run.reset();
     m_gatewayContext.metrics.increment("requests_total",
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -126,6 +126,8 @@
     // the same.
     void completeIfTargetRuns(const TargetAttempt &, std::function<void(ForwardSession &, RunRole)> complete);
     void runLost(RunRole, TargetFault);
+    // Records the end of a run and, if another run of the request was at work beside it, of their overlap.
+    void noteRunEnd(RunRole, std::string_view reason);
     // Records that the run has ended before its target had written for long.
     void noteLostRun(const TargetRun &);
     // Records that the current run's target writes on the prompt and lives on.
@@ -151,6 +153,8 @@
     std::unique_ptr<TargetRun> m_run;
     // Runs beside `m_run`, which is suspected.
     std::unique_ptr<TargetRun> m_replacement;
+    // Since when `m_run` and `m_replacement` have both been at work.
+    std::optional<absl::Time> m_overlapBeganAt;
     // Set while the attempt waits for a permit.
     std::unique_ptr<PermitTicket> m_permit;
     absl::Time m_nextSurvivalAt{absl::InfiniteFuture()};
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -13,9 +13,44 @@
 
 // A single connect timeout may be caused by a lost packet; the target is suspected after this many in a row.
 constexpr int maxProbeAttempts = 2;
+// Two runs of one stream must not be at work side by side for longer.
+constexpr absl::Duration allowedOverlap = absl::Milliseconds(400);
 
 } // namespace detail
 
+void ForwardSession::noteRunEnd(RunRole role, std::string_view reason)
+{
+    auto *run = runOf(role).get();
+    if (!run || !run->markEnded())
+        return;
+    const auto now = monotonicNow();
+    const auto *other = runOf(role == RunRole::Current ? RunRole::Replacement : RunRole::Current).get();
+    std::optional<absl::Duration> overlap;
+    if (const auto beganAt = std::exchange(m_overlapBeganAt, std::nullopt); beganAt && other) {
+        overlap = now - *beganAt;
+        m_gatewayContext.metrics.observe("run_overlap_seconds", "", *overlap);
+        if (overlap > detail::allowedOverlap && isStream(m_routed.route->kind))
+            m_gatewayContext.metrics.increment("run_overlaps_too_long_total", "");
+    }
+    // A request with one run is told by its other lines.
+    if (run->origin().number == 1 && !overlap && reason == "complete")
+        return;
+    nlohmann::json fields = {{"number", run->origin().number},
+                             {"target", run->target().value()},
+                             {"reason", reason},
+                             {"events", run->eventCount()},
+                             {"lasted_ms", absl::ToInt64Milliseconds(now - run->sentAt())}};
+    if (run->acceptedAt())
+        fields["accepted_after_ms"] = absl::ToInt64Milliseconds(*run->acceptedAt() - run->sentAt());
+    if (run->firstEventAt())
+        fields["first_event_after_ms"] = absl::ToInt64Milliseconds(*run->firstEventAt() - run->sentAt());
+    if (overlap) {
+        fields["beside"] = other->target().value();
+        fields["beside_ms"] = absl::ToInt64Milliseconds(*overlap);
+    }
+    log("run_ended", std::move(fields));
+}
+
 void ForwardSession::noteLostRun(const TargetRun &run)
 {
     const auto now = monotonicNow();
@@ -55,6 +90,7 @@
         // so it may process the prompt from the start.
         std::erase(m_triedTargets, run.target());
     }
+    noteRunEnd(role, wasRefused ? "rejected" : "not_reached");
     if (role == RunRole::Replacement)
         m_replacement.reset();
     handle(ForwardingEvents::AttemptNotExecuted{
@@ -78,6 +114,7 @@
          {"events", run.eventCount()},
          {"writing_ms", absl::ToInt64Milliseconds(run.writingTime(monotonicNow()))},
          {"parts", partNames(m_routed.request.sharedParts)}});
+    noteRunEnd(role, "lost");
     noteLostRun(run);
     if (fault == TargetFault::Gone)
         m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
@@ -99,6 +136,7 @@
     if (!run)
         return;
     run->cancel();
+    noteRunEnd(action.role, "cancelled");
     noteLostRun(*run);
     if (action.fault)
         noteFault(*run, *action.fault);
--- a/Libraries/LibGateway/TargetRun.cpp
+++ b/Libraries/LibGateway/TargetRun.cpp
@@ -44,8 +44,9 @@
     m_gatewayContext.targets.addLoad(*m_copyHolder, m_copyLoad);
 }
 
-void TargetRun::setStreamHead(const HttpResponseHead &head)
+void TargetRun::setStreamHead(const HttpResponseHead &head, absl::Time now)
 {
+    m_acceptedAt = now;
     m_streamHead = head;
     removeConnectionFields(m_streamHead->fields);
 }
--- a/Libraries/LibGateway/TargetRun.h
+++ b/Libraries/LibGateway/TargetRun.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace Wisteria {
 
@@ -21,6 +22,8 @@
         bool isFromCopy{false};
         // The target had no unprocessed prompt of another request when the attempt was sent.
         bool wasTargetIdle{false};
+        // Number of the attempt.
+        int number{1};
     };
 
     TargetRun(GatewayContext &, const ForwardingTarget &, const Origin &, absl::Time now);
@@ -45,13 +48,18 @@
     void reserveCopy(const std::optional<TargetId> &holder, std::int64_t memoryTokens);
     [[nodiscard]] const std::optional<TargetId> &copyHolder() const { return m_copyHolder; }
 
-    void setStreamHead(const HttpResponseHead &);
+    void setStreamHead(const HttpResponseHead &, absl::Time now);
     // Without the fields of the connection to the target. Empty before the head of a stream was received.
     [[nodiscard]] const std::optional<HttpResponseHead> &streamHead() const { return m_streamHead; }
     // Returns whether these are the first ones.
     bool recordEvents(std::size_t n, absl::Time now);
     [[nodiscard]] std::int64_t eventCount() const { return m_eventCount; }
     [[nodiscard]] std::optional<absl::Time> firstEventAt() const { return m_firstEventAt; }
+    // Unset before the head of a stream was received.
+    [[nodiscard]] std::optional<absl::Time> acceptedAt() const { return m_acceptedAt; }
+    // Returns whether this was the first call: a run ends once.
+    [[nodiscard]] bool markEnded() { return !std::exchange(m_hasEnded, true); }
+    [[nodiscard]] bool hasEnded() const { return m_hasEnded; }
     // Time since the first event; zero before it.
     [[nodiscard]] absl::Duration writingTime(absl::Time now) const;
 
@@ -67,8 +75,10 @@
     std::optional<TargetId> m_copyHolder;
     TargetLoad m_copyLoad;
     std::optional<HttpResponseHead> m_streamHead;
+    std::optional<absl::Time> m_acceptedAt;
     std::optional<absl::Time> m_firstEventAt;
     std::int64_t m_eventCount{0};
+    bool m_hasEnded{false};
 };
 
 } // namespace Wisteria
