--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -161,15 +161,20 @@
     return static_cast<int>(most);
 }
 
-void FakeEngine::runAfterPause(std::function<void()> function)
+void FakeEngine::stallStreamsFor(std::chrono::milliseconds duration)
 {
-    if (std::chrono::steady_clock::now() >= m_pausedUntil) {
+    m_streamsStalledUntil = std::chrono::steady_clock::now() + duration;
+}
+
+void FakeEngine::runAfter(const std::chrono::steady_clock::time_point &until, std::function<void()> function)
+{
+    if (std::chrono::steady_clock::now() >= until) {
         function();
         return;
     }
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_pausedUntil);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, until);
     timer->async_wait(
-        [this, timer, function = std::move(function)](const auto &) { runAfterPause(function); });
+        [this, timer, &until, function = std::move(function)](const auto &) { runAfter(until, function); });
 }
 
 void FakeEngine::handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request)
@@ -315,12 +320,13 @@
 
 void FakeEngine::sendEventsFrom(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
-    runAfterPause([this, connection, event, restarts = m_restarts] {
+    const auto send = [this, connection, event, restarts = m_restarts] {
         if (restarts == m_restarts)
             sendEvent(connection, event);
         else
             abortStream(connection);
-    });
+    };
+    runAfterPause([this, send] { runAfter(m_streamsStalledUntil, send); });
 }
 
 void FakeEngine::sendEvent(const std::shared_ptr<HttpServerConnection> &connection, int event)
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -105,6 +105,8 @@
     // The engine is silent for this long and then goes on: it handles no request and sends no event. Its
     // connections stay open and new ones are accepted.
     void pauseFor(std::chrono::milliseconds);
+    // Its streams are silent for this long and then go on. It answers other requests meanwhile.
+    void stallStreamsFor(std::chrono::milliseconds);
     // While set, the engine goes on with streams whose connection has closed.
     void setIgnoresCloses(bool ignoresCloses) { m_ignoresCloses = ignoresCloses; }
     // While set, all answers carry Server-Leaving. The engine goes on serving.
@@ -124,7 +126,9 @@
     void handleRequest(const std::shared_ptr<HttpServerConnection> &, HttpRequest) override;
     void runRequest(const std::shared_ptr<HttpServerConnection> &, const HttpRequest &);
     // Runs the function now, or at the end of the engine's pause.
-    void runAfterPause(std::function<void()>);
+    void runAfterPause(std::function<void()> function) { runAfter(m_pausedUntil, std::move(function)); }
+    // The time may be extended meanwhile.
+    void runAfter(const std::chrono::steady_clock::time_point &, std::function<void()>);
     void respond(const std::shared_ptr<HttpServerConnection> &, HttpResponse);
     [[nodiscard]] bool hasFreeSlot();
     // Sets the header fields that all answers of the engine have.
@@ -172,6 +176,7 @@
     // Arrivals of all requests, in order.
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::chrono::steady_clock::time_point m_pausedUntil;
+    std::chrono::steady_clock::time_point m_streamsStalledUntil;
     // Expires with the engine; its connections may be closed later.
     std::shared_ptr<bool> m_lifetime{std::make_shared<bool>(true)};
     // Keeps the port of an engine that has ended: bound, so that no other socket gets it, but not listening.
