LibForwarding: Bound the time for which two runs of a stream overlap

Cause: since a suspected run goes on beside its replacement until one of the two makes progress, and nothing bounds that time.

Two runs of a stream now overlap for 250 ms at most. Then the replacement ends, unless its target has accepted it, or the current run has been silent for longer than sound targets are (1.5 s); only then the current run is given up. A copy is still tried at the stall limit. A prompt that must be processed again outlasts the overlap, so that it starts when the current run will have been silent for 1.5 s at its end. Before the first event, silence counts from the deadline of the first event, or from the time since which the target accepts no connections. The next replacement starts 200 ms after one that may have been executed, so that overlaps don't add up.

TestTwoRunsOfOneStream failed in seven of eight cases before; the two in which an engine doesn't notice a close are left.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -84,10 +84,11 @@
     if (timeLeft < detail::minUsefulTime)
         return false;
     const Run run{.startedAt = now, .lastEventAt = now, .nextProbeAt = now + firstProbeDelay};
-    if (role == RunRole::Current)
+    if (role == RunRole::Current) {
         m_current = run;
-    else
+    } else {
         m_replacement = run;
+    }
     // The host may report that it found no target while it performs StartAttempt, which sets the timer anew.
     setTimer(now);
     m_actions.emplace_back(ForwardingActions::StartAttempt{.number = ++m_lastAttemptNumber,
@@ -136,8 +137,10 @@
 void ForwardedRequest::keepOnly(RunRole role, absl::Time now)
 {
     if (role == RunRole::Current) {
-        if (m_replacement)
+        if (m_replacement) {
             m_stallLimitFactor *= stallLimitGrowth;
+            delayNextReplacement(now);
+        }
         cancelReplacement();
         return;
     }
@@ -145,6 +148,32 @@
     adoptReplacement(now);
 }
 
+void ForwardedRequest::endOverlap(absl::Time now)
+{
+    if (m_replacement->isAccepted || now - silentSince() >= longestSoundSilence) {
+        m_mayHaveExecuted = true;
+        keepOnly(RunRole::Replacement, now);
+        return;
+    }
+    keepOnly(RunRole::Current, now);
+    m_nextReplacementAt = std::max(m_nextReplacementAt, earliestRecomputation());
+}
+
+void ForwardedRequest::delayNextReplacement(absl::Time now)
+{
+    if (isStream(m_parameters.kind))
+        m_nextReplacementAt = now + replacementInterval;
+}
+
+absl::Time ForwardedRequest::silentSince() const
+{
+    if (m_current.hasEvents)
+        return m_current.lastEventAt;
+    // A prompt may be processed for seconds.
+    return std::min(m_current.firstEventDeadline - longestSoundSilence,
+                    m_current.unreachableSince.value_or(absl::InfiniteFuture()));
+}
+
 void ForwardedRequest::cancelRuns()
 {
     cancelReplacement();
@@ -174,6 +203,17 @@
         setTimer(now);
 }
 
+void ForwardedRequest::replacementLost(absl::Time now)
+{
+    if (!isStream(m_parameters.kind)) {
+        replacementEnded(now);
+        return;
+    }
+    m_replacement.reset();
+    delayNextReplacement(now);
+    setTimer(now);
+}
+
 void ForwardedRequest::retryOrFail(RefusalReason reason, absl::Time now, bool fromCopy)
 {
     if (m_mayHaveExecuted && !isRetryable(m_parameters.kind)) {
@@ -268,6 +308,7 @@
 {
     if (event.role == RunRole::Replacement) {
         cancelReplacement();
+        delayNextReplacement(now);
         setTimer(now);
         return;
     }
@@ -327,9 +368,13 @@
     startAttempt(now, false);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::StreamOpened &, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::StreamOpened &event, absl::Time)
 {
     m_mayHaveExecuted = true;
+    if (event.role == RunRole::Current)
+        m_current.isAccepted = true;
+    else if (m_replacement)
+        m_replacement->isAccepted = true;
 }
 
 void ForwardedRequest::on(const ForwardingEvents::EventsReceived &event, absl::Time now)
@@ -366,7 +411,7 @@
     }
     m_hasErrorResponse = m_hasErrorResponse || isError;
     if (event.role == RunRole::Replacement)
-        replacementEnded(now);
+        replacementLost(now);
     else if (m_replacement)
         adoptReplacement(now);
     // A plain response cannot continue a stream that has started.
@@ -380,7 +425,7 @@
 {
     m_mayHaveExecuted = true;
     if (event.role == RunRole::Replacement)
-        replacementEnded(now);
+        replacementLost(now);
     else if (m_replacement)
         adoptReplacement(now);
     else
@@ -390,8 +435,15 @@
 
 void ForwardedRequest::on(const ForwardingEvents::TargetSuspected &event, absl::Time now)
 {
+    if (event.role == RunRole::Current && !m_current.hasEvents) {
+        if (now - m_current.lastUnreachableAt > unreachableMemory)
+            m_current.unreachableSince = now;
+        m_current.lastUnreachableAt = now;
+    }
+    // The end of the overlap decides about the replacement of a stream.
+    const bool isOverlapping = m_replacement && isStream(m_parameters.kind) && now < m_overlapDeadline;
     const bool isLatestRun = (event.role == RunRole::Replacement) == m_replacement.has_value();
-    if (m_state == State::Attempting && isLatestRun)
+    if (m_state == State::Attempting && isLatestRun && !isOverlapping)
         (void)trySeekReplacement(event.fault, now);
 }
 
@@ -401,10 +453,12 @@
         setTimer(now);
         return;
     }
-    if (m_replacement)
+    if (m_replacement) {
         cancelReplacement(TargetFault::Unresponsive);
-    else
+    } else {
         m_actions.emplace_back(ForwardingActions::ReportSuspicion{m_suspicion});
+        m_overlapDeadline = now + maxRunOverlap;
+    }
     startReplacement(now);
 }
 
@@ -420,16 +474,30 @@
 
 bool ForwardedRequest::trySeekReplacement(TargetFault fault, absl::Time now)
 {
-    if (!isRetryable(m_parameters.kind) || !mayAttemptAgain() || now < m_nextReplacementAt)
+    if (!isRetryable(m_parameters.kind) || !mayAttemptAgain() || now < earliestReplacement())
         return false;
     m_nextReplacementAt = now + replacementInterval;
     if (!m_replacement)
         m_suspicion = fault;
-    m_actions.emplace_back(ForwardingActions::FindReplacement{
-        .number = m_lastAttemptNumber + 1, .fromCopy = canUseCopy(), .timeLeft = deadline() - now});
+    m_actions.emplace_back(ForwardingActions::FindReplacement{.number = m_lastAttemptNumber + 1,
+                                                              .fromCopy = canUseCopy(),
+                                                              .mayRecompute = !isStream(m_parameters.kind)
+                                                                  || now >= earliestRecomputation(),
+                                                              .timeLeft = deadline() - now});
     return true;
 }
 
+absl::Time ForwardedRequest::earliestReplacement() const
+{
+    if (!isStream(m_parameters.kind))
+        return m_nextReplacementAt;
+    // The last attempt is kept for a run that is lost, in case the suspected ones go on.
+    const bool isLastAttempt = m_executedAttempts > 1 && m_executedAttempts + 1 >= m_parameters.maxAttempts;
+    if (canUseCopy() && !isLastAttempt)
+        return m_nextReplacementAt;
+    return std::max(m_nextReplacementAt, earliestRecomputation());
+}
+
 void ForwardedRequest::on(const ForwardingEvents::CallerDisconnected &, absl::Time)
 {
     cancelRuns();
@@ -453,6 +521,8 @@
     }
     if (m_state != State::Attempting)
         return;
+    if (m_replacement && isStream(m_parameters.kind) && now >= m_overlapDeadline)
+        endOverlap(now);
     // The answer to the search sets the next timer.
     if (now >= stallDeadline() && trySeekReplacement(TargetFault::Unresponsive, now))
         return;
@@ -483,7 +553,9 @@
     if (isStream(m_parameters.kind) && !latestRun().hasEvents)
         at = std::min(at, latestRun().nextProbeAt);
     if (mayAttemptAgain())
-        at = std::min(at, std::max(stallDeadline(), m_nextReplacementAt));
+        at = std::min(at, std::max(stallDeadline(), earliestReplacement()));
+    if (m_replacement && isStream(m_parameters.kind))
+        at = std::min(at, m_overlapDeadline);
     m_actions.emplace_back(ForwardingActions::SetTimer{std::max(at, now)});
 }
 
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -2,7 +2,9 @@
 // retried or resumed on another target, and when the request is answered, refused or aborted.
 //
 // A run whose target is suspected goes on beside its replacement until one of the two makes progress: the
-// replacement may be rejected or lost, and the target may only have been silent for a while.
+// replacement may be rejected or lost, and the target may only have been silent for a while. Two runs of a
+// stream overlap for `maxRunOverlap` at most. Then the one ends for which less speaks: the replacement,
+// unless its target has accepted it or the current run has been silent for longer than sound targets are.
 //
 // A state machine without I/O. The host reports events and performs the returned actions in order. Invariant:
 // the time passed in never goes back. At each `StartAttempt` the host chooses the target from its TargetPool
@@ -94,9 +96,10 @@
     bool isCopyMissing{false};
     RunRole role{RunRole::Current};
 };
-// The head of the stream was received.
+// The head of the stream was received: the target has accepted the request.
 struct StreamOpened
 {
+    RunRole role{RunRole::Current};
 };
 struct EventsReceived
 {
@@ -194,6 +197,9 @@
     // Number of the attempt to be started.
     int number{1};
     bool fromCopy{false};
+    // Otherwise, only a target that resumes from a copy is a replacement: the others have to process the
+    // prompt again, which outlasts the overlap.
+    bool mayRecompute{true};
     absl::Duration timeLeft;
 };
 // The current run's target is suspected, so new requests should avoid it.
@@ -304,8 +310,17 @@
     // which a probe does not find. Prompts that other routers send at the same moment can double the expected
     // time.
     static constexpr double firstEventTimeoutFactor = 3;
+    // Two runs of a stream must not be at work side by side for this long.
+    static constexpr absl::Duration forbiddenRunOverlap = absl::Milliseconds(400);
+    // The difference is for the close of a connection to reach its target, and for a busy event loop.
+    static constexpr absl::Duration maxRunOverlap = absl::Milliseconds(250);
+    // Sound targets may be silent for a second or so and go on. A run that has been silent for longer is
+    // given up for a replacement that was not rejected.
+    static constexpr absl::Duration longestSoundSilence = absl::Milliseconds(1500);
+    // A target that was last found to be unreachable this long ago may have become reachable again.
+    static constexpr absl::Duration unreachableMemory = absl::Seconds(1);
     // Interval at which a replacement is looked for again while there is none. The running attempt may still
-    // go on by itself.
+    // go on by itself. Long enough that a target notices the end of its run before the next one starts.
     static constexpr absl::Duration replacementInterval = absl::Milliseconds(200);
     // An idempotent plain request is retried after this multiple of its latency objective.
     static constexpr double plainRequestTimeoutFactor = 3;
@@ -348,6 +363,8 @@
     struct Run
     {
         absl::Time startedAt;
+        // The target has sent the head of the stream.
+        bool isAccepted{false};
         // The run has sent an event.
         bool hasEvents{false};
         // Equals `startedAt` before the first event.
@@ -355,6 +372,10 @@
         absl::Time nextProbeAt;
         // The run is suspected if no event arrives before this time.
         absl::Time firstEventDeadline{absl::InfiniteFuture()};
+        // Before the first event: since when its target has accepted no connections, and when that was last
+        // found.
+        std::optional<absl::Time> unreachableSince;
+        absl::Time lastUnreachableAt{absl::InfinitePast()};
     };
 
     void startAttempt(absl::Time now, bool fromCopy);
@@ -374,9 +395,25 @@
     void replacementRejected(absl::Time now);
     // The replacement has ended without progress. Another one is looked for.
     void replacementEnded(absl::Time now);
+    // The same for one that may have been executed: its end may not have reached all of its target yet.
+    void replacementLost(absl::Time now);
     // Looks for another target while the suspected run goes on. False if none can be started now.
     [[nodiscard]] bool trySeekReplacement(TargetFault, absl::Time now);
     [[nodiscard]] bool mayAttemptAgain() const;
+    // The overlap of the two runs has lasted for `maxRunOverlap`. Exactly one of them goes on.
+    void endOverlap(absl::Time now);
+    // The replacement, which may have been executed, has ended and the current run goes on.
+    void delayNextReplacement(absl::Time now);
+    // Since when the current run has shown nothing, though its target should have.
+    [[nodiscard]] absl::Time silentSince() const;
+    // Until then, the silence of the current run says little, and only a copy lets another one take over in
+    // time.
+    [[nodiscard]] absl::Time earliestRecomputation() const
+    {
+        return silentSince() + longestSoundSilence - maxRunOverlap;
+    }
+    // Before this time, no replacement is looked for.
+    [[nodiscard]] absl::Time earliestReplacement() const;
     // A retry can resume from the copy of the current run's KV cache.
     [[nodiscard]] bool canUseCopy() const { return m_hasCopy && m_current.hasEvents; }
     // Retries the request if it is retryable and attempts and budget allow it, and fails it otherwise.
@@ -407,6 +444,8 @@
     std::optional<EventNumber> m_lastEvent;
     Run m_current;
     std::optional<Run> m_replacement;
+    // When the overlap with the replacement ends. Stays the same for one that is started in place of another.
+    absl::Time m_overlapDeadline{absl::InfiniteFuture()};
     // Why a replacement is looked for.
     TargetFault m_suspicion{TargetFault::Unresponsive};
     absl::Time m_nextReplacementAt{absl::InfinitePast()};
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -201,7 +201,7 @@
     const auto now = monotonicNow();
     const bool isBarred = barTime(now).has_value();
     bool isFound = !isBarred && action.fromCopy && findUsableCopy();
-    if (!isBarred && !isFound && canFinishInTime(action.number, action.timeLeft)) {
+    if (!isBarred && !isFound && action.mayRecompute && canFinishInTime(action.number, action.timeLeft)) {
         const auto target = chooseTarget(RunRole::Replacement, now);
         isFound = target && m_gatewayContext.targets.isHealthy(*target, now);
     }
@@ -394,8 +394,9 @@
 
 void ForwardSession::streamOpened(const TargetAttempt &attempt, const HttpResponseHead &head)
 {
-    runOf(roleOf(attempt))->setStreamHead(head, monotonicNow());
-    handle(ForwardingEvents::StreamOpened{});
+    const auto role = roleOf(attempt);
+    runOf(role)->setStreamHead(head, monotonicNow());
+    handle(ForwardingEvents::StreamOpened{role});
 }
 
 void ForwardSession::eventsReceived(const TargetAttempt &attempt, const std::vector<RawEvent> &events)
--- a/Tests/Platform/TestTwoRunsOfOneStream.cpp
+++ b/Tests/Platform/TestTwoRunsOfOneStream.cpp
@@ -67,10 +67,8 @@
     // The engine accepts the request and is silent from then on.
     void firstEventIsLate()
     {
-        m_engineState.eventsPerStream = 40;
-        startGateway();
-        preferEngine("llm-0");
         m_engineState.firstEventDelay = std::chrono::milliseconds(3500);
+        prepare();
         startCalls();
         CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.size() == calls; }));
         m_engineState.firstEventDelay = std::chrono::milliseconds(600);
@@ -121,16 +119,20 @@
         }
     }
 
-    // All of them have sent some events.
-    void startStreams()
+    void prepare()
     {
-        auto configuration = fakeConfiguration(2);
+        auto configuration = fakeConfiguration(1);
         configuration["routes"][0]["timeoutMs"] = 8000;
         m_store->put("config", "main", configuration);
         startGateway();
-        CPPUNIT_ASSERT(runUntil([&] { return configurationVersion() == 2; }));
         preferEngine("llm-0");
         m_engineState.eventsPerStream = std::max(m_engineState.eventsPerStream, 40);
+    }
+
+    // All of them have sent some events.
+    void startStreams()
+    {
+        prepare();
         startCalls();
         CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.size() == calls; }));
         m_context->run_for(std::chrono::milliseconds(100));
