LibGateway: Stop a run that was given up also where its target didn't notice

Closing its connection was the only sign for an engine that its run had been given up for another one.

50 ms after a run of a resumable stream was cancelled while the request goes on at another target, its target is asked to stop it (the last part of a move, which stops a run first and is answered with 404 where there is none). It isn't asked if the request runs there again. abandoned_run and abandoned_runs_total{outcome} tell what it answered: whether closes are noticed can now be seen.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -39,6 +39,24 @@
     std::string handle;
 };
 
+// What a target says of a run that it was asked to stop.
+enum class StopOutcome {
+    // It has no such run.
+    NotRunning,
+    // It was still at work on it.
+    Stopped,
+    // It can't stop the run now.
+    Busy,
+    Unknown,
+};
+
+struct StopResponse
+{
+    StopOutcome outcome{StopOutcome::Unknown};
+    // The target may keep the KV cache of a stopped run under this handle.
+    std::string handle;
+};
+
 // Parameters of one attempt, passed to the target in header fields.
 struct AttemptParameters
 {
@@ -96,6 +114,10 @@
     [[nodiscard]] virtual ControlRequest makeCopyRequest(const RequestId &,
                                                          const std::string &holderAddress) const = 0;
     [[nodiscard]] virtual CopyResponse parseCopyResponse(const HttpResponse &) const = 0;
+    // Asks the target to stop a generation if it still runs it. `otherAddress` is that of another target.
+    [[nodiscard]] virtual ControlRequest makeStopRequest(const RequestId &,
+                                                         const std::string &otherAddress) const = 0;
+    [[nodiscard]] virtual StopResponse parseStopResponse(const HttpResponse &) const = 0;
     [[nodiscard]] virtual ControlRequest makeCopyReleaseRequest(const std::string &handle) const = 0;
     // Returns an empty optional if the request is not an entry point query.
     [[nodiscard]] virtual std::optional<EntryPointQuery>
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -126,6 +126,12 @@
     // the same.
     void completeIfTargetRuns(const TargetAttempt &, std::function<void(ForwardSession &, RunRole)> complete);
     void runLost(RunRole, TargetFault);
+    // Asks the target of a cancelled run to stop it if it still works on it, since targets may notice late,
+    // or not at all, that a connection has closed. The request goes on at the other target.
+    void stopAbandonedRun(const TargetProcess &abandoned, const TargetProcess &other);
+    void sendStopRequest(const TargetProcess &abandoned, const TargetProcess &other, int tries);
+    [[nodiscard]] bool isRunningAt(const TargetProcess &);
+    void stopAnswered(const TargetProcess &abandoned, const HttpCallResult &, absl::Time askedAt);
     // Records the end of a run and, if another run of the request was at work beside it, of their overlap.
     void noteRunEnd(RunRole, std::string_view reason);
     // Records that the run has ended before its target had written for long.
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -13,11 +13,90 @@
 
 // A single connect timeout may be caused by a lost packet; the target is suspected after this many in a row.
 constexpr int maxProbeAttempts = 2;
-// Two runs of one stream must not be at work side by side for longer.
-constexpr absl::Duration allowedOverlap = absl::Milliseconds(400);
+// Most targets drop a run when its connection closes. They get this long to notice, since stopping a run
+// costs more than finding none.
+constexpr absl::Duration stopDelay = absl::Milliseconds(50);
+constexpr int maxStopTries = 3;
+
+std::string_view stopOutcomeName(StopOutcome outcome)
+{
+    switch (outcome) {
+    case StopOutcome::NotRunning:
+        return "ended";
+    case StopOutcome::Stopped:
+        return "stopped";
+    case StopOutcome::Busy:
+        return "busy";
+    case StopOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
 
 } // namespace detail
 
+void ForwardSession::stopAbandonedRun(const TargetProcess &abandoned, const TargetProcess &other)
+{
+    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.supportsCopies)
+        sendStopRequest(abandoned, other, 1);
+}
+
+void ForwardSession::sendStopRequest(const TargetProcess &abandoned, const TargetProcess &other, int tries)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_gatewayContext.context,
+                                                             absl::ToChronoNanoseconds(detail::stopDelay));
+    // The gateway, and with it the context, may end before the timer.
+    timer->async_wait([self = shared_from_this(), timer, gateway = std::weak_ptr(m_gatewayContext.notices),
+                       abandoned, other, tries](const auto &ec) {
+        const auto *record =
+            ec || gateway.expired() ? nullptr : self->m_gatewayContext.targets.find(abandoned.id);
+        if (!record || record->process() != abandoned || self->isRunningAt(abandoned))
+            return;
+        const auto request =
+            self->m_gatewayContext.dialect.makeStopRequest(self->m_routed.request.id, other.address);
+        self->sendControlRequest(
+            *record, request,
+            [self, gateway, abandoned, other, tries, askedAt = monotonicNow()](const HttpCallResult &result) {
+                if (gateway.expired())
+                    return;
+                const bool isBusy = result
+                    && self->m_gatewayContext.dialect.parseStopResponse(*result).outcome == StopOutcome::Busy;
+                if (isBusy && tries < detail::maxStopTries)
+                    self->sendStopRequest(abandoned, other, tries + 1);
+                else
+                    self->stopAnswered(abandoned, result, askedAt);
+            });
+    });
+}
+
+bool ForwardSession::isRunningAt(const TargetProcess &process)
+{
+    const auto runsThere = [&](const auto &run) {
+        return run && !run->hasEnded() && run->process() == process;
+    };
+    return runsThere(m_run) || runsThere(m_replacement);
+}
+
+void ForwardSession::stopAnswered(const TargetProcess &abandoned, const HttpCallResult &result,
+                                  absl::Time askedAt)
+{
+    const auto response = result ? m_gatewayContext.dialect.parseStopResponse(*result) : StopResponse{};
+    const auto outcome = detail::stopOutcomeName(response.outcome);
+    m_gatewayContext.metrics.increment("abandoned_runs_total",
+                                       absl::StrCat("outcome=\"", abslView(outcome), "\""));
+    log("abandoned_run",
+        {{"target", abandoned.id.value()},
+         {"outcome", outcome},
+         {"status", result ? result->head.status : 0},
+         {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - askedAt)}});
+    const auto *record = m_gatewayContext.targets.find(abandoned.id);
+    if (response.handle.empty() || !record)
+        return;
+    // NOTE: The response is ignored because a copy that is not released expires on its own.
+    sendControlRequest(*record, m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
+                       [](const HttpCallResult &) {});
+}
+
 void ForwardSession::noteRunEnd(RunRole role, std::string_view reason)
 {
     auto *run = runOf(role).get();
@@ -29,7 +108,7 @@
     if (const auto beganAt = std::exchange(m_overlapBeganAt, std::nullopt); beganAt && other) {
         overlap = now - *beganAt;
         m_gatewayContext.metrics.observe("run_overlap_seconds", "", *overlap);
-        if (overlap > detail::allowedOverlap && isStream(m_routed.route->kind))
+        if (overlap >= ForwardedRequest::forbiddenRunOverlap && isStream(m_routed.route->kind))
             m_gatewayContext.metrics.increment("run_overlaps_too_long_total", "");
     }
     // A request with one run is told by its other lines.
@@ -143,12 +222,16 @@
     if (action.role == RunRole::Replacement) {
         log("replacement_cancelled", {{"target", run->target().value()}});
         m_gatewayContext.metrics.increment("replacements_total", R"(outcome="cancelled")");
+        if (m_run)
+            stopAbandonedRun(run->process(), m_run->process());
         run.reset();
     }
 }
 
 void ForwardSession::perform(const ForwardingActions::AdoptReplacement &)
 {
+    if (m_run)
+        stopAbandonedRun(m_run->process(), m_replacement->process());
     m_run = std::move(m_replacement);
     handleCopyEvent(KvCopyEvents::AttemptStarted{m_run->copyHolder()});
     m_gatewayContext.metrics.increment("replacements_total", R"(outcome="adopted")");
