LibGateway: List the runs of a request and their overlaps in its timeline

Callers saw streams that two engines worked on for longer than 400 ms. From an id, wisteria-explain showed only single events: when each run was sent, accepted, made its first event and ended, and for how long two of them overlapped, had to be worked out by hand.

RunTimeline matches attempt, run_ended, attempt_lost, replacement_adopted, replacement_cancelled, answering, resumed, abandoned_run and finished with runs, and lists each run and each overlap; those above 400 ms are marked as too long for a stream. A run that its target had worked on until it was told to stop counts until then. Where lines are missing it says so, and gives a bound of the overlap at most. Runs of one id at several routers, or twice at one router, are named in a note; their overlap is given only if the wall clocks of both are in the logs.

--- a/Libraries/LibGateway/RequestTimeline.cpp
+++ b/Libraries/LibGateway/RequestTimeline.cpp
@@ -90,6 +90,7 @@
         m_bootTimes[line.process] = json->at("unix_s").get<double>() - line.at;
     if (const auto it = m_bootTimes.find(line.process); it != m_bootTimes.end())
         line.at += it->second;
+    line.isWallClock = m_bootTimes.contains(line.process);
     if (json->value("request", nlohmann::json()) == m_requestId)
         m_requestLines.push_back(std::move(line));
     else if (detail::processEvents.contains(event) || detail::targetEvents.contains(event))
@@ -128,6 +129,7 @@
     std::string out;
     std::string cause;
     bool wasStoreRestored = false;
+    RunTimeline runs;
     const auto lines = relevantLines();
     const double begin =
         std::min_element(m_requestLines.begin(), m_requestLines.end(), [](const auto &a, const auto &b) {
@@ -139,6 +141,8 @@
         wasStoreRestored = wasStoreRestored || event == "store_restored";
         absl::StrAppendFormat(&out, "%+9.3f s  %s %s  %s%s\n", it.at - begin, isOfRequest ? " " : "~",
                               it.process, event, detail::describeFields(it.fields));
+        if (isOfRequest)
+            runs.addLine(it);
         if (!isOfRequest || (event != "finished" && event != "refused"))
             continue;
         const auto outcome = it.fields.value(event == "finished" ? "outcome" : "reason", nlohmann::json());
@@ -146,7 +150,7 @@
         cause = absl::StrCat(name, ": ", abslView(detail::describeOutcome(name)));
     }
     absl::StrAppend(
-        &out, "cause: ",
+        &out, runs.render(begin), "cause: ",
         cause.empty() ? "no final word: the process ended first, or the log line was dropped" : cause, "\n");
     if (wasStoreRestored)
         absl::StrAppend(
--- a/Libraries/LibGateway/RequestTimeline.h
+++ b/Libraries/LibGateway/RequestTimeline.h
@@ -1,9 +1,10 @@
 // Reconstructs the timeline of one request from the logs of several gateways: the events of the request in
-// order, process and target events from the same period, and the cause of its outcome.
+// order, process and target events from the same period, the request's runs and their overlaps, and the cause
+// of its outcome.
 
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include <LibGateway/RunTimeline.h>
 
 #include <map>
 #include <string>
@@ -26,18 +27,11 @@
     void addLine(std::string_view);
     [[nodiscard]] bool isEmpty() const { return m_requestLines.empty(); }
     [[nodiscard]] std::size_t skippedLines() const { return m_skippedLines; }
-    // One line per event, and the cause at the end.
+    // One line per event, then the runs, and the cause at the end.
     [[nodiscard]] std::string render() const;
 
 private:
-    struct Line
-    {
-        std::string process;
-        // Seconds since the Unix epoch if the process's `started` line was read, since the boot of its
-        // machine otherwise.
-        double at{0};
-        nlohmann::json fields;
-    };
+    using Line = GatewayLogLine;
 
     [[nodiscard]] std::vector<Line> relevantLines() const;
 
