LibForwarding: Count the silence of a run without events from its start at the earliest

Where a route asks for a first event within less than 1.5 s, the silence was counted from before the run had begun, so that a target that is silent for a second at its start was given up for one that had not accepted the request.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -170,8 +170,9 @@
     if (m_current.hasEvents)
         return m_current.lastEventAt;
     // A prompt may be processed for seconds.
-    return std::min(m_current.firstEventDeadline - longestSoundSilence,
-                    m_current.unreachableSince.value_or(absl::InfiniteFuture()));
+    const auto overdueSince =
+        std::max(m_current.startedAt, m_current.firstEventDeadline - longestSoundSilence);
+    return std::min(overdueSince, m_current.unreachableSince.value_or(absl::InfiniteFuture()));
 }
 
 void ForwardedRequest::cancelRuns()
