Tests, docs: Stop requests, and the bound of overlapping runs

TestAdapter: the stop request and its answers. TestLimitedEngines: a limited engine gets none. One constant for the 400 ms that are forbidden, which wisteria-explain now counts as too long, too (the new check of 400 ms is stricter than before).

--- a/Libraries/LibGateway/RunTimeline.cpp
+++ b/Libraries/LibGateway/RunTimeline.cpp
@@ -268,9 +268,9 @@
     const bool isExact = a.endKnowledge == EndKnowledge::Exact && b.endKnowledge == EndKnowledge::Exact;
     absl::StrAppendFormat(&out, "%s%.0f ms from %s", isExact ? "" : "at most ",
                           absl::ToDoubleMilliseconds(overlap), detail::offset(beganAt, begin));
-    if (overlap > allowedOverlap)
+    if (overlap >= ForwardedRequest::forbiddenRunOverlap)
         absl::StrAppend(&out, isExact ? ": too long" : ": may be too long", " for a stream (",
-                        absl::ToInt64Milliseconds(allowedOverlap), " ms)");
+                        absl::ToInt64Milliseconds(ForwardedRequest::forbiddenRunOverlap), " ms)");
     return out + "\n";
 }
 
--- a/Libraries/LibGateway/RunTimeline.h
+++ b/Libraries/LibGateway/RunTimeline.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <LibForwarding/ForwardedRequest.h>
+
 #include <absl/time/time.h>
 
 #include <nlohmann/json.hpp>
@@ -28,9 +30,6 @@
 class RunTimeline
 {
 public:
-    // Two runs of one stream must not overlap for longer.
-    static constexpr absl::Duration allowedOverlap = absl::Milliseconds(400);
-
     // Takes lines of one request, those of one process in order.
     void addLine(const GatewayLogLine &);
     // One line per run and per overlap of two runs; empty if no run is known. `begin` is the time that the
--- a/Tests/LibGateway/TestRequestTimeline.cpp
+++ b/Tests/LibGateway/TestRequestTimeline.cpp
@@ -119,7 +119,11 @@
 
         m_timeline = RequestTimeline("r1");
         addMovedStream("0.8");
-        checkHas("  e1 and e2 overlapped for 400 ms from +0.400 s\n");
+        checkHas("  e1 and e2 overlapped for 400 ms from +0.400 s: too long for a stream (400 ms)\n");
+
+        m_timeline = RequestTimeline("r1");
+        addMovedStream("0.79");
+        checkHas("  e1 and e2 overlapped for 390 ms from +0.400 s\n");
         CPPUNIT_ASSERT(text().find("too long") == std::string::npos);
     }
 
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(limitsOfTargetsAreDecoded);
     CPPUNIT_TEST(malformedLimitsAreIgnored);
     CPPUNIT_TEST(copyHeadersAndResponsesAreTranslated);
+    CPPUNIT_TEST(stopRequestsAndResponsesAreTranslated);
     CPPUNIT_TEST(entryPointsAreEncoded);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(targetWithInvalidFieldIsRejected);
@@ -213,6 +214,27 @@
                        == CopyOutcome::Refused);
     }
 
+    void stopRequestsAndResponsesAreTranslated()
+    {
+        const auto request = m_dialect.makeStopRequest(RequestId("9c41"), "10.0.0.2:80");
+        CPPUNIT_ASSERT_EQUAL(std::string("POST /-/kv-move"), request.method + " " + request.path);
+        const auto body = nlohmann::json::parse(request.body);
+        CPPUNIT_ASSERT(body["id"] == "9c41" && body["target"] == "10.0.0.2:80" && body["last"] == true);
+        const auto answer = [&](int status, const std::string &text) {
+            return m_dialect.parseStopResponse(makeResponse(status, "", text));
+        };
+        CPPUNIT_ASSERT(answer(404, "").outcome == StopOutcome::NotRunning);
+        CPPUNIT_ASSERT(answer(409, "").outcome == StopOutcome::Busy);
+        // The run stops also if the other target takes no copy.
+        for (const int status : {200, 503}) {
+            const auto stopped = answer(status, R"({"handle":"h7","created":4})");
+            CPPUNIT_ASSERT(stopped.outcome == StopOutcome::Stopped && stopped.handle == "h7");
+        }
+        CPPUNIT_ASSERT(answer(503, "").outcome == StopOutcome::Unknown);
+        CPPUNIT_ASSERT(answer(200, "nonsense").outcome == StopOutcome::Unknown);
+        CPPUNIT_ASSERT(answer(500, R"({"handle":"h7"})").outcome == StopOutcome::Unknown);
+    }
+
     void entryPointsAreEncoded()
     {
         const auto query = m_dialect.readEntryPointQuery("/-/resolve?name=a.example&region=r&zone=suva");
--- a/Tests/Platform/TestLimitedEngines.cpp
+++ b/Tests/Platform/TestLimitedEngines.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(retriesNeedAPermit);
     CPPUNIT_TEST(replacementsNeedAPermit);
     CPPUNIT_TEST(copyRequestsAreNotSentToALimitedEngine);
+    CPPUNIT_TEST(stopRequestsAreNotSentToALimitedEngine);
     CPPUNIT_TEST(malformedLimitIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -165,6 +166,27 @@
         CPPUNIT_ASSERT_EQUAL(before, engine(primary).requestCount());
     }
 
+    // A stream leaves a silent engine that limits its requests.
+    void stopRequestsAreNotSentToALimitedEngine()
+    {
+        m_engineState.eventsPerStream = 100;
+        startRouters(1);
+        m_address = m_routers[0].address;
+        std::string primary;
+        m_engineState.onRequest = [&](const std::string &id) { primary = id; };
+        setLimits("llm", "5");
+        HttpResponse response;
+        bool isDone = false;
+        startCall("POST", "/stream/x", "long", "key", response, isDone);
+        CPPUNIT_ASSERT(runUntil([&] { return !primary.empty() && !m_engineState.copies.empty(); }));
+        m_engineState.onRequest = nullptr;
+        engine(primary).stallStreamsFor(2500ms);
+        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
+        CPPUNIT_ASSERT_EQUAL(2, m_engineState.acceptedByRequest["long"]);
+        CPPUNIT_ASSERT_EQUAL(0, m_engineState.stopRequests);
+    }
+
     void malformedLimitIsIgnored()
     {
         startRouters(1);
