LibNet: Read answers whose head arrives without its body

What callers saw: a 502 for a request that must not be repeated and had run, and a repeated one for others, whenever an engine's head with a Content-Length above 0 was read before any byte of its body.

Cause: the parser was given boost::none as "no limit" of the body. Beast of Boost 1.74 compares the length with the optional itself, and each length is greater than an empty one, so that the end of the head reports body_limit. put() drops that error when it goes on with bytes of the body, but returns it when there are none. The stand-in engines write head and body together, and chunked answers have no length; so no test saw it.

Evidence: the log of the failing test says "body limit exceeded" and attempt_lost with bad_answer, then a 502 (answer_lost). The greatest length as limit compares as intended; the size of bodies is bounded by those who collect them, as before.

TestAnswersInPieces (all three cases) and TestEngineHeadsThatComeAlone::answerWithLengthIsDelivered failed before.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 
 #include <sys/socket.h>
 
@@ -80,7 +81,8 @@
 void HttpClientConnection::resetParser()
 {
     m_parser.emplace();
-    m_parser->body_limit(boost::none);
+    // NOTE: Beast compares the length with boost::none as with a limit of less than zero.
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->eager(true);
 }
 
