LibNet: Don't take an answer that is reset beside its request for whole

What callers would see: a 200 with a part of the body, or none, framed as whole, if an engine answers without a length before it has read a long request, and resets the connection.

Cause: a socket reports its error once. If the write of the request is pending when the reset comes, the write takes ECONNRESET, and the reader then gets an end of file, which ends such an answer. The same holds for ETIMEDOUT.

Evidence: a system call trace of the sequence shows send: ECONNRESET, recv: the bytes, recv: 0. The failed write is now kept in mind. EPIPE isn't such a failure: the kernel gives it for a reset that follows the peer's end in order, and a whole answer may end so before its request has been read.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -124,6 +124,9 @@
                              [self = shared_from_this()](const auto &ec, std::size_t) {
                                  self->m_isWriting = false;
                                  self->m_sending.clear();
+                                 // The socket reports its error once; the reader then sees an end of file. A
+                                 // broken pipe is a reset after the peer had ended in order.
+                                 self->m_hasConnectionFailed = ec && ec != boost::asio::error::broken_pipe;
                                  // NOTE: A write that fails leaves the answer to the reader: the peer may
                                  // have answered early and closed.
                                  if (ec && self->m_state == State::Idle)
@@ -149,7 +152,8 @@
     }
     if (ec) {
         boost::system::error_code parseError;
-        if (ec == boost::asio::error::eof && m_parser->is_header_done() && m_parser->need_eof()) {
+        if (ec == boost::asio::error::eof && !m_hasConnectionFailed && m_parser->is_header_done()
+            && m_parser->need_eof()) {
             m_parser->put_eof(parseError);
             if (!parseError) {
                 endAnswer(AnswerEnd::ConnectionClosed);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -122,6 +122,8 @@
     std::weak_ptr<HttpAnswerListener> m_listener;
     std::string m_sending;
     bool m_isWriting{false};
+    // A write failed because the connection was reset or timed out.
+    bool m_hasConnectionFailed{false};
     bool m_headTaken{false};
     bool m_hasAnsweredBefore{false};
     bool m_discardsRest{false};
--- a/Tests/Support/FakeClosingPeer.h
+++ b/Tests/Support/FakeClosingPeer.h
@@ -1,16 +1,18 @@
 // A server on loopback that answers each connection with fixed bytes and then ends it: by a close, by a
-// reset, or together with its process.
+// reset, by the end of its sending side, or together with its process.
 
 #pragma once
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <absl/strings/str_cat.h>
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -19,6 +21,8 @@
 enum class FakeEnding {
     Close,
     Reset,
+    // The peer sends no more, and closes when the other side does.
+    HalfClose,
     // Nothing listens any more when the connection is closed.
     CloseWithProcess,
 };
@@ -34,14 +38,31 @@
     }
 
     [[nodiscard]] std::string address() const { return m_address; }
-    // Connections on which a request has come.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    // For the connections from now on.
+    void setAnswer(std::string answer, FakeEnding ending)
+    {
+        m_answer = std::move(answer);
+        m_ending = ending;
+    }
+    // Time between the answer and its end.
+    void setPause(std::chrono::milliseconds pause) { m_pause = pause; }
+    // Sent on each connection for its first request, and the answer for its second one.
+    void setAnswerBefore(std::string answer) { m_answerBefore = std::move(answer); }
+    // Requests that have come.
     [[nodiscard]] int requestCount() const { return m_requestCount; }
 
 private:
     struct Connection
     {
+        explicit Connection(boost::asio::ip::tcp::socket it)
+            : socket(std::move(it)), timer(socket.get_executor())
+        {
+        }
+
         boost::asio::ip::tcp::socket socket;
-        std::array<char, 16384> buf;
+        boost::asio::steady_timer timer;
+        std::array<char, 16384> buf{};
     };
 
     void accept()
@@ -49,34 +70,74 @@
         m_acceptor.async_accept([this](const auto &ec, boost::asio::ip::tcp::socket socket) {
             if (ec)
                 return;
-            auto connection = std::make_shared<Connection>(Connection{std::move(socket), {}});
-            connection->socket.async_read_some(boost::asio::buffer(connection->buf),
-                                               [this, connection](const auto &failed, std::size_t) {
-                                                   if (!failed)
-                                                       answer(connection);
-                                               });
+            auto connection = std::make_shared<Connection>(std::move(socket));
+            const auto isFirst = !m_answerBefore.empty();
+            read(connection, [this, connection, isFirst] {
+                if (isFirst)
+                    answerAndKeep(connection);
+                else
+                    answer(connection);
+            });
             accept();
         });
     }
 
+    template <typename Next>
+    static void read(const std::shared_ptr<Connection> &connection, Next next)
+    {
+        connection->socket.async_read_some(boost::asio::buffer(connection->buf),
+                                           [connection, next](const auto &ec, std::size_t) {
+                                               if (!ec)
+                                                   next();
+                                           });
+    }
+
+    void answerAndKeep(const std::shared_ptr<Connection> &connection)
+    {
+        ++m_requestCount;
+        boost::asio::async_write(connection->socket, boost::asio::buffer(m_answerBefore),
+                                 [this, connection](const auto &ec, std::size_t) {
+                                     if (!ec)
+                                         read(connection, [this, connection] { answer(connection); });
+                                 });
+    }
+
     void answer(const std::shared_ptr<Connection> &connection)
     {
         ++m_requestCount;
         boost::asio::async_write(connection->socket, boost::asio::buffer(m_answer),
-                                 [this, connection](const auto &, std::size_t) { end(*connection); });
+                                 [this, connection](const auto &, std::size_t) { endLater(connection); });
+    }
+
+    void endLater(const std::shared_ptr<Connection> &connection)
+    {
+        if (m_pause.count() == 0) {
+            end(connection);
+            return;
+        }
+        connection->timer.expires_after(m_pause);
+        connection->timer.async_wait([this, connection](const auto &) { end(connection); });
     }
 
-    void end(Connection &connection)
+    void end(const std::shared_ptr<Connection> &connection)
     {
+        auto &socket = connection->socket;
         boost::system::error_code ignored;
+        if (m_ending == FakeEnding::HalfClose) {
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+            read(connection, [] {});
+            return;
+        }
         if (m_ending == FakeEnding::CloseWithProcess)
             m_acceptor.close(ignored);
         if (m_ending == FakeEnding::Reset)
-            connection.socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        connection.socket.close(ignored);
+            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
     }
 
     std::string m_answer;
+    std::string m_answerBefore;
+    std::chrono::milliseconds m_pause{0};
     FakeEnding m_ending;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_address{absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port())};
