LibNet: Reject answers with an unknown transfer coding

What callers would see: a 200 whose body is still encoded, has chunk sizes in it, or is as long as a Content-Length that the coding overrides (RFC 9112, section 6.3), framed as whole.

Cause: the parser knows "chunked" as the last coding only. It reads any other Transfer-Encoding ("gzip", "chunked, chunked", an empty one) as a body that ends with its connection or by the Content-Length, and decodes only the last of "gzip, chunked"; the field itself is dropped on the way to the caller.

Requests ask for no coding, so an answer with any but a single "chunked" is now a bad one, as the server's side does for requests.

TestCutHeads::oddTransferCodingsAreBad failed before. The other cases passed: a head cut at any byte, on new and kept connections, after interim answers, by a close, a reset or a half-close, is lost and never delivered; no odd or contradictory length is read as one.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <iterator>
 #include <limits>
 
 #include <sys/socket.h>
@@ -45,6 +47,18 @@
     return absl::Seconds(seconds);
 }
 
+// Requests ask for no transfer coding, and `chunked` is the only one that needs no asking. The parser reads
+// other ones as a body that ends with its connection.
+bool hasUnknownTransferCoding(const HttpFields &fields)
+{
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    if (first == last)
+        return false;
+    const auto coding = first->value();
+    return std::next(first) != last
+        || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(abslView(stdView(coding))), "chunked");
+}
+
 } // namespace detail
 
 ErrorOr<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
@@ -209,6 +223,10 @@
         resetParser();
         return false;
     }
+    if (detail::hasUnknownTransferCoding(message)) {
+        failBadAnswer("unknown transfer coding");
+        return false;
+    }
     m_headTaken = true;
     m_peerIdleTimeout = detail::keepAliveTimeout(message);
     HttpResponseHead head;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -104,7 +104,7 @@
     void onRead(const boost::system::error_code &, std::size_t n);
     // False when the connection was closed on the way.
     bool feed(std::string_view data);
-    // False when the head was an interim one.
+    // False when the head was an interim one or a bad one.
     bool takeHead();
     void takeBody();
     void endAnswer(AnswerEnd);
