LibGateway: Repeat streams that end in order without an event

What callers saw: a complete stream without an event, if an engine's answer had the head of a stream and a Content-Length of 0 or only the last chunk.

Cause: that a generation has at least one event was checked only for streams that end with their connection. A framed one was passed on as whole.

A run that starts at the first event and ends without one is lost now, however it is framed; it is repeated where it may be, and is a 502 otherwise. A run that resumes after an event may have none left, so it stays as it was.

TestStreamsThatEndTooEarly::streamWithoutEventsIsRepeated and streamWithoutEventsIsNotCompleted failed before.

--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -97,9 +97,9 @@
 void TargetAttempt::answerEnded(AnswerEnd end)
 {
     m_connection.reset();
-    if (m_isStream && end == AnswerEnd::ConnectionClosed && !m_hasEvents) {
-        // A generation has at least one event.
-        fail(TargetFault::ConnectionLost);
+    // A generation has at least one event; only a resumed one may have none left.
+    if (m_isStream && !m_hasEvents && (end == AnswerEnd::ConnectionClosed || !m_lastEvent)) {
+        fail(end == AnswerEnd::ConnectionClosed ? TargetFault::ConnectionLost : TargetFault::InvalidResponse);
         return;
     }
     if (m_isStream && m_splitter.hasPartialEvent()) {
