LibGateway: Don't complete a stream by a run that ends before its resume point

What callers saw: a stream that ends as complete in the middle, if the run that was to go on after the caller's last event repeated earlier ones and ended in order before that event.

Cause: repeated events are dropped, and a run that ended without further ones counted as the end of the generation. Its own numbers show that it isn't: the caller has more events than it.

Such a run is a bad answer now and is repeated elsewhere, or the caller's stream is cut. A run that repeats all events and then ends completes the stream, as before.

TestStreamsThatEndTooEarly::runThatEndsBeforeItsResumePointIsNotCompleted failed before.

--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -2,6 +2,8 @@
 
 #include <LibGateway/TargetAttempt.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
 void TargetAttempt::start(std::shared_ptr<HttpClientConnection> connection, std::string request,
@@ -74,13 +76,13 @@
         fail(TargetFault::InvalidResponse);
         return;
     }
-    m_hasEvents = m_hasEvents || !events->empty();
     std::vector<RawEvent> newEvents;
     for (auto &it : *events) {
         if (!it.number) {
             fail(TargetFault::InvalidResponse);
             return;
         }
+        m_highestReceived = std::max(m_highestReceived, it.number);
         if (m_lastEvent && *it.number <= *m_lastEvent)
             continue;
         if (m_lastEvent && it.number->value() != m_lastEvent->value() + 1) {
@@ -98,11 +100,13 @@
 {
     m_connection.reset();
     // A generation has at least one event; only a resumed one may have none left.
-    if (m_isStream && !m_hasEvents && (end == AnswerEnd::ConnectionClosed || !m_lastEvent)) {
+    if (m_isStream && !m_highestReceived && (end == AnswerEnd::ConnectionClosed || !m_lastEvent)) {
         fail(end == AnswerEnd::ConnectionClosed ? TargetFault::ConnectionLost : TargetFault::InvalidResponse);
         return;
     }
-    if (m_isStream && m_splitter.hasPartialEvent()) {
+    // A run that repeats events and ends before the caller's last one is another generation.
+    const bool endsTooEarly = m_highestReceived && m_lastEvent && *m_highestReceived < *m_lastEvent;
+    if (m_isStream && (endsTooEarly || m_splitter.hasPartialEvent())) {
         fail(TargetFault::InvalidResponse);
         return;
     }
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -66,10 +66,11 @@
     // Null once the answer has ended, since the connection may then carry another request.
     std::shared_ptr<HttpClientConnection> m_connection;
     std::optional<EventNumber> m_lastEvent;
+    // Of this run's events, those included that are dropped.
+    std::optional<EventNumber> m_highestReceived;
     HttpResponse m_response;
     ResponseClass m_responseClass{ResponseClass::Untrusted};
     bool m_isStream{false};
-    bool m_hasEvents{false};
     EventSplitter m_splitter;
 };
 
--- a/Tests/Platform/TestStreamsThatEndTooEarly.cpp
+++ b/Tests/Platform/TestStreamsThatEndTooEarly.cpp
@@ -1,4 +1,5 @@
-// Streams that end in order without any event: they were completed for the caller.
+// Streams that end in order without what a whole one has: they were completed for the caller, empty or with the
+// events so far.
 
 #include "FakeDeployment.h"
 
@@ -26,6 +27,8 @@
     CPPUNIT_TEST_SUITE(TestStreamsThatEndTooEarly);
     CPPUNIT_TEST(streamWithoutEventsIsRepeated);
     CPPUNIT_TEST(streamWithoutEventsIsNotCompleted);
+    CPPUNIT_TEST(runThatEndsBeforeItsResumePointIsNotCompleted);
+    CPPUNIT_TEST(runThatRepeatsAllEventsIsCompleted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +36,7 @@
     {
         m_gateway.reset();
         m_first.reset();
+        m_second.reset();
         FakeDeployment::tearDown();
     }
 
@@ -62,6 +66,23 @@
         CPPUNIT_ASSERT_EQUAL(502, response.head.status);
     }
 
+    // It may be of another generation, and it isn't the rest of this one.
+    void runThatEndsBeforeItsResumePointIsNotCompleted()
+    {
+        startWithRuns(5, 3);
+        HttpResponse response = call("POST", "/stream/x", "r");
+        CPPUNIT_ASSERT_EQUAL(1, m_first->requestCount());
+        CPPUNIT_ASSERT(m_second->requestCount() > 0);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 0, response.head.status);
+    }
+
+    void runThatRepeatsAllEventsIsCompleted()
+    {
+        startWithRuns(5, 5);
+        CPPUNIT_ASSERT_EQUAL(beginOfStream(5), call("POST", "/stream/x", "r").body);
+        CPPUNIT_ASSERT_EQUAL(1, m_second->requestCount());
+    }
+
 private:
     std::unique_ptr<FakeClosingPeer> startPeer(const std::string &id, const std::string &answer)
     {
@@ -71,7 +92,26 @@
         return peer;
     }
 
+    // The first run is cut after some events, and each later one ends in order after others.
+    void startWithRuns(int firstEvents, int laterEvents)
+    {
+        m_first = startPeer("llm-0", detail::streamFields + "\r\n" + beginOfStream(firstEvents) + "id: ");
+        m_second = startPeer("llm-1", detail::framedStream(beginOfStream(laterEvents)));
+        for (const auto *id : {"llm-2", "llm-3"})
+            m_store->remove("servers", id);
+        startGateway();
+        preferEngine("llm-0");
+    }
+
+    [[nodiscard]] std::string beginOfStream(int events) const
+    {
+        auto state = m_engineState;
+        state.eventsPerStream = events;
+        return state.completeStream();
+    }
+
     std::unique_ptr<FakeClosingPeer> m_first;
+    std::unique_ptr<FakeClosingPeer> m_second;
     int m_calls{0};
 };
 
