Gateway: A reload during a stop doesn't move the end of its grace

Callers saw: requests that a stopping router had passed on were cut (502 or a broken stream) when its settings were reloaded with a shorter grace; after a reload with a longer one the router passed on requests whose time ended after the kill, and these got no answer. Requests that may not be repeated were among them.

Cause: startShutdown() noted when the stop began, but each check read `stop_grace_s` from the settings of the moment. Whoever ends the process counts the grace from the signal, so the end of a stop under way is fixed.

Evidence: Platform/TestRequestsLateInTheGrace, two of its tests failed before: shorterGraceOfReloadCutsNoRequest (502 instead of 200), longerGraceOfReloadTakesNoMoreRequests (passed on with 3 s left of 2 s).

Fix: the grace is noted with the start of the stop. New requests must also fit into a shorter grace that a reload names, since that one may be in force.

The other tests of the file passed before: half-sent requests, raised time-outs, targets that overrun, waits for permits, a second stop, no grace.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -53,7 +53,8 @@
     ~Gateway() override;
 
     // Applies the settings that can change at run time; other changes are ignored. The log entry
-    // says whether the identity, a listen address or the store changed, which needs a restart.
+    // says whether the identity, a listen address or the store changed, which needs a restart. A new grace
+    // period applies to later shutdowns only.
     void reload(const GatewaySettings &);
     // Logs that the settings file could not be loaded; the current settings stay in force.
     void reloadFailed(const Error &);
@@ -184,6 +185,8 @@
     std::optional<StoreEra> m_publishedEra;
     absl::Time m_startedAt;
     std::optional<absl::Time> m_shutdownStartedAt;
+    // Grace period of the shutdown. Fixed at its start, since the kill at its end was scheduled then.
+    absl::Duration m_shutdownGrace;
     std::optional<absl::Time> m_listeningStoppedAt;
     std::uint64_t m_reportSequence{0};
     // Targets that this router found faulty since its last report.
--- a/Libraries/LibGateway/GatewayLifecycle.cpp
+++ b/Libraries/LibGateway/GatewayLifecycle.cpp
@@ -48,6 +48,7 @@
     if (m_shutdownStartedAt)
         return;
     m_shutdownStartedAt = monotonicNow();
+    m_shutdownGrace = m_settings.stopGrace;
     m_log.write("stopping", {{"open_requests", m_sessions.size()}}, *m_shutdownStartedAt);
     // Routers of other groups would otherwise announce this one until its last report has expired.
     m_peerLink->sendReport(ReportAudience::Everyone);
@@ -60,7 +61,7 @@
 {
     const auto now = monotonicNow();
     const auto elapsed = now - *m_shutdownStartedAt;
-    const bool isGraceOver = elapsed >= abortGraceFraction * m_settings.stopGrace;
+    const bool isGraceOver = elapsed >= abortGraceFraction * m_shutdownGrace;
     if (isGraceOver) {
         const auto sessions = m_sessions;
         for (const auto &it : sessions)
@@ -76,10 +77,9 @@
         m_context.stop();
         return;
     }
-    const auto &grace = m_settings.stopGrace;
     auto next = now + detail::shutdownCheckInterval;
     for (const double fraction : {abortGraceFraction, exitGraceFraction}) {
-        if (const auto at = *m_shutdownStartedAt + fraction * grace; at > now)
+        if (const auto at = *m_shutdownStartedAt + fraction * m_shutdownGrace; at > now)
             next = std::min(next, at);
     }
     m_shutdownTimer.expires_after(absl::ToChronoNanoseconds(next - now));
@@ -97,7 +97,9 @@
         return false;
     const auto timeout =
         std::min(routed.route->timeout, routed.request.callerTimeout.value_or(routed.route->timeout));
-    return now + timeout <= *m_shutdownStartedAt + abortGraceFraction * m_settings.stopGrace;
+    // A grace period that was reloaded to a shorter one may be in force already.
+    const auto grace = std::min(m_shutdownGrace, m_settings.stopGrace);
+    return now + timeout <= *m_shutdownStartedAt + abortGraceFraction * grace;
 }
 
 void Gateway::stopListening(absl::Time now)
@@ -110,7 +112,7 @@
 
 bool Gateway::canExit(absl::Time now) const
 {
-    if (now - *m_shutdownStartedAt >= exitGraceFraction * m_settings.stopGrace)
+    if (now - *m_shutdownStartedAt >= exitGraceFraction * m_shutdownGrace)
         return true;
     return now - *m_listeningStoppedAt >= detail::finalRequestPeriod
         && std::none_of(m_servers.begin(), m_servers.end(),
