Gateway: Leave room for a loop that is held up at the end of a stop

Callers saw: requests that came after SIGTERM were passed on and cut without an answer by the kill at the end of a short grace, also requests that may not be repeated.

Cause: a request was passed on if its time ended before the abort at 94 % of the grace. What is left after that is 6 %: 60 ms of one second, 120 ms of two. A loop that handles the signal later than that counts a later end than the one who kills, and one that is held up at the end answers too late.

Evidence: requestsEndInTimeWhenTheStopIsNoticedLate and requestsEndInTimeWhenTheLoopIsHeldUpLate (a loop that is held up for 350 ms, grace of 2 s): both failed before, with requests that were passed on and had no answer at the end of the grace.

Fix: a request that arrives during a stop must end 0.4 s before the abort. Others are refused before anything is sent, as before, and are served by another router at once.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -41,6 +41,9 @@
     // Fraction of the stop grace period after which running streams are aborted; of a grace period of eight
     // seconds, this leaves about half a second for the last writes.
     static constexpr double abortGraceFraction = 0.94;
+    // A request that arrives during a shutdown must end this long before open requests are aborted. It leaves
+    // room for a loop that is held up when the signal comes or when the answer does.
+    static constexpr absl::Duration lateRequestMargin = absl::Milliseconds(400);
     // Fraction of the stop grace period after which the process ends even if callers have not taken their
     // answers.
     static constexpr double exitGraceFraction = 0.985;
@@ -140,7 +143,8 @@
     void continueShutdown();
     // Takes no more connections; requests on open ones are refused from now on.
     void stopListening(absl::Time now);
-    // During a shutdown, only requests whose timeout ends before open requests are aborted are passed on.
+    // During a shutdown, only requests whose timeout ends well before open requests are aborted are passed
+    // on.
     [[nodiscard]] bool canServeBeforeExit(const RoutedRequest &, absl::Time now) const;
     // Every answer was sent, or the grace period is over.
     [[nodiscard]] bool canExit(absl::Time now) const;
--- a/Libraries/LibGateway/GatewayLifecycle.cpp
+++ b/Libraries/LibGateway/GatewayLifecycle.cpp
@@ -99,7 +99,7 @@
         std::min(routed.route->timeout, routed.request.callerTimeout.value_or(routed.route->timeout));
     // A grace period that was reloaded to a shorter one may be in force already.
     const auto grace = std::min(m_shutdownGrace, m_settings.stopGrace);
-    return now + timeout <= *m_shutdownStartedAt + abortGraceFraction * grace;
+    return now + timeout + lateRequestMargin <= *m_shutdownStartedAt + abortGraceFraction * grace;
 }
 
 void Gateway::stopListening(absl::Time now)
--- a/Tests/Platform/TestRequestsLateInTheGrace.cpp
+++ b/Tests/Platform/TestRequestsLateInTheGrace.cpp
@@ -11,6 +11,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <thread>
 
 namespace Wisteria {
 
@@ -57,6 +58,8 @@
     CPPUNIT_TEST(shorterGraceOfReloadTakesFewerRequests);
     CPPUNIT_TEST(longerGraceOfReloadTakesNoMoreRequests);
     CPPUNIT_TEST(secondStopDoesNotExtendTheGrace);
+    CPPUNIT_TEST(requestsEndInTimeWhenTheStopIsNoticedLate);
+    CPPUNIT_TEST(requestsEndInTimeWhenTheLoopIsHeldUpLate);
     CPPUNIT_TEST(timeOfHalfSentRequestCountsFromItsEnd);
     CPPUNIT_TEST(raisedTimeoutsKeepNoRequestBeyondTheGrace);
     CPPUNIT_TEST(overrunningTargetsLeaveNoRequestWithoutAnswer);
@@ -117,6 +120,26 @@
         checkStopsBefore(absl::Seconds(2));
     }
 
+    void requestsEndInTimeWhenTheStopIsNoticedLate()
+    {
+        startGateway();
+        setStopGrace(absl::Seconds(2));
+        setModes("app", FakeEngineMode::Stalled);
+        m_stopSignalAt = monotonicNow();
+        holdUpLoop();
+        m_gateway->startShutdown();
+        checkEndBeforeKill(absl::Seconds(2), {});
+    }
+
+    void requestsEndInTimeWhenTheLoopIsHeldUpLate()
+    {
+        startGateway();
+        setStopGrace(absl::Seconds(2));
+        setModes("app", FakeEngineMode::Stalled);
+        startStop();
+        checkEndBeforeKill(absl::Seconds(2), {absl::Milliseconds(1250), absl::Milliseconds(1750)});
+    }
+
     void timeOfHalfSentRequestCountsFromItsEnd()
     {
         startGateway();
@@ -217,6 +240,9 @@
     }
 
 private:
+    // How long the loop is held up; less than what requests leave of the grace.
+    static constexpr std::chrono::milliseconds holdUp{350};
+
     void setStopGrace(absl::Duration grace)
     {
         GatewaySettings settings;
@@ -237,6 +263,8 @@
         runFor(std::max(m_stopSignalAt + elapsed - monotonicNow(), absl::ZeroDuration()));
     }
 
+    static void holdUpLoop() { std::this_thread::sleep_for(holdUp); }
+
     void pauseEngines(std::chrono::milliseconds duration)
     {
         for (const auto &it : m_engines)
@@ -276,6 +304,28 @@
         CPPUNIT_ASSERT(monotonicNow() < m_stopSignalAt + grace);
     }
 
+    // Requests whose time would end in the last part of the grace. The loop is held up at the given times.
+    void checkEndBeforeKill(absl::Duration grace, const std::vector<absl::Duration> &heldUpAt)
+    {
+        std::vector<std::unique_ptr<detail::ScriptedRequest>> requests;
+        runUntilGrace(absl::Milliseconds(500));
+        for (int n = 0; n < 12; ++n) {
+            const auto left = m_stopSignalAt + grace - monotonicNow() - n * absl::Milliseconds(70);
+            requests.push_back(send("/book/x", absl::StrCat("r", n), absl::ToChronoMilliseconds(left)));
+        }
+        for (const auto &it : heldUpAt) {
+            runUntilGrace(it);
+            holdUpLoop();
+        }
+        runUntilGrace(grace);
+        for (int n = 0; n < 12; ++n) {
+            const auto &it = *requests[static_cast<std::size_t>(n)];
+            const bool hasRun = m_engineState.runsByRequest.contains(absl::StrCat("r", n));
+            const auto name = absl::StrCat("r", n, hasRun ? " was passed on: " : ": ", it.answer());
+            CPPUNIT_ASSERT_MESSAGE(name, it.hasStatus(hasRun ? 504 : 503));
+        }
+    }
+
     absl::Time m_stopSignalAt;
 };
 
