Gateway: Accept settings without a grace period

Operators saw: a router whose `stop_grace_s` is 0 (or below 0.1) doesn't start, and a reload of such settings changes nothing.

Cause: the least value of the key was 0.1. A grace of 0 is a valid setting: the process is killed at its signal.

Evidence: TestGatewaySettings::processThatIsKilledAtOnceHasNoGrace failed before.

Fix: the least value is 0.

--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -55,7 +55,7 @@
     root.name("id", Presence::Required, settings.id);
     root.name("domain", Presence::Required, settings.domain);
     root.seconds("entry_point_lifetime_s", 0.1, 3600, settings.entryPointLifetime);
-    root.seconds("stop_grace_s", 0.1, 3600, settings.stopGrace);
+    root.seconds("stop_grace_s", 0, 3600, settings.stopGrace);
     const auto listen = root.section("listen");
     const auto store = root.section("store");
     const auto retryLimits = root.section("repeats");
--- a/Tests/LibGateway/TestGatewaySettings.cpp
+++ b/Tests/LibGateway/TestGatewaySettings.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(TestGatewaySettings);
     CPPUNIT_TEST(optionalKeysHaveDefaults);
     CPPUNIT_TEST(keysOfLargeFleetsAreRead);
+    CPPUNIT_TEST(processThatIsKilledAtOnceHasNoGrace);
     CPPUNIT_TEST(invalidValuesAreRejectedWithTheirKey);
     CPPUNIT_TEST_SUITE_END();
 
@@ -37,6 +38,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{20}, settings->maxGroupSize);
     }
 
+    void processThatIsKilledAtOnceHasNoGrace()
+    {
+        for (const auto *it : {"0", "0.05"}) {
+            const auto settings =
+                gatewaySettingsFromToml(absl::StrCat("stop_grace_s = ", it, "\n", text("", "")), "test.toml");
+            CPPUNIT_ASSERT_MESSAGE(it, settings);
+            CPPUNIT_ASSERT(settings->stopGrace < absl::Milliseconds(100));
+        }
+        checkRejected(absl::StrCat("stop_grace_s = -1\n", text("", "")), "stop_grace_s");
+    }
+
     void invalidValuesAreRejectedWithTheirKey()
     {
         checkRejected(text("change_deadline_ms = 0", ""), "change_deadline_ms");
