--- a/Tests/Soak/GatewayProcess.cpp
+++ b/Tests/Soak/GatewayProcess.cpp
@@ -57,13 +57,13 @@
         ::kill(m_pid, number);
 }
 
-void GatewayProcess::writeSettings(double entryPointLifetimeS)
+void GatewayProcess::writeSettings(double entryPointLifetimeS, double stopGraceS)
 {
     std::ofstream out(absl::StrCat(m_folder, "/", m_place.id, ".toml"));
     out << "id = \"" << m_place.id << "\"\n"
         << "domain = \"" << m_place.domain << "\"\n"
         << "entry_point_lifetime_s = " << absl::StrCat(entryPointLifetimeS) << "\n"
-        << "stop_grace_s = 8\n"
+        << "stop_grace_s = " << absl::StrCat(stopGraceS) << "\n"
         << "[listen]\ncallers = \"" << m_place.callerAddress << "\"\n"
         << "entry_points = \"" << m_place.callerAddress << "\"\n"
         << "readiness = \"" << m_place.callerAddress << "\"\n"
--- a/Tests/Soak/GatewayProcess.h
+++ b/Tests/Soak/GatewayProcess.h
@@ -29,8 +29,8 @@
     void start();
     // Does nothing for a process that has ended.
     void signal(int number);
-    // Rewrites the settings with another lifetime of entry points.
-    void writeSettings(double entryPointLifetimeS);
+    // Rewrites the settings with another lifetime of entry points and grace of stops.
+    void writeSettings(double entryPointLifetimeS, double stopGraceS = 8);
     // True once after the process has ended; the exit code tells how.
     [[nodiscard]] bool hasEnded(int &exitCode);
     [[nodiscard]] bool isRunning() const { return m_pid != 0; }
