LibForwarding: Give a run up only for a replacement that its target got

The host reports when the target has accepted the connection (AttemptReached). - A target that had refused some probes of a run without events stayed unreachable, though later ones were accepted (TargetReachable). One that accepts no connections for 600 ms is replaced again within 1.6 s of its start. - A replacement that was suspected just as the overlap ended passed what was left of the overlap on to the next one.

LibGateway: a run that is lost without the end of its process gets a stop request, too. A target that has not answered one doesn't run the request again, since the stop could end that run. 429, and 503 without a handle, are tried again like 409.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -150,13 +150,18 @@
 
 void ForwardedRequest::endOverlap(absl::Time now)
 {
-    if (m_replacement->isAccepted || now - silentSince() >= longestSoundSilence) {
+    const auto &replacement = *m_replacement;
+    const bool isOverdue = now >= overdueAt();
+    if (replacement.isAccepted || (replacement.isReached && isOverdue)) {
         m_mayHaveExecuted = true;
         keepOnly(RunRole::Replacement, now);
         return;
     }
+    const auto nextReplacementAt = m_nextReplacementAt;
+    const bool isReached = replacement.isReached;
     keepOnly(RunRole::Current, now);
-    m_nextReplacementAt = std::max(m_nextReplacementAt, earliestRecomputation());
+    m_nextReplacementAt =
+        std::max(isReached ? m_nextReplacementAt : nextReplacementAt, overdueAt() - maxRunOverlap);
 }
 
 void ForwardedRequest::delayNextReplacement(absl::Time now)
@@ -165,14 +170,22 @@
         m_nextReplacementAt = now + replacementInterval;
 }
 
-absl::Time ForwardedRequest::silentSince() const
+absl::Time ForwardedRequest::overdueAt() const
 {
-    if (m_current.hasEvents)
-        return m_current.lastEventAt;
-    // A prompt may be processed for seconds.
-    const auto overdueSince =
-        std::max(m_current.startedAt, m_current.firstEventDeadline - longestSoundSilence);
-    return std::min(overdueSince, m_current.unreachableSince.value_or(absl::InfiniteFuture()));
+    const auto &run = m_current;
+    if (run.hasEvents)
+        return run.lastEventAt + longestSoundSilence;
+    // The expected time is a guess, and the prompt takes as long elsewhere.
+    auto at = run.firstEventDeadline + (run.firstEventDeadline - run.startedAt);
+    if (run.unreachableSince)
+        at = std::min(at, *run.unreachableSince + longestUnreachableTime);
+    return std::max(at, run.startedAt + longestSoundSilence);
+}
+
+absl::Time ForwardedRequest::earliestRecomputation() const
+{
+    const auto at = overdueAt() - maxRunOverlap;
+    return m_current.hasEvents ? at : std::min(at, m_current.firstEventDeadline);
 }
 
 void ForwardedRequest::cancelRuns()
@@ -336,6 +349,14 @@
         + std::max(firstEventTimeoutFactor * event.expectedTimeToFirstEvent, m_parameters.latencyObjective);
 }
 
+void ForwardedRequest::on(const ForwardingEvents::AttemptReached &event, absl::Time)
+{
+    if (event.role == RunRole::Current)
+        m_current.isReached = true;
+    else if (m_replacement)
+        m_replacement->isReached = true;
+}
+
 void ForwardedRequest::on(const ForwardingEvents::AttemptNotExecuted &event, absl::Time now)
 {
     --m_executedAttempts;
@@ -436,18 +457,22 @@
 
 void ForwardedRequest::on(const ForwardingEvents::TargetSuspected &event, absl::Time now)
 {
-    if (event.role == RunRole::Current && !m_current.hasEvents) {
-        if (now - m_current.lastUnreachableAt > unreachableMemory)
-            m_current.unreachableSince = now;
-        m_current.lastUnreachableAt = now;
-    }
-    // The end of the overlap decides about the replacement of a stream.
-    const bool isOverlapping = m_replacement && isStream(m_parameters.kind) && now < m_overlapDeadline;
+    if (event.role == RunRole::Current && !m_current.hasEvents && !m_current.unreachableSince)
+        m_current.unreachableSince = now;
+    // The end of the overlap decides about the replacement of a stream, unless it has never been at work.
+    const bool isOverlapping =
+        m_replacement && isStream(m_parameters.kind) && (now < m_overlapDeadline || m_replacement->isReached);
     const bool isLatestRun = (event.role == RunRole::Replacement) == m_replacement.has_value();
     if (m_state == State::Attempting && isLatestRun && !isOverlapping)
         (void)trySeekReplacement(event.fault, now);
 }
 
+void ForwardedRequest::on(const ForwardingEvents::TargetReachable &event, absl::Time)
+{
+    if (event.role == RunRole::Current)
+        m_current.unreachableSince.reset();
+}
+
 void ForwardedRequest::on(const ForwardingEvents::ReplacementFound &, absl::Time now)
 {
     if (!std::exchange(m_hasUnusedRetry, false) && !m_retryGate.tryAcquireRetry(now)) {
@@ -458,8 +483,8 @@
         cancelReplacement(TargetFault::Unresponsive);
     } else {
         m_actions.emplace_back(ForwardingActions::ReportSuspicion{m_suspicion});
-        m_overlapDeadline = now + maxRunOverlap;
     }
+    m_overlapDeadline = now + maxRunOverlap;
     startReplacement(now);
 }
 
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -3,8 +3,8 @@
 //
 // A run whose target is suspected goes on beside its replacement until one of the two makes progress: the
 // replacement may be rejected or lost, and the target may only have been silent for a while. Two runs of a
-// stream overlap for `maxRunOverlap` at most. Then the one ends for which less speaks: the replacement,
-// unless its target has accepted it or the current run has been silent for longer than sound targets are.
+// stream overlap for `maxRunOverlap` at most. Then the replacement is cancelled. Only if its target has
+// accepted it, or has been reached while the current run is overdue, the current run is given up instead.
 //
 // A state machine without I/O. The host reports events and performs the returned actions in order. Invariant:
 // the time passed in never goes back. At each `StartAttempt` the host chooses the target from its TargetPool
@@ -85,6 +85,11 @@
     absl::Duration expectedTimeToFirstEvent;
     RunRole role{RunRole::Current};
 };
+// The target has accepted the attempt's connection, so that it gets the request now.
+struct AttemptReached
+{
+    RunRole role{RunRole::Current};
+};
 // The attempt was certainly not executed: either no byte was sent, or the target reported so.
 struct AttemptNotExecuted
 {
@@ -123,6 +128,11 @@
     TargetFault fault{TargetFault::Unresponsive};
     RunRole role{RunRole::Current};
 };
+// A probe found that the target of the running attempt accepts connections.
+struct TargetReachable
+{
+    RunRole role{RunRole::Current};
+};
 // Another target or a usable copy is available for the attempt that FindReplacement asked for.
 struct ReplacementFound
 {
@@ -153,10 +163,11 @@
 using ForwardingEvent = std::variant<
     ForwardingEvents::NoTarget, ForwardingEvents::NoTimeLeft, ForwardingEvents::AttemptBarred,
     ForwardingEvents::RunBarred, ForwardingEvents::AttemptDelayed, ForwardingEvents::AttemptSent,
-    ForwardingEvents::AttemptNotExecuted, ForwardingEvents::StreamOpened, ForwardingEvents::EventsReceived,
-    ForwardingEvents::StreamCompleted, ForwardingEvents::ResponseReceived, ForwardingEvents::TargetSuspected,
-    ForwardingEvents::ReplacementFound, ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost,
-    ForwardingEvents::CallerDisconnected, ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
+    ForwardingEvents::AttemptReached, ForwardingEvents::AttemptNotExecuted, ForwardingEvents::StreamOpened,
+    ForwardingEvents::EventsReceived, ForwardingEvents::StreamCompleted, ForwardingEvents::ResponseReceived,
+    ForwardingEvents::TargetSuspected, ForwardingEvents::TargetReachable, ForwardingEvents::ReplacementFound,
+    ForwardingEvents::NoReplacement, ForwardingEvents::AttemptLost, ForwardingEvents::CallerDisconnected,
+    ForwardingEvents::ShutdownRequested, ForwardingEvents::Tick>;
 
 // Why the router itself ends a request with an error.
 enum class RefusalReason {
@@ -317,8 +328,8 @@
     // Sound targets may be silent for a second or so and go on. A run that has been silent for longer is
     // given up for a replacement that was not rejected.
     static constexpr absl::Duration longestSoundSilence = absl::Milliseconds(1500);
-    // A target that was last found to be unreachable this long ago may have become reachable again.
-    static constexpr absl::Duration unreachableMemory = absl::Seconds(1);
+    // A target that accepts no connections for this long before the first event counts as silent, too.
+    static constexpr absl::Duration longestUnreachableTime = absl::Milliseconds(600);
     // Interval at which a replacement is looked for again while there is none. The running attempt may still
     // go on by itself. Long enough that a target notices the end of its run before the next one starts.
     static constexpr absl::Duration replacementInterval = absl::Milliseconds(200);
@@ -346,12 +357,14 @@
     void on(const ForwardingEvents::RunBarred &, absl::Time now);
     void on(const ForwardingEvents::AttemptDelayed &, absl::Time now);
     void on(const ForwardingEvents::AttemptSent &, absl::Time now);
+    void on(const ForwardingEvents::AttemptReached &, absl::Time now);
     void on(const ForwardingEvents::AttemptNotExecuted &, absl::Time now);
     void on(const ForwardingEvents::StreamOpened &, absl::Time now);
     void on(const ForwardingEvents::EventsReceived &, absl::Time now);
     void on(const ForwardingEvents::StreamCompleted &, absl::Time now);
     void on(const ForwardingEvents::ResponseReceived &, absl::Time now);
     void on(const ForwardingEvents::TargetSuspected &, absl::Time now);
+    void on(const ForwardingEvents::TargetReachable &, absl::Time now);
     void on(const ForwardingEvents::ReplacementFound &, absl::Time now);
     void on(const ForwardingEvents::NoReplacement &, absl::Time now);
     void on(const ForwardingEvents::AttemptLost &, absl::Time now);
@@ -363,6 +376,8 @@
     struct Run
     {
         absl::Time startedAt;
+        // The target has accepted the connection. Before that, it can't be at work.
+        bool isReached{false};
         // The target has sent the head of the stream.
         bool isAccepted{false};
         // The run has sent an event.
@@ -372,10 +387,8 @@
         absl::Time nextProbeAt;
         // The run is suspected if no event arrives before this time.
         absl::Time firstEventDeadline{absl::InfiniteFuture()};
-        // Before the first event: since when its target has accepted no connections, and when that was last
-        // found.
+        // Before the first event: since when its target has accepted no connections.
         std::optional<absl::Time> unreachableSince;
-        absl::Time lastUnreachableAt{absl::InfinitePast()};
     };
 
     void startAttempt(absl::Time now, bool fromCopy);
@@ -404,14 +417,12 @@
     void endOverlap(absl::Time now);
     // The replacement, which may have been executed, has ended and the current run goes on.
     void delayNextReplacement(absl::Time now);
-    // Since when the current run has shown nothing, though its target should have.
-    [[nodiscard]] absl::Time silentSince() const;
+    // When the current run has been silent for so long that a replacement which was reached is the better
+    // one.
+    [[nodiscard]] absl::Time overdueAt() const;
     // Until then, the silence of the current run says little, and only a copy lets another one take over in
     // time.
-    [[nodiscard]] absl::Time earliestRecomputation() const
-    {
-        return silentSince() + longestSoundSilence - maxRunOverlap;
-    }
+    [[nodiscard]] absl::Time earliestRecomputation() const;
     // Before this time, no replacement is looked for.
     [[nodiscard]] absl::Time earliestReplacement() const;
     // A retry can resume from the copy of the current run's KV cache.
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -386,6 +386,11 @@
     }
 }
 
+void ForwardSession::attemptReached(const TargetAttempt &attempt)
+{
+    handle(ForwardingEvents::AttemptReached{roleOf(attempt)});
+}
+
 void ForwardSession::headReceived(const TargetAttempt &attempt, const HttpResponseHead &head)
 {
     const auto &run = *runOf(roleOf(attempt));
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -53,6 +53,7 @@
     void promptsBarred();
     [[nodiscard]] bool isFinished() const { return m_forwardedRequest.isFinished(); }
 
+    void attemptReached(const TargetAttempt &) override;
     void headReceived(const TargetAttempt &, const HttpResponseHead &) override;
     void attemptNotRun(const TargetAttempt &, TargetFault, bool wasRefused) override;
     void streamOpened(const TargetAttempt &, const HttpResponseHead &) override;
@@ -126,10 +127,14 @@
     // the same.
     void completeIfTargetRuns(const TargetAttempt &, std::function<void(ForwardSession &, RunRole)> complete);
     void runLost(RunRole, TargetFault);
-    // Asks the target of a cancelled run to stop it if it still works on it, since targets may notice late,
-    // or not at all, that a connection has closed. The request goes on at the other target.
-    void stopAbandonedRun(const TargetProcess &abandoned, const TargetProcess &other);
-    void sendStopRequest(const TargetProcess &abandoned, const TargetProcess &other, int tries);
+    // Asks the target of a run that was given up to stop it if it still works on it, since targets may notice
+    // late, or not at all, that a connection has closed. Nothing is sent unless the request goes on
+    // elsewhere.
+    void stopAbandonedRun(const TargetProcess &);
+    void sendStopRequest(const TargetProcess &, int tries);
+    void stopAnswered(const TargetProcess &, const HttpCallResult &, absl::Time askedAt);
+    // A stop request may reach the target late, so that the request can't run there again.
+    [[nodiscard]] bool isStopping(const TargetId &) const;
     [[nodiscard]] bool isRunningAt(const TargetProcess &);
     void stopAnswered(const TargetProcess &abandoned, const HttpCallResult &, absl::Time askedAt);
     // Records the end of a run and, if another run of the request was at work beside it, of their overlap.
@@ -171,6 +176,8 @@
     // The last attempt for which no replacement was found.
     int m_unreplacedAttempt{0};
     std::vector<TargetId> m_triedTargets;
+    // Targets that were asked to stop a run of the request and have not answered.
+    std::vector<TargetId> m_stoppingTargets;
     // The latest complete response of a target.
     HttpResponse m_response;
     bool m_isOutcomeLogged{false};
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -32,7 +32,8 @@
 std::optional<CopySource> ForwardSession::findUsableCopy() const
 {
     const auto &copy = m_copies.copy();
-    if (!copy || !m_gatewayContext.targets.isHealthy(copy->holder, monotonicNow()))
+    if (!copy || !m_gatewayContext.targets.isHealthy(copy->holder, monotonicNow())
+        || isStopping(copy->holder))
         return std::nullopt;
     const auto *holder = m_gatewayContext.targets.find(copy->holder);
     return CopySource{copy->handle.empty() ? holder->address : m_run->process().address, copy->handle};
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -7,6 +7,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace Wisteria {
 
 namespace detail {
@@ -35,40 +37,69 @@
 
 } // namespace detail
 
-void ForwardSession::stopAbandonedRun(const TargetProcess &abandoned, const TargetProcess &other)
+void ForwardSession::stopAbandonedRun(const TargetProcess &process)
 {
     if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.supportsCopies)
-        sendStopRequest(abandoned, other, 1);
+        sendStopRequest(process, 1);
 }
 
-void ForwardSession::sendStopRequest(const TargetProcess &abandoned, const TargetProcess &other, int tries)
+void ForwardSession::sendStopRequest(const TargetProcess &process, int tries)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_gatewayContext.context,
                                                              absl::ToChronoNanoseconds(detail::stopDelay));
     // The gateway, and with it the context, may end before the timer.
     timer->async_wait([self = shared_from_this(), timer, gateway = std::weak_ptr(m_gatewayContext.notices),
-                       abandoned, other, tries](const auto &ec) {
-        const auto *record =
-            ec || gateway.expired() ? nullptr : self->m_gatewayContext.targets.find(abandoned.id);
-        if (!record || record->process() != abandoned || self->isRunningAt(abandoned))
+                       process, tries](const auto &ec) {
+        if (ec || gateway.expired() || !self->m_run || self->isRunningAt(process))
+            return;
+        const auto *record = self->m_gatewayContext.targets.find(process.id);
+        if (!record || record->process() != process)
             return;
-        const auto request =
-            self->m_gatewayContext.dialect.makeStopRequest(self->m_routed.request.id, other.address);
+        self->m_stoppingTargets.push_back(process.id);
         self->sendControlRequest(
-            *record, request,
-            [self, gateway, abandoned, other, tries, askedAt = monotonicNow()](const HttpCallResult &result) {
+            *record,
+            self->m_gatewayContext.dialect.makeStopRequest(self->m_routed.request.id,
+                                                           self->m_run->process().address),
+            [self, gateway, process, tries, askedAt = monotonicNow()](const HttpCallResult &result) {
                 if (gateway.expired())
                     return;
                 const bool isBusy = result
                     && self->m_gatewayContext.dialect.parseStopResponse(*result).outcome == StopOutcome::Busy;
                 if (isBusy && tries < detail::maxStopTries)
-                    self->sendStopRequest(abandoned, other, tries + 1);
+                    self->sendStopRequest(process, tries + 1);
                 else
-                    self->stopAnswered(abandoned, result, askedAt);
+                    self->stopAnswered(process, result, askedAt);
             });
     });
 }
 
+void ForwardSession::stopAnswered(const TargetProcess &process, const HttpCallResult &result,
+                                  absl::Time askedAt)
+{
+    const auto response = result ? m_gatewayContext.dialect.parseStopResponse(*result) : StopResponse{};
+    if (response.outcome == StopOutcome::NotRunning || response.outcome == StopOutcome::Stopped)
+        std::erase(m_stoppingTargets, process.id);
+    const auto outcome = detail::stopOutcomeName(response.outcome);
+    m_gatewayContext.metrics.increment("abandoned_runs_total",
+                                       absl::StrCat("outcome=\"", abslView(outcome), "\""));
+    log("abandoned_run",
+        {{"target", process.id.value()},
+         {"outcome", outcome},
+         {"status", result ? result->head.status : 0},
+         {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - askedAt)}});
+    const auto *record = m_gatewayContext.targets.find(process.id);
+    if (response.handle.empty() || !record)
+        return;
+    // NOTE: The response is ignored because a copy that is not released expires on its own.
+    sendControlRequest(*record, m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
+                       [](const HttpCallResult &) {});
+}
+
+bool ForwardSession::isStopping(const TargetId &target) const
+{
+    return std::find(m_stoppingTargets.begin(), m_stoppingTargets.end(), target) != m_stoppingTargets.end();
+}
+
 bool ForwardSession::isRunningAt(const TargetProcess &process)
 {
     const auto runsThere = [&](const auto &run) {
@@ -164,7 +195,7 @@
         noteFault(run, fault);
     else
         log("target_full", {{"target", run.target().value()}, {"copy_missing", isCopyMissing}});
-    if (isCopyMissing) {
+    if (isCopyMissing && !isStopping(run.target())) {
         // A rejected resume is taken to mean that the target no longer has the copy. The target is healthy,
         // so it may process the prompt from the start.
         std::erase(m_triedTargets, run.target());
@@ -198,6 +229,9 @@
     if (fault == TargetFault::Gone)
         m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
     noteFault(run, fault);
+    // The target may live on: its connection may have been reset or timed out on the way.
+    if (fault != TargetFault::Gone)
+        stopAbandonedRun(run.process());
     if (role == RunRole::Replacement)
         m_replacement.reset();
     handle(ForwardingEvents::AttemptLost{fault, role});
@@ -222,8 +256,7 @@
     if (action.role == RunRole::Replacement) {
         log("replacement_cancelled", {{"target", run->target().value()}});
         m_gatewayContext.metrics.increment("replacements_total", R"(outcome="cancelled")");
-        if (m_run)
-            stopAbandonedRun(run->process(), m_run->process());
+        stopAbandonedRun(run->process());
         run.reset();
     }
 }
@@ -231,7 +264,7 @@
 void ForwardSession::perform(const ForwardingActions::AdoptReplacement &)
 {
     if (m_run)
-        stopAbandonedRun(m_run->process(), m_replacement->process());
+        stopAbandonedRun(m_run->process());
     m_run = std::move(m_replacement);
     handleCopyEvent(KvCopyEvents::AttemptStarted{m_run->copyHolder()});
     m_gatewayContext.metrics.increment("replacements_total", R"(outcome="adopted")");
@@ -254,8 +287,12 @@
         session->m_gatewayContext.connections.probe(
             record, [session, attempt, retry, number](ProbeResult result) {
                 const auto running = attempt.lock();
-                if (result == ProbeResult::Connected || !running || session->isFinished())
+                if (!running || session->isFinished())
+                    return;
+                if (result == ProbeResult::Connected) {
+                    session->handle(ForwardingEvents::TargetReachable{session->roleOf(*running)});
                     return;
+                }
                 if (result == ProbeResult::TimedOut && number < detail::maxProbeAttempts) {
                     (*retry)(number + 1);
                     return;
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -29,6 +29,12 @@
         listener->attemptLost(*this, fault);
 }
 
+void TargetAttempt::connected()
+{
+    if (m_listener)
+        m_listener->attemptReached(*this);
+}
+
 void TargetAttempt::answerHead(const HttpResponseHead &head)
 {
     m_response.head = head;
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -21,6 +21,8 @@
 {
 public:
     virtual ~AttemptListener() = default;
+    // The target has accepted the connection. Called once at most, before the calls below.
+    virtual void attemptReached(const TargetAttempt &) = 0;
     // The target itself answered, with a response of any kind.
     virtual void headReceived(const TargetAttempt &, const HttpResponseHead &) = 0;
     // `wasRefused` means that a target received the request and rejected it without executing it.
@@ -49,6 +51,7 @@
     // Closes the connection; the listener is not called any more.
     void cancel();
 
+    void connected() override;
     void answerHead(const HttpResponseHead &) override;
     void answerBody(std::string_view) override;
     void answerEnded(AnswerEnd) override;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -134,6 +134,8 @@
 void HttpClientConnection::startWriting()
 {
     m_isWriting = true;
+    if (const auto listener = m_listener.lock())
+        listener->connected();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
                              [self = shared_from_this()](const auto &ec, std::size_t) {
                                  self->m_isWriting = false;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -54,6 +54,8 @@
 {
 public:
     virtual ~HttpAnswerListener() = default;
+    // The request is about to be written to an open connection.
+    virtual void connected() { }
     virtual void answerHead(const HttpResponseHead &) = 0;
     virtual void answerBody(std::string_view data) = 0;
     virtual void answerEnded(AnswerEnd) = 0;
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -224,13 +224,13 @@
             return m_dialect.parseStopResponse(makeResponse(status, "", text));
         };
         CPPUNIT_ASSERT(answer(404, "").outcome == StopOutcome::NotRunning);
-        CPPUNIT_ASSERT(answer(409, "").outcome == StopOutcome::Busy);
+        for (const int status : {409, 429, 503})
+            CPPUNIT_ASSERT(answer(status, "").outcome == StopOutcome::Busy);
         // The run stops also if the other target takes no copy.
         for (const int status : {200, 503}) {
             const auto stopped = answer(status, R"({"handle":"h7","created":4})");
             CPPUNIT_ASSERT(stopped.outcome == StopOutcome::Stopped && stopped.handle == "h7");
         }
-        CPPUNIT_ASSERT(answer(503, "").outcome == StopOutcome::Unknown);
         CPPUNIT_ASSERT(answer(200, "nonsense").outcome == StopOutcome::Unknown);
         CPPUNIT_ASSERT(answer(500, R"({"handle":"h7"})").outcome == StopOutcome::Unknown);
     }
