Tests: Bound overlaps of runs in drawn orders of events

- Each run has a start and an end.
For resumable streams, no run goes on beside those that were started after it for longer than `maxRunOverlap`; overlaps with a gap under 150 ms (the stated 400 ms less that bound) are added up, so that a replacement of a replacement counts.
Runs that were refused don't count.
- A run is not cancelled for a replacement that has neither a head nor an event while a sound engine may show nothing of it: `longestSoundSilence` after its start or last event, and, unless its target was reported as suspected, three times its expected time to the first event.
- A second case draws a mode for each engine: silent, slow to its head or events, late with a refusal, copy lost, broken off.
Delays come in steps of 10 ms, so that events and timers often meet in the same moment.

--- a/Tests/LibForwarding/TestForwardedRequestOrders.cpp
+++ b/Tests/LibForwarding/TestForwardedRequestOrders.cpp
@@ -8,6 +8,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <Support/RunOverlaps.h>
+
 #include <optional>
 
 namespace Wisteria {
@@ -27,12 +29,37 @@
 // What made the request end, if it did.
 enum class Cause { RunEnded, RunDelivered, Outside };
 
+// The stated limit for two runs at work. A target may learn this long after maxRunOverlap that its run ended.
+constexpr absl::Duration overlapLimit = absl::Milliseconds(400);
+const absl::Duration minOverlapGap = overlapLimit - ForwardedRequest::maxRunOverlap;
+
+enum class Engines {
+    // Any event may come at any time.
+    Drawn,
+    // Each run has an engine whose mode decides when its events come.
+    WithModes,
+};
+
+enum class EngineMode {
+    Sound,
+    // Never reports anything.
+    Silent,
+    // Its head, its first event and some of the next ones are late.
+    Slow,
+    // Its refusal is late.
+    Refusing,
+    // Refuses like an engine that has lost the copy, if the run resumes from one.
+    LosingCopy,
+    // Its connection breaks off.
+    Failing,
+};
+
 // The host of one request. Counts each run as executed unless it ended as not executed.
 class DrawnHost
 {
 public:
-    explicit DrawnHost(std::uint64_t seed)
-        : m_seed(seed), m_random(seed), m_budget(draw(8)), m_parameters(drawParameters()),
+    DrawnHost(std::uint64_t seed, Engines engines)
+        : m_seed(seed), m_engines(engines), m_random(seed), m_budget(draw(8)), m_parameters(drawParameters()),
           m_request(m_parameters, m_budget, m_now)
     {
     }
@@ -44,7 +71,7 @@
         perform(m_request.begin(m_now));
         constexpr int maxDrawnEvents = 40;
         for (int n = 0; n < maxDrawnEvents && !m_request.isFinished(); ++n)
-            step();
+            m_engines == Engines::WithModes ? stepEngines() : step();
         // Its timer alone must end the request by its deadline.
         while (!m_request.isFinished())
             tick();
@@ -58,8 +85,20 @@
         bool isFromCopy{false};
         bool isOpened{false};
         bool hasEvents{false};
+        int number{0};
+        EngineMode mode{EngineMode::Sound};
+        // Of its engine, if that has a mode.
+        absl::Time nextEventAt;
+        // Of its start at first.
+        absl::Time lastProgressAt;
+        absl::Duration timeToFirstEvent{absl::Milliseconds(100)};
+        // Its target was reported as suspected.
+        bool isSuspected{false};
     };
 
+    // Requests whose runs may resume on another engine.
+    bool isBounded() const { return m_parameters.kind == RouteKind::ResumableStream; }
+
     int draw(int bound) { return static_cast<int>(m_random.below(static_cast<std::uint64_t>(bound))); }
     bool drawOneIn(int n) { return draw(n) == 0; }
 
@@ -72,6 +111,10 @@
         out.callerTimeout = absl::Seconds(3 + draw(10));
         out.latencyObjective = absl::Milliseconds(500);
         out.maxEventGap = absl::Milliseconds(700);
+        if (m_engines == Engines::WithModes && !drawOneIn(4)) {
+            out.kind = RouteKind::ResumableStream;
+            out.maxAttempts = 3 + draw(4);
+        }
         out.usesCopies = out.kind == RouteKind::ResumableStream && drawOneIn(2);
         return out;
     }
@@ -85,10 +128,18 @@
 
     void handle(const char *name, const ForwardingEvent &event, Cause cause)
     {
-        absl::StrAppend(&m_trace, ", ", name);
+        absl::StrAppend(&m_trace, ", ", name, " at ", absl::FormatDuration(m_now - m_beganAt));
         m_cause = cause;
         m_hasCancelledRun = false;
         answer(event);
+        checkOverlap();
+    }
+
+    void checkOverlap()
+    {
+        if (!isBounded())
+            return;
+        check(m_overlaps.longest(m_now) <= ForwardedRequest::maxRunOverlap, "overlap of two runs");
     }
 
     void answer(const ForwardingEvent &event) { perform(m_request.handle(event, m_now)); }
@@ -123,8 +174,27 @@
         check(isRetryable(m_parameters.kind) || m_executedRuns == 0, "run of a request that may have run");
         ++m_executedRuns;
         check(m_executedRuns <= m_parameters.maxAttempts, "more runs than attempts");
-        runOf(action.role) = Run{.isFromCopy = action.fromCopy};
-        answer(ForwardingEvents::AttemptSent{absl::Milliseconds(100), action.role});
+        startRun(action);
+        answer(ForwardingEvents::AttemptSent{runOf(action.role)->timeToFirstEvent, action.role});
+    }
+
+    void startRun(const ForwardingActions::StartAttempt &action)
+    {
+        Run run{.isFromCopy = action.fromCopy, .number = ++m_startedRuns, .lastProgressAt = m_now};
+        if (m_engines == Engines::WithModes) {
+            run.mode = static_cast<EngineMode>(draw(6));
+            run.nextEventAt = m_now + drawDelay(run);
+            run.timeToFirstEvent = absl::Milliseconds(drawOneIn(2) ? 100 : 1000);
+        }
+        runOf(action.role) = run;
+        m_overlaps.start(run.number, m_now);
+    }
+
+    void endRun(RunRole role)
+    {
+        auto &run = runOf(role);
+        m_overlaps.end(run->number, m_now);
+        run.reset();
     }
 
     void perform(const ForwardingActions::FindReplacement &)
@@ -139,10 +209,32 @@
     {
         absl::StrAppend(&m_trace, " [cancel]");
         check(runOf(action.role).has_value(), "cancellation of no run");
-        runOf(action.role).reset();
+        if (action.role == RunRole::Current && m_cause == Cause::RunEnded)
+            checkGivenUpRun();
+        endRun(action.role);
         m_hasCancelledRun = true;
     }
 
+    // Until then, a sound engine may show nothing of the run.
+    absl::Time soundUntil(const Run &run) const
+    {
+        const bool mayPrefill = !run.hasEvents && !run.isSuspected;
+        const auto prefillTime = ForwardedRequest::firstEventTimeoutFactor * run.timeToFirstEvent;
+        return run.lastProgressAt
+            + std::max(ForwardedRequest::longestSoundSilence,
+                       mayPrefill ? prefillTime : absl::ZeroDuration());
+    }
+
+    // The current run is cancelled for its replacement.
+    void checkGivenUpRun()
+    {
+        const auto &replacement = runOf(RunRole::Replacement);
+        check(replacement.has_value(), "cancellation without a replacement");
+        check(replacement->isOpened || replacement->hasEvents
+                  || m_now >= soundUntil(*runOf(RunRole::Current)),
+              "run given up for one that was not accepted");
+    }
+
     void perform(const ForwardingActions::AdoptReplacement &)
     {
         check(!runOf(RunRole::Current), "adoption beside a run");
@@ -224,9 +316,10 @@
         absl::StrAppend(&m_trace, role == RunRole::Current ? ", current:" : ", replacement:");
         switch (draw(7)) {
         case 0:
+            run->isSuspected = true;
             return handle("suspected", ForwardingEvents::TargetSuspected{.role = role}, Cause::RunEnded);
         case 1:
-            run.reset();
+            endRun(role);
             return handle("lost", ForwardingEvents::AttemptLost{.role = role}, Cause::RunEnded);
         case 2:
             if (!run->hasEvents && drawOneIn(4))
@@ -249,12 +342,14 @@
         if (run->isOpened)
             return sendEvent(role);
         run->isOpened = true;
-        handle("opened", ForwardingEvents::StreamOpened{}, Cause::RunEnded);
+        handle("opened", ForwardingEvents::StreamOpened{.role = role}, Cause::RunEnded);
     }
 
     void sendEvent(RunRole role)
     {
-        runOf(role)->hasEvents = true;
+        auto &run = runOf(role);
+        run->hasEvents = true;
+        run->lastProgressAt = m_now;
         handle("event", ForwardingEvents::EventsReceived{EventNumber(++m_lastEvent), role}, Cause::RunEnded);
         check(!m_runs[1], "two runs after progress");
     }
@@ -264,7 +359,7 @@
         // Its end is reported while the run still has its role.
         handle("completed", ForwardingEvents::StreamCompleted{role}, Cause::RunDelivered);
         check(m_request.isFinished(), "request open after its answer");
-        m_runs[0].reset();
+        endRun(RunRole::Current);
     }
 
     void respond(RunRole role)
@@ -274,17 +369,23 @@
         const bool isDelivered = status < 500 && !m_isResponseStarted;
         m_hasResponse = true;
         if (!isDelivered)
-            runOf(role).reset();
+            endRun(role);
         handle(status < 500 ? "response" : "error response", ForwardingEvents::ResponseReceived{status, role},
                isDelivered ? Cause::RunDelivered : Cause::RunEnded);
         if (isDelivered)
-            m_runs[0].reset();
+            endRun(RunRole::Current);
     }
 
     void endAsNotExecuted(RunRole role)
     {
         const bool isCopyMissing = runOf(role)->isFromCopy && drawOneIn(2);
         const bool wasRefused = isCopyMissing || drawOneIn(2);
+        endAsNotExecuted(role, wasRefused, isCopyMissing);
+    }
+
+    void endAsNotExecuted(RunRole role, bool wasRefused, bool isCopyMissing)
+    {
+        m_overlaps.discard(runOf(role)->number, m_now);
         runOf(role).reset();
         --m_executedRuns;
         handle(wasRefused ? "refused" : "not reached",
@@ -293,16 +394,95 @@
                Cause::RunEnded);
     }
 
+    absl::Duration drawSteps(int milliseconds) { return absl::Milliseconds(10 * draw(milliseconds / 10)); }
+
+    // Time until the next event of the run's engine.
+    absl::Duration drawDelay(const Run &run)
+    {
+        // In steps, so that events and timers often come at the same time.
+        const auto delay = drawSteps(100);
+        switch (run.mode) {
+        case EngineMode::Silent:
+            return absl::InfiniteDuration();
+        case EngineMode::Slow:
+            return run.hasEvents && !drawOneIn(4) ? delay : delay + drawSteps(2500);
+        case EngineMode::Refusing:
+        case EngineMode::LosingCopy:
+        case EngineMode::Failing:
+            return delay + drawSteps(600);
+        case EngineMode::Sound:
+            break;
+        }
+        // A sound engine may fall silent too, once it works.
+        return run.hasEvents && drawOneIn(8) ? delay + drawSteps(2000) : delay;
+    }
+
+    absl::Time nextEventOf(RunRole role)
+    {
+        const auto &run = runOf(role);
+        return run ? run->nextEventAt : absl::InfiniteFuture();
+    }
+
+    void stepEngines()
+    {
+        const auto role = nextEventOf(RunRole::Replacement) < nextEventOf(RunRole::Current)
+            ? RunRole::Replacement
+            : RunRole::Current;
+        const auto at = nextEventOf(role);
+        if (drawOneIn(8))
+            return suspect(std::min({m_timer, at, m_now + absl::Milliseconds(draw(300))}));
+        if (at > m_timer || (at == m_timer && drawOneIn(2)))
+            return tick();
+        m_now = std::max(m_now, at);
+        stepEngine(role);
+    }
+
+    void suspect(absl::Time at)
+    {
+        m_now = at;
+        const auto role =
+            runOf(RunRole::Replacement) && drawOneIn(2) ? RunRole::Replacement : RunRole::Current;
+        if (auto &run = runOf(role))
+            run->isSuspected = true;
+        handle("suspected", ForwardingEvents::TargetSuspected{.role = role}, Cause::RunEnded);
+    }
+
+    void stepEngine(RunRole role)
+    {
+        auto &run = runOf(role);
+        run->nextEventAt = m_now + drawDelay(*run);
+        absl::StrAppend(&m_trace, role == RunRole::Current ? ", current:" : ", replacement:");
+        const bool isAccepted = run->isOpened;
+        if (!isAccepted && run->mode == EngineMode::Refusing)
+            return endAsNotExecuted(role, true, false);
+        if (!isAccepted && run->mode == EngineMode::LosingCopy)
+            return endAsNotExecuted(role, run->isFromCopy, run->isFromCopy);
+        if (run->mode == EngineMode::Failing && drawOneIn(2)) {
+            endRun(role);
+            return handle("lost", ForwardingEvents::AttemptLost{.role = role}, Cause::RunEnded);
+        }
+        if (!isStream(m_parameters.kind) || drawOneIn(40))
+            return isAccepted ? completeStream(role) : respond(role);
+        openOrSendEvent(role);
+        // Reads the prompt after its head.
+        if (auto &it = runOf(role); it && it->mode == EngineMode::Slow && !it->hasEvents)
+            it->nextEventAt = m_now + drawDelay(*it);
+    }
+
     std::uint64_t m_seed;
+    Engines m_engines;
     SeededRandom m_random;
     DrawnRetryBudget m_budget;
     ForwardingParameters m_parameters;
-    absl::Time m_now{absl::FromUnixSeconds(1000)};
+    absl::Time m_beganAt{absl::FromUnixSeconds(1000)};
+    absl::Time m_now{m_beganAt};
     ForwardedRequest m_request;
     std::string m_trace;
     absl::Time m_timer{absl::InfiniteFuture()};
     // The current run and its replacement.
     std::optional<Run> m_runs[2];
+    RunOverlaps m_overlaps{minOverlapGap};
+    int m_startedRuns{0};
     int m_executedRuns{0};
     int m_finals{0};
     std::uint64_t m_lastEvent{0};
@@ -320,14 +500,19 @@
 {
     CPPUNIT_TEST_SUITE(TestForwardedRequestOrders);
     CPPUNIT_TEST(promisesHoldInAllOrders);
+    CPPUNIT_TEST(promisesHoldBeforeSlowEngines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void promisesHoldInAllOrders()
+    void promisesHoldInAllOrders() { runSeeds(detail::Engines::Drawn); }
+    void promisesHoldBeforeSlowEngines() { runSeeds(detail::Engines::WithModes); }
+
+private:
+    static void runSeeds(detail::Engines engines)
     {
         constexpr std::uint64_t seeds = 50000;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-            detail::DrawnHost(seed).run();
+            detail::DrawnHost(seed, engines).run();
     }
 };
 
