--- a/Tests/Support/VirtualTime.h
+++ b/Tests/Support/VirtualTime.h
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -33,6 +34,9 @@
         return true;
     }
 
+    // When no step is left before this time.
+    void advanceTo(absl::Time time) { m_now = std::max(m_now, time); }
+
 private:
     absl::Time m_now{absl::UnixEpoch() + absl::Hours(1)};
     // Steps of one moment run in the order in which they were added.
