--- a/Tests/LibForwarding/FakeStreamFleet.cpp
+++ b/Tests/LibForwarding/FakeStreamFleet.cpp
@@ -36,6 +36,8 @@
 
     void receive(const RunRequest &request)
     {
+        // The system accepts connections also while the engine is frozen.
+        reply(request, ForwardingEvents::AttemptReached{});
         whenRunning([this, request] { handle(request); });
     }
 
@@ -248,6 +250,12 @@
         answer(event);
     }
 
+    void handle(ForwardingEvents::AttemptReached &event, RunRole role)
+    {
+        event.role = role;
+        answer(event);
+    }
+
     void handle(ForwardingEvents::StreamOpened &event, RunRole role)
     {
         note(role == RunRole::Current ? "opened" : "replacement opened");
--- a/Tests/LibForwarding/TestForwardedRequestOrders.cpp
+++ b/Tests/LibForwarding/TestForwardedRequestOrders.cpp
@@ -83,6 +83,8 @@
     struct Run
     {
         bool isFromCopy{false};
+        // Its target has the request and may be at work.
+        bool isReached{false};
         bool isOpened{false};
         bool hasEvents{false};
         int number{0};
@@ -176,6 +178,18 @@
         check(m_executedRuns <= m_parameters.maxAttempts, "more runs than attempts");
         startRun(action);
         answer(ForwardingEvents::AttemptSent{runOf(action.role)->timeToFirstEvent, action.role});
+        if (!drawOneIn(4))
+            reach(action.role);
+    }
+
+    void reach(RunRole role)
+    {
+        auto &run = runOf(role);
+        if (!run || std::exchange(run->isReached, true))
+            return;
+        absl::StrAppend(&m_trace, " [reached]");
+        m_overlaps.start(run->number, m_now);
+        answer(ForwardingEvents::AttemptReached{role});
     }
 
     void startRun(const ForwardingActions::StartAttempt &action)
@@ -187,7 +201,6 @@
             run.timeToFirstEvent = absl::Milliseconds(drawOneIn(2) ? 100 : 1000);
         }
         runOf(action.role) = run;
-        m_overlaps.start(run.number, m_now);
     }
 
     void endRun(RunRole role)
@@ -314,6 +327,8 @@
     {
         auto &run = runOf(role);
         absl::StrAppend(&m_trace, role == RunRole::Current ? ", current:" : ", replacement:");
+        if (!run->isReached && drawOneIn(2))
+            return reach(role);
         switch (draw(7)) {
         case 0:
             run->isSuspected = true;
@@ -341,6 +356,7 @@
             return;
         if (run->isOpened)
             return sendEvent(role);
+        reach(role);
         run->isOpened = true;
         handle("opened", ForwardingEvents::StreamOpened{.role = role}, Cause::RunEnded);
     }
@@ -367,6 +383,7 @@
         constexpr int statuses[] = {200, 404, 500};
         const int status = statuses[draw(3)];
         const bool isDelivered = status < 500 && !m_isResponseStarted;
+        reach(role);
         m_hasResponse = true;
         if (!isDelivered)
             endRun(role);
@@ -379,7 +396,7 @@
     void endAsNotExecuted(RunRole role)
     {
         const bool isCopyMissing = runOf(role)->isFromCopy && drawOneIn(2);
-        const bool wasRefused = isCopyMissing || drawOneIn(2);
+        const bool wasRefused = isCopyMissing || runOf(role)->isReached;
         endAsNotExecuted(role, wasRefused, isCopyMissing);
     }
 
