LibForwarding: Give a run up only when it is overdue

After a silence of one second a stream was given up for a replacement that had sent its head and broke off before an event. Silences within the pause that the route allows, or of two seconds, were taken for more than sound.

TestForwardedRequestOrders no longer allows giving a run up for one with a head only.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -150,16 +150,15 @@
 
 void ForwardedRequest::endOverlap(absl::Time now)
 {
-    const auto &replacement = *m_replacement;
-    const bool isOverdue = now >= overdueAt();
-    if (replacement.isAccepted || (replacement.isReached && isOverdue)) {
+    const bool isReached = m_replacement->isReached;
+    if (isReached && now >= overdueAt()) {
         m_mayHaveExecuted = true;
         keepOnly(RunRole::Replacement, now);
         return;
     }
     const auto nextReplacementAt = m_nextReplacementAt;
-    const bool isReached = replacement.isReached;
     keepOnly(RunRole::Current, now);
+    // A replacement that was not reached has not been at work, so that the next one may follow at once.
     m_nextReplacementAt =
         std::max(isReached ? m_nextReplacementAt : nextReplacementAt, overdueAt() - maxRunOverlap);
 }
@@ -173,13 +172,14 @@
 absl::Time ForwardedRequest::overdueAt() const
 {
     const auto &run = m_current;
+    const auto soundSilence = std::max(longestSoundSilence, m_parameters.maxEventGap);
     if (run.hasEvents)
-        return run.lastEventAt + longestSoundSilence;
+        return run.lastEventAt + soundSilence;
     // The expected time is a guess, and the prompt takes as long elsewhere.
     auto at = run.firstEventDeadline + (run.firstEventDeadline - run.startedAt);
     if (run.unreachableSince)
         at = std::min(at, *run.unreachableSince + longestUnreachableTime);
-    return std::max(at, run.startedAt + longestSoundSilence);
+    return std::max(at, run.startedAt + soundSilence);
 }
 
 absl::Time ForwardedRequest::earliestRecomputation() const
@@ -390,13 +390,10 @@
     startAttempt(now, false);
 }
 
-void ForwardedRequest::on(const ForwardingEvents::StreamOpened &event, absl::Time)
+void ForwardedRequest::on(const ForwardingEvents::StreamOpened &event, absl::Time now)
 {
     m_mayHaveExecuted = true;
-    if (event.role == RunRole::Current)
-        m_current.isAccepted = true;
-    else if (m_replacement)
-        m_replacement->isAccepted = true;
+    on(ForwardingEvents::AttemptReached{event.role}, now);
 }
 
 void ForwardedRequest::on(const ForwardingEvents::EventsReceived &event, absl::Time now)
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -3,8 +3,8 @@
 //
 // A run whose target is suspected goes on beside its replacement until one of the two makes progress: the
 // replacement may be rejected or lost, and the target may only have been silent for a while. Two runs of a
-// stream overlap for `maxRunOverlap` at most. Then the replacement is cancelled. Only if its target has
-// accepted it, or has been reached while the current run is overdue, the current run is given up instead.
+// stream overlap for `maxRunOverlap` at most. Then the replacement is cancelled. Only if the current run is
+// overdue, and the replacement has reached its target, the current run is given up instead.
 //
 // A state machine without I/O. The host reports events and performs the returned actions in order. Invariant:
 // the time passed in never goes back. At each `StartAttempt` the host chooses the target from its TargetPool
@@ -101,7 +101,7 @@
     bool isCopyMissing{false};
     RunRole role{RunRole::Current};
 };
-// The head of the stream was received: the target has accepted the request.
+// The head of the stream was received.
 struct StreamOpened
 {
     RunRole role{RunRole::Current};
@@ -378,8 +378,6 @@
         absl::Time startedAt;
         // The target has accepted the connection. Before that, it can't be at work.
         bool isReached{false};
-        // The target has sent the head of the stream.
-        bool isAccepted{false};
         // The run has sent an event.
         bool hasEvents{false};
         // Equals `startedAt` before the first event.
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -136,7 +136,6 @@
     // A stop request may reach the target late, so that the request can't run there again.
     [[nodiscard]] bool isStopping(const TargetId &) const;
     [[nodiscard]] bool isRunningAt(const TargetProcess &);
-    void stopAnswered(const TargetProcess &abandoned, const HttpCallResult &, absl::Time askedAt);
     // Records the end of a run and, if another run of the request was at work beside it, of their overlap.
     void noteRunEnd(RunRole, std::string_view reason);
     // Records that the run has ended before its target had written for long.
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -18,7 +18,8 @@
 // Most targets drop a run when its connection closes. They get this long to notice, since stopping a run
 // costs more than finding none.
 constexpr absl::Duration stopDelay = absl::Milliseconds(50);
-constexpr int maxStopTries = 3;
+// A target can't stop a run while it copies its KV cache.
+constexpr int maxStopTries = 8;
 
 std::string_view stopOutcomeName(StopOutcome outcome)
 {
@@ -108,26 +109,6 @@
     return runsThere(m_run) || runsThere(m_replacement);
 }
 
-void ForwardSession::stopAnswered(const TargetProcess &abandoned, const HttpCallResult &result,
-                                  absl::Time askedAt)
-{
-    const auto response = result ? m_gatewayContext.dialect.parseStopResponse(*result) : StopResponse{};
-    const auto outcome = detail::stopOutcomeName(response.outcome);
-    m_gatewayContext.metrics.increment("abandoned_runs_total",
-                                       absl::StrCat("outcome=\"", abslView(outcome), "\""));
-    log("abandoned_run",
-        {{"target", abandoned.id.value()},
-         {"outcome", outcome},
-         {"status", result ? result->head.status : 0},
-         {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - askedAt)}});
-    const auto *record = m_gatewayContext.targets.find(abandoned.id);
-    if (response.handle.empty() || !record)
-        return;
-    // NOTE: The response is ignored because a copy that is not released expires on its own.
-    sendControlRequest(*record, m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
-                       [](const HttpCallResult &) {});
-}
-
 void ForwardSession::noteRunEnd(RunRole role, std::string_view reason)
 {
     auto *run = runOf(role).get();
--- a/Tests/LibForwarding/TestForwardedRequestOrders.cpp
+++ b/Tests/LibForwarding/TestForwardedRequestOrders.cpp
@@ -243,9 +243,8 @@
     {
         const auto &replacement = runOf(RunRole::Replacement);
         check(replacement.has_value(), "cancellation without a replacement");
-        check(replacement->isOpened || replacement->hasEvents
-                  || m_now >= soundUntil(*runOf(RunRole::Current)),
-              "run given up for one that was not accepted");
+        check(replacement->hasEvents || m_now >= soundUntil(*runOf(RunRole::Current)),
+              "run given up for one that has not begun");
     }
 
     void perform(const ForwardingActions::AdoptReplacement &)
--- a/Tests/LibForwarding/TestRunsGivenUpForUnstartedOnes.cpp
+++ b/Tests/LibForwarding/TestRunsGivenUpForUnstartedOnes.cpp
@@ -134,6 +134,9 @@
     CPPUNIT_TEST(streamIsWholeWhenItsReplacementIsRejectedLate);
     CPPUNIT_TEST(reachableTargetIsNotTakenForUnreachable);
     CPPUNIT_TEST(unreachableTargetIsReplacedSoon);
+    CPPUNIT_TEST(briefSilenceIsNotGivenUpForARunWithoutEvents);
+    CPPUNIT_TEST(oldRunIsNotGivenUpForANewOneThatIsNoFurther);
+    CPPUNIT_TEST(silenceWithinTheAllowedPauseIsSound);
     CPPUNIT_TEST(lateTimerGivesNoTimeToTheReplacement);
     CPPUNIT_TEST_SUITE_END();
 
@@ -212,6 +215,39 @@
         CPPUNIT_ASSERT_MESSAGE(absl::StrCat("replacement sought after ", ms, " ms"), ms <= 1600);
     }
 
+    // Accepted is not begun: a request runs from its first token.
+    void briefSilenceIsNotGivenUpForARunWithoutEvents()
+    {
+        ForwardedRequest request(detail::parameters(), m_retries, m_start);
+        startStream(request);
+        replaceAt(request, 350);
+        (void)request.handle(ForwardingEvents::StreamOpened{RunRole::Replacement}, at(360));
+        CPPUNIT_ASSERT(!detail::cancelsCurrent(request.handle(ForwardingEvents::Tick{}, at(600))));
+    }
+
+    // Both have been accepted, and neither has sent an event.
+    void oldRunIsNotGivenUpForANewOneThatIsNoFurther()
+    {
+        ForwardedRequest request(detail::parameters(), m_retries, m_start);
+        (void)request.begin(m_start);
+        (void)request.handle(ForwardingEvents::AttemptSent{absl::Milliseconds(1500)}, m_start);
+        (void)request.handle(ForwardingEvents::StreamOpened{RunRole::Current}, at(10));
+        replaceAt(request, 4500);
+        (void)request.handle(ForwardingEvents::StreamOpened{RunRole::Replacement}, at(4510));
+        CPPUNIT_ASSERT(!detail::cancelsCurrent(request.handle(ForwardingEvents::Tick{}, at(4750))));
+    }
+
+    // The route allows pauses of 6 s.
+    void silenceWithinTheAllowedPauseIsSound()
+    {
+        auto patient = detail::parameters();
+        patient.maxEventGap = absl::Seconds(6);
+        ForwardedRequest request(patient, m_retries, m_start);
+        startStream(request);
+        replaceAt(request, 3000);
+        CPPUNIT_ASSERT(!detail::cancelsCurrent(request.handle(ForwardingEvents::Tick{}, at(3250))));
+    }
+
     // The timer of the overlap is late; the replacement's failed probe comes first.
     void lateTimerGivesNoTimeToTheReplacement()
     {
