Tests: Let a single engine start its streams late, and drop runs after closes that it missed

The soak needs slow heads and slow first events of some engines only, for a time; `prefillTime` and `firstEventDelay` hold for all engines of a test. An engine that ignored the close of a connection worked on the stream to its last event; it now drops it as soon as it looks at its connections again.

--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -107,10 +107,12 @@
 void FakeEngine::beginRun(const std::shared_ptr<HttpServerConnection> &connection,
                           const std::string &requestId)
 {
+    // An earlier connection may have had the same address.
+    endRun(connection.get());
     m_running[connection.get()] = {requestId, connection, m_engineState.runs.begin(requestId, m_id)};
     connection->setCallerLeftHandler([this, lifetime = std::weak_ptr(m_lifetime), stream = connection.get()] {
-        if (!lifetime.expired() && !m_ignoresCloses)
-            endRun(stream);
+        if (!lifetime.expired())
+            callerLeft(stream);
     });
 }
 
@@ -123,6 +125,40 @@
     m_running.erase(it);
 }
 
+void FakeEngine::callerLeft(const HttpServerConnection *connection)
+{
+    if (const auto it = m_running.find(connection); it != m_running.end() && m_ignoresCloses)
+        it->second.hasCallerLeft = true;
+    else
+        endRun(connection);
+}
+
+void FakeEngine::setIgnoresCloses(bool ignoresCloses)
+{
+    m_ignoresCloses = ignoresCloses;
+    std::vector<const HttpServerConnection *> left;
+    for (const auto &[connection, stream] : m_running) {
+        if (!ignoresCloses && stream.hasCallerLeft)
+            left.push_back(connection);
+    }
+    for (const auto *it : left)
+        endRun(it);
+}
+
+FakeEngine::StartDelays FakeEngine::startDelays() const
+{
+    auto out = std::chrono::steady_clock::now() < m_startsDelayedUntil ? m_startDelays : StartDelays{};
+    out.head += m_engineState.prefillTime;
+    out.firstEvent += m_engineState.firstEventDelay;
+    return out;
+}
+
+void FakeEngine::delayStartsFor(std::chrono::milliseconds duration, StartDelays delays)
+{
+    m_startDelays = delays;
+    m_startsDelayedUntil = std::chrono::steady_clock::now() + duration;
+}
+
 void FakeEngine::abortStream(const std::shared_ptr<HttpServerConnection> &connection)
 {
     endRun(connection.get());
@@ -280,12 +316,13 @@
     }
     const int event = static_cast<int>(lastEvent) + 1;
     // The server must not end within its own handler.
-    if (m_engineState.prefillTime == std::chrono::milliseconds::zero() && !isCrashing) {
+    const auto prefillTime = startDelays().head;
+    if (prefillTime == std::chrono::milliseconds::zero() && !isCrashing) {
         connection->openStream(head);
         sendFirstEvent(connection, event);
         return;
     }
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_engineState.prefillTime);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, prefillTime);
     const auto sharedHead = std::make_shared<const HttpResponseHead>(head);
     timer->async_wait(
         [this, timer, connection, sharedHead, isCrashing, event, restarts = m_restarts](const auto &) {
@@ -305,11 +342,12 @@
 
 void FakeEngine::sendFirstEvent(const std::shared_ptr<HttpServerConnection> &connection, int event)
 {
-    if (m_engineState.firstEventDelay == std::chrono::milliseconds::zero()) {
+    const auto delay = startDelays().firstEvent;
+    if (delay == std::chrono::milliseconds::zero()) {
         sendEventsFrom(connection, event);
         return;
     }
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_engineState.firstEventDelay);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
     timer->async_wait([this, timer, connection, event, restarts = m_restarts](const auto &) {
         if (restarts == m_restarts)
             sendEventsFrom(connection, event);
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -107,8 +107,15 @@
     void pauseFor(std::chrono::milliseconds);
     // Its streams are silent for this long and then go on. It answers other requests meanwhile.
     void stallStreamsFor(std::chrono::milliseconds);
-    // While set, the engine goes on with streams whose connection has closed.
-    void setIgnoresCloses(bool ignoresCloses) { m_ignoresCloses = ignoresCloses; }
+    // While set, the engine goes on with streams whose connection has closed. It drops them afterwards.
+    void setIgnoresCloses(bool);
+    // Streams that begin within this time have their head and their first event later by so much.
+    struct StartDelays
+    {
+        std::chrono::milliseconds head{0};
+        std::chrono::milliseconds firstEvent{0};
+    };
+    void delayStartsFor(std::chrono::milliseconds, StartDelays);
     // While set, all answers carry Server-Leaving. The engine goes on serving.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     // Rejections in mode Overloaded carry this as Retry-After.
@@ -146,6 +153,8 @@
     // Opens the span of the stream, which ends at the latest when the engine drops the request.
     void beginRun(const std::shared_ptr<HttpServerConnection> &, const std::string &requestId);
     void endRun(const HttpServerConnection *);
+    void callerLeft(const HttpServerConnection *);
+    [[nodiscard]] StartDelays startDelays() const;
     void abortStream(const std::shared_ptr<HttpServerConnection> &);
 
     boost::asio::io_context &m_context;
@@ -162,6 +171,7 @@
         std::string request;
         std::weak_ptr<HttpServerConnection> connection;
         std::size_t span;
+        bool hasCallerLeft{false};
     };
     // Streams that the engine works on.
     std::map<const HttpServerConnection *, Stream> m_running;
@@ -177,6 +187,8 @@
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::chrono::steady_clock::time_point m_pausedUntil;
     std::chrono::steady_clock::time_point m_streamsStalledUntil;
+    StartDelays m_startDelays;
+    std::chrono::steady_clock::time_point m_startsDelayedUntil;
     // Expires with the engine; its connections may be closed later.
     std::shared_ptr<bool> m_lifetime{std::make_shared<bool>(true)};
     // Keeps the port of an engine that has ended: bound, so that no other socket gets it, but not listening.
