--- a/Tests/Soak/Disturbances.h
+++ b/Tests/Soak/Disturbances.h
@@ -14,8 +14,12 @@
     Router,
     // A planned stop of a router. The subject is the router.
     PlannedStop,
+    // A router got SIGTERM; it may run on for long. The subject is the router.
+    StopSignal,
     // Engines, or the links to them.
     Engine,
+    // The link between all routers and an engine was cut, slowed or frozen. The subject is the engine.
+    EngineLink,
     Store,
     // The soak's own event loop was late, so that its observations are.
     Observer,
--- a/Tests/Soak/LinkFaults.cpp
+++ b/Tests/Soak/LinkFaults.cpp
@@ -12,10 +12,12 @@
     engine->isDisturbed = true;
     engine->link->setFault(fault);
     m_world.after(m_world.drawn(shortestFault, longestFault),
-                  [engine, end = m_world.disturb(DisturbanceKind::Engine, engine->engine->id())] {
+                  [engine, end = m_world.disturb(DisturbanceKind::Engine, engine->engine->id()),
+                   endOfLink = m_world.disturb(DisturbanceKind::EngineLink, engine->engine->id())] {
                       engine->link->setFault(LinkFault::None);
                       engine->isDisturbed = false;
                       end();
+                      endOfLink();
                   });
     return true;
 }
@@ -27,10 +29,12 @@
         return false;
     engine->isDisturbed = true;
     engine->link->setFault(LinkFault::Frozen);
-    m_world.after(m_world.drawn(shortestSilence, longestSilence), [engine] {
-        engine->link->setFault(LinkFault::None);
-        engine->isDisturbed = false;
-    });
+    m_world.after(m_world.drawn(shortestSilence, longestSilence),
+                  [engine, end = m_world.disturb(DisturbanceKind::EngineLink, engine->engine->id())] {
+                      engine->link->setFault(LinkFault::None);
+                      engine->isDisturbed = false;
+                      end();
+                  });
     return true;
 }
 
--- a/Tests/Soak/PlannedWork.cpp
+++ b/Tests/Soak/PlannedWork.cpp
@@ -16,6 +16,7 @@
     // Ends with the grace at the latest.
     constexpr absl::Duration grace = absl::Seconds(8);
     m_world.after(grace, m_world.disturb(DisturbanceKind::PlannedStop, router->process->place().id));
+    m_world.disturb(DisturbanceKind::StopSignal, router->process->place().id)();
     router->process->signal(SIGTERM);
     return router;
 }
@@ -45,9 +46,12 @@
     for (const int number : {SIGTERM, SIGHUP, SIGTERM}) {
         delay += m_world.drawn(leastSeriesPause, longestSeriesPause);
         // The process that follows has another life.
-        m_world.after(delay, [router, number] {
-            if (router->isStopping())
-                router->process->signal(number);
+        m_world.after(delay, [this, router, number] {
+            if (!router->isStopping())
+                return;
+            if (number == SIGTERM)
+                m_world.disturb(DisturbanceKind::StopSignal, router->process->place().id)();
+            router->process->signal(number);
         });
     }
     return true;
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -2,6 +2,7 @@
 
 #include "Promises.h"
 
+#include <LibPlatform/MonotonicClock.h>
 #include <Platform/FakeEngine.h>
 #include <Platform/FakeStore.h>
 
@@ -51,6 +52,8 @@
         m_signals.noteAnswered(call.id, call.endedAt);
     if (call.kind == SoakCallKind::Once)
         m_onceCalls.push_back(call.id);
+    if (call.kind == SoakCallKind::Stream)
+        m_routersOfStreams[call.id] = call.router;
     if (detail::isPromiseOfNotRun(call.status) && !call.isFromEngine) {
         m_refused.push_back(call.id);
         check(!m_fleet.runsByRequest.contains(call.id), "not run is true", call.id);
@@ -137,8 +140,28 @@
     check(false, "routers end only when told", absl::StrCat(router, " code ", exitCode));
 }
 
+void Promises::judgeOverlaps()
+{
+    const auto now = monotonicNow();
+    const auto steadyNow = std::chrono::steady_clock::now();
+    const auto at = [&](FakeRunSpan::Time it) { return now - absl::FromChrono(steadyNow - it); };
+    std::map<std::string, std::vector<StreamOverlaps::Span>> spans;
+    for (const auto &it : m_fleet.runs.spans())
+        spans[it.request].push_back({it.engine, at(it.begin), at(it.end.value_or(steadyNow))});
+    using Verdict = StreamOverlaps::Verdict;
+    const std::string promise = "two engines never work on one stream for long";
+    for (const auto &[id, router] : m_routersOfStreams) {
+        const auto it = m_overlaps.judge(router, spans[id]);
+        if (it.verdict == Verdict::Excused)
+            ++m_judged[promise + ": excused"];
+        else if (it.verdict != Verdict::NotJudged)
+            check(it.verdict == Verdict::Kept, promise, absl::StrCat(id, " at ", it.details));
+    }
+}
+
 void Promises::judgeAtTheEnd()
 {
+    judgeOverlaps();
     for (const auto &id : m_refused)
         check(!m_fleet.runsByRequest.contains(id), "not run stays true", id);
     const auto isInTouch = [this](const auto &router, auto from, auto to) {
--- a/Tests/Soak/Promises.h
+++ b/Tests/Soak/Promises.h
@@ -5,6 +5,7 @@
 #include "CrashingRequests.h"
 #include "Disturbances.h"
 #include "EngineSignals.h"
+#include "StreamOverlaps.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
@@ -54,7 +55,8 @@
     static constexpr absl::Duration contact = absl::Seconds(3);
 
     Promises(const FakeEngineState &fleet, const Disturbances &disturbances)
-        : m_fleet(fleet), m_disturbances(disturbances), m_signals(disturbances)
+        : m_fleet(fleet), m_disturbances(disturbances), m_signals(disturbances),
+          m_overlaps(disturbances, contact)
     {
     }
 
@@ -80,6 +82,7 @@
 private:
     void check(bool isKept, const std::string &promise, const std::string &details);
     void judgeBody(const SoakCall &);
+    void judgeOverlaps();
     [[nodiscard]] bool isObserved(const SoakCall &) const;
     [[nodiscard]] bool wasInTouch(const std::string &router, absl::Time from, absl::Time to) const;
 
@@ -87,6 +90,9 @@
     const Disturbances &m_disturbances;
     EngineSignals m_signals;
     CrashingRequests m_crashingRequests;
+    StreamOverlaps m_overlaps;
+    // Routers of the streams.
+    std::map<std::string, std::string> m_routersOfStreams;
     // Calls that were told "not run".
     std::vector<std::string> m_refused;
     std::vector<std::string> m_onceCalls;
