Soak: Draw silent streams, late starts of streams and closes that go unnoticed

In the soak a replacement's head and first event came together at once, so that two runs overlapped for the time of a move. Engines now have streams that are silent for 0.2 to 2.5 s while other requests are answered, heads and first events that are late by up to 1.5 s, and silences in which the close of a connection goes unnoticed; for one engine, for a domain, and for all engines that a silent one's streams may go to. They are drawn in a series of their own beside the other faults, from a random source of their own, so that the earlier faults of a seed stay as they were.

--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -8,7 +8,8 @@
 
 namespace Wisteria {
 
-FaultPlan::FaultPlan(SoakWorld &world) : m_world(world)
+FaultPlan::FaultPlan(SoakWorld &world)
+    : m_world(world), m_streamRandom(world.options().seed ^ streamRandomSeed)
 {
     constexpr auto callers = &SoakRouter::callerLink;
     constexpr auto store = &SoakRouter::storeLink;
@@ -64,6 +65,7 @@
         {"store restored from a copy", [this] { return restoreStore(); }},
         {"configuration changed", [this] { return changeConfiguration(); }, true},
     };
+    addStreamFaults();
     if (isPlannedWorkOnly())
         std::erase_if(m_faults, [](const Fault &it) { return !it.isPlanned; });
 }
@@ -74,6 +76,7 @@
     if (!isPlannedWorkOnly())
         m_world.after(m_world.drawn(length / 8, length / 3), [this] { (void)sendCrashingRequests(); });
     beginNext(monotonicNow() + length);
+    beginNextStreamFault(monotonicNow() + length);
 }
 
 bool FaultPlan::isPlannedWorkOnly() const
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -34,6 +34,13 @@
     static constexpr absl::Duration shortestSilence = absl::Milliseconds(600);
     static constexpr absl::Duration longestSilence = absl::Milliseconds(1600);
 
+    // For how long streams of an engine may be silent and go on.
+    static constexpr absl::Duration shortestStreamSilence = absl::Milliseconds(200);
+    static constexpr absl::Duration longestStreamSilence = absl::Milliseconds(2500);
+    // By how much heads and first events of streams may be late.
+    static constexpr absl::Duration longestStartDelay = absl::Milliseconds(1500);
+    static constexpr std::uint64_t streamRandomSeed = std::uint64_t{1} << 63U;
+
     explicit FaultPlan(SoakWorld &);
 
     // Begins faults until the time has passed; those that run then still end.
@@ -55,6 +62,15 @@
 
     [[nodiscard]] bool isPlannedWorkOnly() const;
     void beginNext(absl::Time until);
+    // Silent streams and slow starts, in a series of their own beside the other faults.
+    void addStreamFaults();
+    void beginNextStreamFault(absl::Time until);
+    [[nodiscard]] std::vector<FakeEngine *> modelEngines(const std::string &domain = "");
+    [[nodiscard]] std::string drawStreamDomain();
+    [[nodiscard]] absl::Duration drawnForStreams(absl::Duration least, absl::Duration most);
+    void silenceStreams(FakeEngine &, absl::Duration);
+    void silenceStreamsWithoutCloses(FakeEngine &, absl::Duration);
+    void delayStarts(FakeEngine &, absl::Duration);
     [[nodiscard]] SoakRouter *drawRouter();
     [[nodiscard]] SoakEngine *drawEngine();
     void killRouter(SoakRouter &);
@@ -97,6 +113,9 @@
 
     SoakWorld &m_world;
     std::vector<Fault> m_faults;
+    // Other draws than those of `m_faults`, so that a seed keeps the faults that it had.
+    SeededRandom m_streamRandom;
+    std::vector<Fault> m_streamFaults;
     absl::btree_map<std::string, int> m_begun;
     bool m_isStoreHarmed{false};
 };
