--- a/Tests/LibNet/TestCutHeads.cpp
+++ b/Tests/LibNet/TestCutHeads.cpp
@@ -200,8 +200,7 @@
     {
         FakeClosingPeer peer(*m_context, answer, ending);
         peer.setAnswerBefore(answerBefore);
-        m_connection =
-            std::make_shared<HttpClientConnection>(*m_context, peer.endpoint(), SocketLimits{});
+        m_connection = std::make_shared<HttpClientConnection>(*m_context, peer.endpoint(), SocketLimits{});
         if (!answerBefore.empty()) {
             CPPUNIT_ASSERT(send()->m_end == AnswerEnd::Framed);
             CPPUNIT_ASSERT(m_connection->isReusable());
--- a/Tests/Platform/TestCutHeadsOfEngines.cpp
+++ b/Tests/Platform/TestCutHeadsOfEngines.cpp
@@ -1,5 +1,5 @@
-// Engines that stop in the head of an answer, or between the head and the first byte of its body: callers get no
-// success, and a request that must not be repeated reaches one engine.
+// Engines that stop in the head of an answer, or between the head and the first byte of its body: callers get
+// no success, and a request that must not be repeated reaches one engine.
 
 #include "FakeDeployment.h"
 
--- a/Tests/Platform/TestEngineHeadsThatComeAlone.cpp
+++ b/Tests/Platform/TestEngineHeadsThatComeAlone.cpp
@@ -1,5 +1,5 @@
-// An engine whose head comes some time before its body: the answer was dropped, so that a request that may not
-// be repeated failed after it had run.
+// An engine whose head comes some time before its body: the answer was dropped, so that a request that may
+// not be repeated failed after it had run.
 
 #include "FakeDeployment.h"
 
@@ -24,7 +24,10 @@
     }
 
     void answerWithLengthIsDelivered() { check("Content-Length: 5\r\n\r\n", "whole"); }
-    void chunkedAnswerIsDelivered() { check("Transfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n0\r\n\r\n"); }
+    void chunkedAnswerIsDelivered()
+    {
+        check("Transfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n0\r\n\r\n");
+    }
 
 private:
     void check(const std::string &framing, const std::string &body)
--- a/Tests/Platform/TestStreamsThatEndTooEarly.cpp
+++ b/Tests/Platform/TestStreamsThatEndTooEarly.cpp
@@ -1,5 +1,5 @@
-// Streams that end in order without what a whole one has: they were completed for the caller, empty or with the
-// events so far.
+// Streams that end in order without what a whole one has: they were completed for the caller, empty or with
+// the events so far.
 
 #include "FakeDeployment.h"
 
