LibGateway: Ask targets that limit their requests to stop with a permit

A stop request takes a permit now, like a replacement, and is tried for 400 ms; a target that has asked for a pause is still not asked.

--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -119,6 +119,8 @@
     // Sends a control request and records what the target says of itself in the answer. A target that backs
     // off or limits its requests is sent none, which counts as not connected.
     void sendControlRequest(const ForwardingTarget &, const ControlRequest &, HttpCallHandler);
+    // The same without a check whether the target takes requests.
+    void sendPermittedControlRequest(const ForwardingTarget &, const ControlRequest &, HttpCallHandler);
     // Adds the request's load to the run's target and, if the route uses copies, to a copy holder.
     void reserveLoad(TargetRun &);
     void completeStream(RunRole);
@@ -132,6 +134,8 @@
     // elsewhere.
     void stopAbandonedRun(const TargetProcess &);
     void sendStopRequest(const TargetProcess &, int tries);
+    // Whether the target may be sent a stop request now. Takes a permit if it limits its requests.
+    [[nodiscard]] bool maySendStopRequest(const TargetId &);
     void stopAnswered(const TargetProcess &, const HttpCallResult &, absl::Time askedAt);
     // A stop request may reach the target late, so that the request can't run there again.
     [[nodiscard]] bool isStopping(const TargetId &) const;
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -50,10 +50,16 @@
         });
         return;
     }
+    sendPermittedControlRequest(record, request, std::move(handler));
+}
+
+void ForwardSession::sendPermittedControlRequest(const ForwardingTarget &record,
+                                                 const ControlRequest &request, HttpCallHandler handler)
+{
     m_gatewayContext.connections.sendControlRequest(
         record, request, detail::copyTimeout,
-        [notices = std::weak_ptr(m_gatewayContext.notices), process = record.process(), sentAt = now,
-         handler = std::move(handler)](HttpCallResult result) {
+        [notices = std::weak_ptr(m_gatewayContext.notices), process = record.process(),
+         sentAt = monotonicNow(), handler = std::move(handler)](HttpCallResult result) {
             if (const auto recorder = notices.lock(); recorder && result)
                 recorder->record(process, result->head, sentAt, monotonicNow());
             handler(std::move(result));
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -56,8 +56,15 @@
         const auto *record = self->m_gatewayContext.targets.find(process.id);
         if (!record || record->process() != process)
             return;
+        if (!self->maySendStopRequest(process.id)) {
+            if (tries < detail::maxStopTries)
+                self->sendStopRequest(process, tries + 1);
+            else
+                self->stopAnswered(process, tl::unexpected(HttpFailure::NotConnected), monotonicNow());
+            return;
+        }
         self->m_stoppingTargets.push_back(process.id);
-        self->sendControlRequest(
+        self->sendPermittedControlRequest(
             *record,
             self->m_gatewayContext.dialect.makeStopRequest(self->m_routed.request.id,
                                                            self->m_run->process().address),
@@ -74,6 +81,15 @@
     });
 }
 
+bool ForwardSession::maySendStopRequest(const TargetId &id)
+{
+    const auto now = monotonicNow();
+    if (m_gatewayContext.targets.isBackingOff(id, now))
+        return false;
+    const auto *limit = m_gatewayContext.targets.limitOf(id);
+    return !limit || m_gatewayContext.limits.tryTake(*limit, now);
+}
+
 void ForwardSession::stopAnswered(const TargetProcess &process, const HttpCallResult &result,
                                   absl::Time askedAt)
 {
--- a/Tests/Platform/TestLimitedEngines.cpp
+++ b/Tests/Platform/TestLimitedEngines.cpp
@@ -26,7 +26,7 @@
     CPPUNIT_TEST(retriesNeedAPermit);
     CPPUNIT_TEST(replacementsNeedAPermit);
     CPPUNIT_TEST(copyRequestsAreNotSentToALimitedEngine);
-    CPPUNIT_TEST(stopRequestsAreNotSentToALimitedEngine);
+    CPPUNIT_TEST(stopRequestsTakeAPermit);
     CPPUNIT_TEST(malformedLimitIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -166,25 +166,32 @@
         CPPUNIT_ASSERT_EQUAL(before, engine(primary).requestCount());
     }
 
-    // A stream leaves a silent engine that limits its requests.
-    void stopRequestsAreNotSentToALimitedEngine()
+    // A stream leaves an engine that is silent, doesn't notice the close and takes one request in ten
+    // seconds.
+    void stopRequestsTakeAPermit()
     {
         m_engineState.eventsPerStream = 100;
         startRouters(1);
         m_address = m_routers[0].address;
         std::string primary;
         m_engineState.onRequest = [&](const std::string &id) { primary = id; };
-        setLimits("llm", "5");
+        for (const auto *id : {"llm-0", "llm-1", "llm-2", "llm-3"})
+            engine(id).setLimit("0");
         HttpResponse response;
         bool isDone = false;
         startCall("POST", "/stream/x", "long", "key", response, isDone);
         CPPUNIT_ASSERT(runUntil([&] { return !primary.empty() && !m_engineState.copies.empty(); }));
         m_engineState.onRequest = nullptr;
-        engine(primary).stallStreamsFor(2500ms);
+        for (const auto *id : {"llm-0", "llm-1", "llm-2", "llm-3"}) {
+            if (id != primary)
+                engine(id).setLimit("");
+        }
+        engine(primary).setIgnoresCloses(true);
+        engine(primary).stallStreamsFor(2800ms);
         CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
         CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
         CPPUNIT_ASSERT_EQUAL(2, m_engineState.acceptedByRequest["long"]);
-        CPPUNIT_ASSERT_EQUAL(0, m_engineState.stopRequests);
+        CPPUNIT_ASSERT_EQUAL(1, m_engineState.stopRequests);
     }
 
     void malformedLimitIsIgnored()
