LibForwarding: Count silences of two seconds as sound

A run without events whose target accepts no connections keeps the 1.5 s from its start, so that it is replaced within 1.6 s (TestRunsGivenUpForUnstartedOnes).

TestForwardedRequestOrders asserts 2.2 s accordingly, and 1.5 s for the latter runs.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -84,11 +84,10 @@
     if (timeLeft < detail::minUsefulTime)
         return false;
     const Run run{.startedAt = now, .lastEventAt = now, .nextProbeAt = now + firstProbeDelay};
-    if (role == RunRole::Current) {
+    if (role == RunRole::Current)
         m_current = run;
-    } else {
+    else
         m_replacement = run;
-    }
     // The host may report that it found no target while it performs StartAttempt, which sets the timer anew.
     setTimer(now);
     m_actions.emplace_back(ForwardingActions::StartAttempt{.number = ++m_lastAttemptNumber,
@@ -175,11 +174,13 @@
     const auto soundSilence = std::max(longestSoundSilence, m_parameters.maxEventGap);
     if (run.hasEvents)
         return run.lastEventAt + soundSilence;
-    // The expected time is a guess, and the prompt takes as long elsewhere.
-    auto at = run.firstEventDeadline + (run.firstEventDeadline - run.startedAt);
-    if (run.unreachableSince)
-        at = std::min(at, *run.unreachableSince + longestUnreachableTime);
-    return std::max(at, run.startedAt + soundSilence);
+    // The expected time is rough, and the prompt takes as long elsewhere.
+    const auto at = std::max(run.firstEventDeadline + (run.firstEventDeadline - run.startedAt),
+                             run.startedAt + soundSilence);
+    if (!run.unreachableSince)
+        return at;
+    return std::min(
+        at, std::max(*run.unreachableSince + longestUnreachableTime, run.startedAt + shortestUnreachableRun));
 }
 
 absl::Time ForwardedRequest::earliestRecomputation() const
@@ -476,11 +477,10 @@
         setTimer(now);
         return;
     }
-    if (m_replacement) {
+    if (m_replacement)
         cancelReplacement(TargetFault::Unresponsive);
-    } else {
+    else
         m_actions.emplace_back(ForwardingActions::ReportSuspicion{m_suspicion});
-    }
     m_overlapDeadline = now + maxRunOverlap;
     startReplacement(now);
 }
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -325,11 +325,13 @@
     static constexpr absl::Duration forbiddenRunOverlap = absl::Milliseconds(400);
     // The difference is for the close of a connection to reach its target, and for a busy event loop.
     static constexpr absl::Duration maxRunOverlap = absl::Milliseconds(250);
-    // Sound targets may be silent for a second or so and go on. A run that has been silent for longer is
-    // given up for a replacement that was not rejected.
-    static constexpr absl::Duration longestSoundSilence = absl::Milliseconds(1500);
-    // A target that accepts no connections for this long before the first event counts as silent, too.
+    // Sound targets may be silent for a second or two and go on. A run that has been silent for longer than
+    // this, and than the maximum event gap, is overdue.
+    static constexpr absl::Duration longestSoundSilence = absl::Milliseconds(2200);
+    // A run without events is overdue, too, when its target has accepted no connections for this long, but
+    // not in the first time after its start.
     static constexpr absl::Duration longestUnreachableTime = absl::Milliseconds(600);
+    static constexpr absl::Duration shortestUnreachableRun = absl::Milliseconds(1500);
     // Interval at which a replacement is looked for again while there is none. The running attempt may still
     // go on by itself. Long enough that a target notices the end of its run before the next one starts.
     static constexpr absl::Duration replacementInterval = absl::Milliseconds(200);
@@ -415,11 +417,10 @@
     void endOverlap(absl::Time now);
     // The replacement, which may have been executed, has ended and the current run goes on.
     void delayNextReplacement(absl::Time now);
-    // When the current run has been silent for so long that a replacement which was reached is the better
-    // one.
+    // When the current run has been silent for too long, or has taken twice the time that it was given for
+    // its first event. From then on it is given up for a replacement that has reached its target.
     [[nodiscard]] absl::Time overdueAt() const;
-    // Until then, the silence of the current run says little, and only a copy lets another one take over in
-    // time.
+    // Until then, only a replacement that resumes from a copy can take over within the overlap.
     [[nodiscard]] absl::Time earliestRecomputation() const;
     // Before this time, no replacement is looked for.
     [[nodiscard]] absl::Time earliestReplacement() const;
@@ -453,7 +454,7 @@
     std::optional<EventNumber> m_lastEvent;
     Run m_current;
     std::optional<Run> m_replacement;
-    // When the overlap with the replacement ends. Stays the same for one that is started in place of another.
+    // When the overlap with the latest replacement ends, or ended.
     absl::Time m_overlapDeadline{absl::InfiniteFuture()};
     // Why a replacement is looked for.
     TargetFault m_suspicion{TargetFault::Unresponsive};
--- a/Tests/LibForwarding/TestForwardedRequestOrders.cpp
+++ b/Tests/LibForwarding/TestForwardedRequestOrders.cpp
@@ -231,11 +231,12 @@
     // Until then, a sound engine may show nothing of the run.
     absl::Time soundUntil(const Run &run) const
     {
-        const bool mayPrefill = !run.hasEvents && !run.isSuspected;
+        if (!run.hasEvents && run.isSuspected)
+            return run.lastProgressAt + ForwardedRequest::shortestUnreachableRun;
         const auto prefillTime = ForwardedRequest::firstEventTimeoutFactor * run.timeToFirstEvent;
         return run.lastProgressAt
             + std::max(ForwardedRequest::longestSoundSilence,
-                       mayPrefill ? prefillTime : absl::ZeroDuration());
+                       run.hasEvents ? absl::ZeroDuration() : prefillTime);
     }
 
     // The current run is cancelled for its replacement.
