--- a/Specs/StreamHandover.pml
+++ b/Specs/StreamHandover.pml
@@ -203,7 +203,11 @@
     :: false -> skip
 #else
     if
+#ifdef MUTANT_HEAD_OF_QUEUED_RUN
     :: isAccepted || silence >= LONGEST_SOUND_SILENCE -> giveUpForSlowReplacement()
+#else
+    :: silence >= LONGEST_SOUND_SILENCE -> giveUpForSlowReplacement()
+#endif
 #endif
 #endif
     :: else ->
