LibGateway: Don't ask the target of a lost run to stop it

A run that ends after a bad answer is left open: its target may not notice that its connection was closed.

--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -226,9 +226,6 @@
     if (fault == TargetFault::Gone)
         m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
     noteFault(run, fault);
-    // The target may live on: its connection may have been reset or timed out on the way.
-    if (fault != TargetFault::Gone)
-        stopAbandonedRun(run.process());
     if (role == RunRole::Replacement)
         m_replacement.reset();
     handle(ForwardingEvents::AttemptLost{fault, role});
