--- a/Tests/Soak/StreamOverlaps.h
+++ b/Tests/Soak/StreamOverlaps.h
@@ -14,7 +14,7 @@
 class StreamOverlaps
 {
 public:
-    // Source: the users' rules.
+    // What the users forbid.
     static constexpr absl::Duration bound = absl::Milliseconds(400);
 
     // An engine worked on a stream between the two times.
