--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -547,10 +547,11 @@
                     "resumable": True, "gapAimMs": 700} | extra)
 
 
-def stream_request(target, request_id, number, fields=()):
-    return request("POST", target, request_id, b"x" * 500, 25000,
-                   [("Model", "m"), ("Token-Counts", "500,200"),
-                    ("Prompt-Prefix", f"5c1e07a2:200,{number:08x}:300"), ("Length-Hint", "60"), *fields])
+def stream_request(target, request_id, number, fields=(), tokens=(500, 200)):
+    return request("POST", target, request_id, b"x" * tokens[0], 25000,
+                   [("Model", "m"), ("Token-Counts", f"{tokens[0]},{tokens[1]}"),
+                    ("Prompt-Prefix", f"5c1e07a2:200,{number:08x}:{tokens[0] - 200}"), ("Length-Hint", "60"),
+                    *fields])
 
 
 class Heartbeats:
