LibGateway: Ask the targets of lost runs to stop them

Cause: a target learned of the end of its run by the close of the connection alone. The same was missing where the next attempt waits for a permit, where the target's entry is gone, where a service can move runs but keeps no copies, and where the answer to the stop request was lost.

Now each lost run is followed by a stop request unless its target has ended its answer (hasAnswerEnded()), which shows that it isn't at work.

Checks: TestAnswersThatEndWithTheirConnection, TestStreamsThatEndTooEarly and TestCutHeadsOfEngines counted each request that reached a stand-in, and so a stop request as a second run. FakeClosingPeer counts control requests apart; that the stand-in gets one run is asserted as before. Its HalfClose reads on, as its comment says; it closed with unread bytes, which is a reset. HalfCloseThenClose does that now.

--- a/Libraries/LibForwarding/TrafficConfiguration.h
+++ b/Libraries/LibForwarding/TrafficConfiguration.h
@@ -72,6 +72,8 @@
     int slots{0};
     // The engine can send a copy of a running generation's KV cache to another engine.
     bool supportsCopies{false};
+    // The engine can be asked to stop a running generation.
+    bool canStopRuns{false};
 };
 
 struct ForwardedService
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -36,11 +36,17 @@
     return "unknown";
 }
 
+// What a control request to the process needs.
+ForwardingTarget targetOf(const TargetProcess &process)
+{
+    return {.id = process.id, .address = process.address, .startedAtMs = process.startedAtMs};
+}
+
 } // namespace detail
 
 void ForwardSession::stopAbandonedRun(const TargetProcess &process)
 {
-    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.supportsCopies)
+    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.canStopRuns)
         sendStopRequest(process, 1);
 }
 
@@ -51,10 +57,16 @@
     // The gateway, and with it the context, may end before the timer.
     timer->async_wait([self = shared_from_this(), timer, gateway = std::weak_ptr(m_gatewayContext.notices),
                        process, tries](const auto &ec) {
-        if (ec || gateway.expired() || !self->m_run || self->isRunningAt(process))
+        if (ec || gateway.expired() || self->m_isOutcomeLogged || self->isRunningAt(process))
             return;
-        const auto *record = self->m_gatewayContext.targets.find(process.id);
-        if (!record || record->process() != process)
+        if (!self->m_run) {
+            // The next attempt waits for a permit. The request would name its target.
+            self->sendStopRequest(process, tries);
+            return;
+        }
+        // A target that is no longer listed may still work.
+        if (const auto *record = self->m_gatewayContext.targets.find(process.id);
+            record && record->process() != process)
             return;
         if (!self->maySendStopRequest(process.id)) {
             if (tries < detail::maxStopTries)
@@ -65,7 +77,7 @@
         }
         self->m_stoppingTargets.push_back(process.id);
         self->sendPermittedControlRequest(
-            *record,
+            detail::targetOf(process),
             self->m_gatewayContext.dialect.makeStopRequest(self->m_routed.request.id,
                                                            self->m_run->process().address),
             [self, gateway, process, tries, askedAt = monotonicNow()](const HttpCallResult &result) {
@@ -73,7 +85,11 @@
                     return;
                 const bool isBusy = result
                     && self->m_gatewayContext.dialect.parseStopResponse(*result).outcome == StopOutcome::Busy;
-                if (isBusy && tries < detail::maxStopTries)
+                // A target that loses answers may have lost this one.
+                const bool isLost = !result
+                    && (result.error() == HttpFailure::ConnectionLost
+                        || result.error() == HttpFailure::BadAnswer);
+                if ((isBusy || isLost) && tries < detail::maxStopTries)
                     self->sendStopRequest(process, tries + 1);
                 else
                     self->stopAnswered(process, result, askedAt);
@@ -104,11 +120,10 @@
          {"outcome", outcome},
          {"status", result ? result->head.status : 0},
          {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - askedAt)}});
-    const auto *record = m_gatewayContext.targets.find(process.id);
-    if (response.handle.empty() || !record)
+    if (response.handle.empty())
         return;
     // NOTE: The response is ignored because a copy that is not released expires on its own.
-    sendControlRequest(*record, m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
+    sendControlRequest(detail::targetOf(process), m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
                        [](const HttpCallResult &) {});
 }
 
@@ -221,6 +236,7 @@
         {{"target", run.target().value()},
          {"fault", targetFaultName(fault)},
          {"replacement", role == RunRole::Replacement},
+         {"answer_ended", run.hasAnswerEnded()},
          {"events", run.eventCount()},
          {"writing_ms", absl::ToInt64Milliseconds(run.writingTime(monotonicNow()))},
          {"parts", partNames(m_routed.request.sharedParts)}});
@@ -230,6 +246,9 @@
     if (fault == TargetFault::Gone)
         m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
     noteFault(run, fault);
+    // The target may work on: its connection may have been reset on the way, or closed for what it sent.
+    if (fault != TargetFault::Gone && !run.hasAnswerEnded())
+        stopAbandonedRun(run.process());
     if (role == RunRole::Replacement)
         m_replacement.reset();
     handle(ForwardingEvents::AttemptLost{fault, role});
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -60,6 +60,8 @@
     void answerFailed(HttpFailure) override;
     // Plain responses are passed on when they are complete; a stream that waits would look silent.
     [[nodiscard]] bool canWaitForRoom() const override { return !m_isStream; }
+    // The target has ended its answer, if not as it should have. It is no longer at work on the request.
+    [[nodiscard]] bool hasAnswerEnded() const { return m_hasAnswerEnded; }
     // The rest of the response may wait in the socket for room in the memory account, so that its delay says
     // nothing about the target.
     [[nodiscard]] bool isWaitingForRoom() const
@@ -86,6 +88,7 @@
     MemoryReservation m_reservation;
     ResponseClass m_responseClass{ResponseClass::Untrusted};
     bool m_isStream{false};
+    bool m_hasAnswerEnded{false};
     EventSplitter m_splitter;
 };
 
--- a/Libraries/LibGateway/TargetRun.h
+++ b/Libraries/LibGateway/TargetRun.h
@@ -46,6 +46,8 @@
 
     void setAttempt(std::shared_ptr<TargetAttempt> attempt) { m_attempt = std::move(attempt); }
     [[nodiscard]] const std::shared_ptr<TargetAttempt> &attempt() const { return m_attempt; }
+    // The target has ended its answer, so that it is no longer at work.
+    [[nodiscard]] bool hasAnswerEnded() const { return m_attempt && m_attempt->hasAnswerEnded(); }
     // Closes the attempt's connection. The load stays until the run is destroyed.
     void cancel();
 
--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -160,6 +160,27 @@
         endRun(it);
 }
 
+void FakeEngine::loseStreams()
+{
+    const auto running = m_running;
+    for (const auto &[key, stream] : running) {
+        const auto connection = stream.connection.lock();
+        if (connection)
+            connection->abort();
+        if (!m_ignoresCloses)
+            endRun(key);
+    }
+}
+
+void FakeEngine::sendWrongEvents()
+{
+    const auto running = m_running;
+    for (const auto &[key, stream] : running) {
+        if (const auto connection = stream.connection.lock())
+            connection->writeStream(detail::eventText(m_engineState.eventsPerStream + 1));
+    }
+}
+
 FakeEngine::StartDelays FakeEngine::startDelays() const
 {
     auto out = std::chrono::steady_clock::now() < m_startsDelayedUntil ? m_startDelays : StartDelays{};
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -23,6 +23,9 @@
 
 namespace Wisteria {
 
+// Begin of a request to copy or to stop a run.
+inline constexpr const char *fakeMoveRequest = "POST /-/kv-move ";
+
 // State that all engines of a test share: their settings, KV cache copies and counts of runs.
 struct FakeEngineState
 {
@@ -125,6 +128,10 @@
     void stallStreamsFor(std::chrono::milliseconds);
     // While set, the engine goes on with streams whose connection has closed. It drops them afterwards.
     void setIgnoresCloses(bool);
+    // Closes the connections of its streams, and works on if it ignores closes.
+    void loseStreams();
+    // Sends an event on each of its streams that can't follow the ones before.
+    void sendWrongEvents();
     // Streams that begin within this time have their head and their first event later by so much.
     struct StartDelays
     {
--- a/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
+++ b/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
@@ -189,3 +189,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(TestAnswersThatEndWithTheirConnection);
 
 } // namespace Wisteria
+        m_peer->setControlRequest(fakeMoveRequest);
--- a/Tests/Platform/TestCutHeadsOfEngines.cpp
+++ b/Tests/Platform/TestCutHeadsOfEngines.cpp
@@ -144,6 +144,7 @@
     {
         endRouter(m_gateway, m_client);
         m_peer = std::make_unique<FakeClosingPeer>(*m_context, "", FakeEnding::Close);
+        m_peer->setControlRequest(fakeMoveRequest);
         for (const auto &[id, engine] : m_engines) {
             if (removed.find(id) != std::string::npos)
                 m_store->remove("servers", id);
--- a/Tests/Platform/TestStreamsThatEndTooEarly.cpp
+++ b/Tests/Platform/TestStreamsThatEndTooEarly.cpp
@@ -87,6 +87,7 @@
     std::unique_ptr<FakeClosingPeer> startPeer(const std::string &id, const std::string &answer)
     {
         auto peer = std::make_unique<FakeClosingPeer>(*m_context, answer, FakeEnding::Close);
+        peer->setControlRequest(fakeMoveRequest);
         m_engines[id]->setPublishedAddress(peer->address());
         m_store->put("servers", id, m_engines[id]->storeRecord());
         return peer;
--- a/Tests/Platform/TestTwoRunsOfOneStream.cpp
+++ b/Tests/Platform/TestTwoRunsOfOneStream.cpp
@@ -1,11 +1,15 @@
 // A stream went on at another engine while the engine before was silent but still worked on it, and both
-// worked on it for as long as the replacement took to its first event.
+// worked on it for as long as the replacement took to its first event. The same when the first engine lost
+// its answer, or sent bytes that were none, and worked on: it was never asked to stop.
 
 #include "FakeDeployment.h"
 
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+#include <string>
+
 namespace Wisteria {
 
 class TestTwoRunsOfOneStream : public FakeDeployment
@@ -19,6 +23,10 @@
     CPPUNIT_TEST(firstEventIsLate);
     CPPUNIT_TEST(silentEngineIgnoresTheCloseOfItsConnection);
     CPPUNIT_TEST(silentReplacementIgnoresTheCloseOfItsConnection);
+    CPPUNIT_TEST(engineWorksOnAfterItsAnswersAreLost);
+    CPPUNIT_TEST(unlistedEngineWorksOnAfterItsAnswersAreLost);
+    CPPUNIT_TEST(engineWorksOnAfterWrongEvents);
+    CPPUNIT_TEST(engineWorksOnAfterItsAnswersAreLostBeforeTheirFirstEvents);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +106,49 @@
         checkStreams();
     }
 
+    void engineWorksOnAfterItsAnswersAreLost()
+    {
+        startStreamsThatIgnoreCloses();
+        for (const auto &it : m_engineState.runs.spans())
+            m_engines.at(it.engine)->loseStreams();
+        checkStreams();
+        CPPUNIT_ASSERT_EQUAL(calls, m_engineState.stoppedRuns);
+    }
+
+    void unlistedEngineWorksOnAfterItsAnswersAreLost()
+    {
+        startStreamsThatIgnoreCloses();
+        std::set<std::string> engines;
+        for (const auto &it : m_engineState.runs.spans())
+            engines.insert(it.engine);
+        for (const auto &it : engines)
+            m_store->remove("servers", it);
+        m_context->run_for(std::chrono::milliseconds(100));
+        for (const auto &it : engines)
+            m_engines.at(it)->loseStreams();
+        checkStreams();
+        CPPUNIT_ASSERT_EQUAL(calls, m_engineState.stoppedRuns);
+    }
+
+    void engineWorksOnAfterWrongEvents()
+    {
+        startStreamsThatIgnoreCloses();
+        for (const auto &it : m_engineState.runs.spans())
+            m_engines.at(it.engine)->sendWrongEvents();
+        checkStreams();
+        CPPUNIT_ASSERT_EQUAL(calls, m_engineState.stoppedRuns);
+    }
+
+    void engineWorksOnAfterItsAnswersAreLostBeforeTheirFirstEvents()
+    {
+        m_engineState.firstEventDelay = std::chrono::milliseconds(300);
+        startStreamsThatIgnoreCloses();
+        for (const auto &it : m_engineState.runs.spans())
+            m_engines.at(it.engine)->loseStreams();
+        checkStreams();
+        CPPUNIT_ASSERT_EQUAL(calls, m_engineState.stoppedRuns);
+    }
+
 private:
     static constexpr int calls = 8;
     // The stated limit of two runs side by side.
@@ -138,6 +189,14 @@
         m_context->run_for(std::chrono::milliseconds(100));
     }
 
+    void startStreamsThatIgnoreCloses()
+    {
+        for (const auto &[id, engine] : m_engines)
+            engine->setIgnoresCloses(true);
+        m_engineState.eventsPerStream = 120;
+        startStreams();
+    }
+
     // Whichever engines the streams began at.
     void pauseFirst(std::chrono::milliseconds time)
     {
--- a/Tests/Support/FakeClosingPeer.h
+++ b/Tests/Support/FakeClosingPeer.h
@@ -15,14 +15,17 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Wisteria {
 
 enum class FakeEnding {
     Close,
     Reset,
-    // The peer sends no more, and closes when the other side does.
+    // The peer sends no more, reads on, and closes when the other side does.
     HalfClose,
+    // The peer sends no more and closes at once. What it has not read makes its machine reset the connection.
+    HalfCloseThenClose,
     // Nothing listens any more when the connection is closed.
     CloseWithProcess,
 };
@@ -49,8 +52,16 @@
     void setPause(std::chrono::milliseconds pause) { m_pause = pause; }
     // Sent on each connection for its first request, and the answer for its second one.
     void setAnswerBefore(std::string answer) { m_answerBefore = std::move(answer); }
-    // Requests that have come.
+    // Requests that begin with this text are counted apart: they don't ask for the answer. They get it all
+    // the same if no other one is set for them.
+    void setControlRequest(std::string begin, std::string answer = "")
+    {
+        m_controlRequest = std::move(begin);
+        m_controlAnswer = std::move(answer);
+    }
+    // Requests that have come, but for control requests.
     [[nodiscard]] int requestCount() const { return m_requestCount; }
+    [[nodiscard]] int controlRequestCount() const { return m_controlRequestCount; }
 
 private:
     struct Connection
@@ -63,6 +74,8 @@
         boost::asio::ip::tcp::socket socket;
         boost::asio::steady_timer timer;
         std::array<char, 16384> buf{};
+        // Bytes of the latest read.
+        std::size_t received{0};
     };
 
     void accept()
@@ -86,15 +99,25 @@
     static void read(const std::shared_ptr<Connection> &connection, Next next)
     {
         connection->socket.async_read_some(boost::asio::buffer(connection->buf),
-                                           [connection, next](const auto &ec, std::size_t) {
+                                           [connection, next](const auto &ec, std::size_t n) {
+                                               connection->received = n;
                                                if (!ec)
                                                    next();
                                            });
     }
 
+    // Returns whether this is a control request.
+    bool count(const Connection &connection)
+    {
+        const std::string_view request(connection.buf.data(), connection.received);
+        const bool isControl = !m_controlRequest.empty() && request.starts_with(m_controlRequest);
+        ++(isControl ? m_controlRequestCount : m_requestCount);
+        return isControl;
+    }
+
     void answerAndKeep(const std::shared_ptr<Connection> &connection)
     {
-        ++m_requestCount;
+        count(*connection);
         boost::asio::async_write(connection->socket, boost::asio::buffer(m_answerBefore),
                                  [this, connection](const auto &ec, std::size_t) {
                                      if (!ec)
@@ -104,11 +127,17 @@
 
     void answer(const std::shared_ptr<Connection> &connection)
     {
-        ++m_requestCount;
-        boost::asio::async_write(connection->socket, boost::asio::buffer(m_answer),
+        const bool isControl = count(*connection);
+        const auto &answer = isControl && !m_controlAnswer.empty() ? m_controlAnswer : m_answer;
+        boost::asio::async_write(connection->socket, boost::asio::buffer(answer),
                                  [this, connection](const auto &, std::size_t) { endLater(connection); });
     }
 
+    static void readToEnd(const std::shared_ptr<Connection> &connection)
+    {
+        read(connection, [connection] { readToEnd(connection); });
+    }
+
     void endLater(const std::shared_ptr<Connection> &connection)
     {
         if (m_pause.count() == 0) {
@@ -125,9 +154,11 @@
         boost::system::error_code ignored;
         if (m_ending == FakeEnding::HalfClose) {
             socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-            read(connection, [] {});
+            readToEnd(connection);
             return;
         }
+        if (m_ending == FakeEnding::HalfCloseThenClose)
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
         if (m_ending == FakeEnding::CloseWithProcess)
             m_acceptor.close(ignored);
         if (m_ending == FakeEnding::Reset)
@@ -141,7 +172,10 @@
     FakeEnding m_ending;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_address{absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port())};
+    std::string m_controlRequest;
+    std::string m_controlAnswer;
     int m_requestCount{0};
+    int m_controlRequestCount{0};
 };
 
 } // namespace Wisteria
