LibGateway: Send each control request on a connection of its own

Cause: an engine may write an answer once more, late, where the next one on the connection is due. Answers to control requests carry no id, but were awaited on kept connections, so that a copy of one run was noted for another one, which went on from it after a crash.

Evidence: LibGateway/TestControlRequests failed before: "expected /copy-2, actual /copy-1" behind another control request, "expected /copy-1, actual /request" behind a caller's request.

The first answer on a new connection can't belong to an earlier request, whatever the engine echoes. The connection is closed after the answer, so that a late copy of it meets no request.

--- a/Libraries/LibGateway/TargetConnections.cpp
+++ b/Libraries/LibGateway/TargetConnections.cpp
@@ -10,7 +10,7 @@
 
 // A connection is closed when sent data stays unacknowledged for this long. A target may be silent for a
 // second or two and go on; an attempt that can be replaced is replaced earlier.
-constexpr absl::Duration unacknowledgedTimeout = absl::Seconds(4);
+constexpr SocketLimits socketLimits{.unacknowledged = absl::Seconds(4)};
 
 // Responses to control requests are small JSON objects.
 constexpr std::size_t maxControlResponseBytes = std::size_t{64} * 1024;
@@ -26,10 +26,8 @@
             return nullptr;
         if (entry.pool)
             entry.pool->closeIdle();
-        entry =
-            Entry{record.address, record.startedAtMs,
-                  std::make_shared<HttpPool>(m_context, *endpoint,
-                                             SocketLimits{.unacknowledged = detail::unacknowledgedTimeout})};
+        entry = Entry{record.address, record.startedAtMs,
+                      std::make_shared<HttpPool>(m_context, *endpoint, detail::socketLimits)};
     }
     return entry.pool->take(now);
 }
@@ -76,17 +74,23 @@
 void TargetConnections::sendControlRequest(const ForwardingTarget &record, const ControlRequest &request,
                                            absl::Duration timeout, HttpCallHandler handler)
 {
-    auto connection = take(record, monotonicNow());
-    if (!connection) {
+    const auto endpoint = parseEndpoint(record.address);
+    if (!endpoint) {
         handler(tl::unexpected(HttpFailure::NotConnected));
         return;
     }
+    const auto connection =
+        std::make_shared<HttpClientConnection>(m_context, *endpoint, detail::socketLimits);
     HttpFields fields;
     fields.set("Host", record.address);
     if (!request.body.empty())
         fields.set("Content-Type", "application/json");
     callHttp(m_context, connection, serializeRequest(request.method, request.path, fields, request.body),
-             timeout, detail::maxControlResponseBytes, std::move(handler));
+             timeout, detail::maxControlResponseBytes,
+             [connection, handler = std::move(handler)](HttpCallResult result) {
+                 connection->cancel();
+                 handler(std::move(result));
+             });
 }
 
 void TargetConnections::remove(const TargetId &id)
--- a/Libraries/LibGateway/TargetConnections.h
+++ b/Libraries/LibGateway/TargetConnections.h
@@ -28,7 +28,8 @@
     [[nodiscard]] std::shared_ptr<HttpClientConnection> take(const ForwardingTarget &, absl::Time now);
     // Checks whether the target accepts connections.
     void probe(const ForwardingTarget &, std::function<void(ProbeResult)>);
-    // Sends the request on a pooled connection.
+    // Sends the request on a connection of its own. Answers to control requests don't say which request they
+    // belong to, and on a kept connection a late copy of an earlier answer may come first.
     void sendControlRequest(const ForwardingTarget &, const ControlRequest &, absl::Duration timeout,
                             HttpCallHandler);
     void remove(const TargetId &);
