LibForwarding: Don't pass on a status that denies an executed request

Cause: an engine that has run a request and failed may answer 408, 429 or 503 with its seal and without Not-Executed. The response was classified as executed, rightly, and then passed on whatever its status said.

On routes that run once, and for streams that can't be resumed, such a response becomes a 502 of the router's own, which promises nothing. It goes out without the engine's seal, since a sealed failure has the engine's status.

--- a/Libraries/LibForwarding/ForwardedRequest.cpp
+++ b/Libraries/LibForwarding/ForwardedRequest.cpp
@@ -8,6 +8,9 @@
 
 namespace detail {
 
+constexpr int statusRequestTimeout = 408;
+constexpr int statusMisdirected = 421;
+constexpr int statusTooManyRequests = 429;
 constexpr int statusBadGateway = 502;
 constexpr int statusServiceUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
@@ -15,6 +18,13 @@
 // Minimum remaining time for starting an attempt: a connect and one round trip to another failure domain.
 constexpr absl::Duration minUsefulTime = absl::Milliseconds(10);
 
+// Callers take these for a promise that the request has not run and never will, and send it again.
+bool promisesNonExecution(int status)
+{
+    return status == statusRequestTimeout || status == statusMisdirected || status == statusTooManyRequests
+        || status == statusServiceUnavailable;
+}
+
 } // namespace detail
 
 std::string_view refusalReasonName(RefusalReason reason)
@@ -38,6 +48,8 @@
         return "timed_out";
     case RefusalReason::ResponseLost:
         return "answer_lost";
+    case RefusalReason::MisleadingResponse:
+        return "misleading_answer";
     case RefusalReason::PromptBarred:
         return "prompt_barred";
     case RefusalReason::Stopping:
@@ -423,6 +435,11 @@
 void ForwardedRequest::on(const ForwardingEvents::ResponseReceived &event, absl::Time now)
 {
     m_mayHaveExecuted = true;
+    // The target has executed the request. A caller that believed the status would have it executed twice.
+    if (!isRetryable(m_parameters.kind) && detail::promisesNonExecution(event.status)) {
+        fail(RefusalReason::MisleadingResponse);
+        return;
+    }
     const bool isError = event.status >= detail::firstServerError;
     if (!isError && !m_hasResponseStarted) {
         keepOnly(event.role, now);
--- a/Libraries/LibForwarding/ForwardedRequest.h
+++ b/Libraries/LibForwarding/ForwardedRequest.h
@@ -180,6 +180,8 @@
     RetryBudgetExhausted,
     TimedOut,
     ResponseLost,
+    // The response of the target that executed the request would say that it was not executed.
+    MisleadingResponse,
     PromptBarred,
     Stopping,
 };
--- a/Tests/LibForwarding/TestForwardedRequest.cpp
+++ b/Tests/LibForwarding/TestForwardedRequest.cpp
@@ -81,6 +81,8 @@
     CPPUNIT_TEST(requestThatWaitsForAPermitIsRejectedAsNotRun);
     CPPUNIT_TEST(runIsTimedFromItsPermit);
     CPPUNIT_TEST(routeTimeoutYields504);
+    CPPUNIT_TEST(executedRequestIsNotReportedAsNotRun);
+    CPPUNIT_TEST(otherFailuresOfTargetsAreDelivered);
     CPPUNIT_TEST(failedIdempotentRequestIsRetriedThenDelivered);
     CPPUNIT_TEST(stalledIdempotentAttemptIsRetried);
     CPPUNIT_TEST(stalledIdempotentAttemptContinuesWithoutBudget);
@@ -265,6 +267,38 @@
         CPPUNIT_ASSERT_EQUAL(504, refusal->status);
     }
 
+    // Callers took the status for a promise, sent the request again and had it executed twice.
+    void executedRequestIsNotReportedAsNotRun()
+    {
+        auto singleRunStream = detail::streamParameters();
+        singleRunStream.kind = RouteKind::AtMostOnceStream;
+        for (const auto &parameters : {detail::nonIdempotentParameters(), singleRunStream}) {
+            for (const int status : {408, 421, 429, 503}) {
+                detail::FixedRetryBudget budget(detail::ampleRetries);
+                ForwardedRequest request(parameters, budget, m_start);
+                (void)request.begin(m_start);
+                const auto actions = request.handle(ForwardingEvents::ResponseReceived{status}, m_start);
+                const auto *refusal = detail::findAction<ForwardingActions::Refuse>(actions);
+                CPPUNIT_ASSERT(refusal && !refusal->isNotExecuted && !refusal->retryAfter);
+                CPPUNIT_ASSERT_EQUAL(502, refusal->status);
+                CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::SendResponse>(actions));
+                CPPUNIT_ASSERT(!detail::findAction<ForwardingActions::StartAttempt>(actions));
+                CPPUNIT_ASSERT(request.isFinished());
+            }
+        }
+    }
+
+    void otherFailuresOfTargetsAreDelivered()
+    {
+        for (const int status : {400, 404, 500, 502, 504}) {
+            detail::FixedRetryBudget budget(detail::ampleRetries);
+            ForwardedRequest request(detail::nonIdempotentParameters(), budget, m_start);
+            (void)request.begin(m_start);
+            const auto actions = request.handle(ForwardingEvents::ResponseReceived{status}, m_start);
+            CPPUNIT_ASSERT(detail::findAction<ForwardingActions::SendResponse>(actions));
+        }
+    }
+
     void failedIdempotentRequestIsRetriedThenDelivered()
     {
         detail::FixedRetryBudget budget(detail::ampleRetries);
