LibNet: Accept no transfer coding but chunked alone

Cause: the check took the text behind the last comma for the last coding, while the parser stops at a parameter, a quote or a space and found no chunks. It read the body as empty, or with the length that a Content-Length beside it named.

Evidence: TestHttp::bodiesWithoutAnEndAreRefused and unknownCodingsBesideALengthAreRefused failed before, at "x;v=1, chunked".

Only one field with `chunked` alone is accepted now, and only if the parser found it, too; so no text is left on which the two can differ. The client side, which had this rule for answers, shares the function.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -47,18 +47,6 @@
     return absl::Seconds(seconds);
 }
 
-// Requests ask for no transfer coding, and `chunked` is the only one that needs no asking. The parser reads
-// other ones as a body that ends with its connection.
-bool hasUnknownTransferCoding(const HttpFields &fields)
-{
-    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
-    if (first == last)
-        return false;
-    const auto coding = first->value();
-    return std::next(first) != last
-        || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(abslView(stdView(coding))), "chunked");
-}
-
 } // namespace detail
 
 ErrorOr<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
@@ -268,7 +256,9 @@
         resetParser();
         return false;
     }
-    if (detail::hasUnknownTransferCoding(message)) {
+    // Requests ask for no transfer coding, and `chunked` is the only one that needs no asking. The parser
+    // reads other ones as a body that ends with its connection.
+    if (hasUnknownTransferCoding(message)) {
         failBadAnswer("unknown transfer coding");
         return false;
     }
--- a/Libraries/LibNet/HttpMessage.cpp
+++ b/Libraries/LibNet/HttpMessage.cpp
@@ -5,11 +5,13 @@
 #include <LibCore/Views.h>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
 #include <boost/beast/http/status.hpp>
 
+#include <iterator>
 #include <vector>
 
 namespace Wisteria {
@@ -63,6 +65,16 @@
         fields.erase(detail::beastView(it));
 }
 
+bool hasUnknownTransferCoding(const HttpFields &fields)
+{
+    const auto [first, last] = fields.equal_range(boost::beast::http::field::transfer_encoding);
+    if (first == last)
+        return false;
+    const auto coding = first->value();
+    return std::next(first) != last
+        || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(abslView(stdView(coding))), "chunked");
+}
+
 std::string serializeRequestHead(std::string_view method, std::string_view target, const HttpFields &fields,
                                  std::size_t bodyBytes)
 {
--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -42,6 +42,10 @@
 // names included, and the framing of the body.
 void removeConnectionFields(HttpFields &);
 
+// Whether the transfer coding is another one than `chunked` alone. Lists and parameters count as unknown,
+// too: parsers differ in where they find the last coding of them (RFC 9112, sections 6.1 and 7).
+[[nodiscard]] bool hasUnknownTransferCoding(const HttpFields &);
+
 enum class ConnectionUse { Keep, Close };
 
 // "METHOD target HTTP/1.1" with fields, body length and body.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -135,17 +134,14 @@
 
 namespace detail {
 
-// A body whose last transfer coding isn't `chunked` has no end that could be found (RFC 9112, section 6.3).
-bool hasUnknownFraming(const HttpFields &fields)
+// The parser must have understood the transfer coding as it is checked here. A body whose end the two see at
+// different places hides a request (RFC 9112, sections 6.3 and 11.2).
+template <typename Parser>
+bool hasUnknownFraming(const Parser &parser)
 {
-    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
-    if (first == last)
-        return false;
-    const auto codings = std::prev(last)->value();
-    const absl::string_view text(codings.data(), codings.size());
-    const auto comma = text.rfind(',');
-    const auto lastCoding = comma == absl::string_view::npos ? text : text.substr(comma + 1);
-    return !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(lastCoding), "chunked");
+    const auto &fields = parser.get();
+    const bool hasCoding = fields.find(http::field::transfer_encoding) != fields.end();
+    return hasCoding != parser.chunked() || hasUnknownTransferCoding(fields);
 }
 
 } // namespace detail
@@ -190,7 +186,7 @@
             refuse(detail::statusOfParserError(ec));
             return false;
         }
-        if (m_parser->is_header_done() && detail::hasUnknownFraming(m_parser->get())) {
+        if (m_parser->is_header_done() && detail::hasUnknownFraming(*m_parser)) {
             refuse(detail::statusBadRequest);
             return false;
         }
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(requestsInOnePacketAreAnsweredInOrder);
     CPPUNIT_TEST(conflictingLengthsAreRefused);
     CPPUNIT_TEST(bodiesWithoutAnEndAreRefused);
+    CPPUNIT_TEST(unknownCodingsBesideALengthAreRefused);
     CPPUNIT_TEST(garbageIsRefused);
     CPPUNIT_TEST(largeHeadsAndBodiesAreRefused);
     CPPUNIT_TEST(slowRequestTimesOut);
@@ -164,7 +165,10 @@
     // Taken for requests without a body, what followed was run as a second request.
     void bodiesWithoutAnEndAreRefused()
     {
-        for (const auto *codings : {"gzip", "identity", "chunked, gzip", ""}) {
+        for (const auto *codings :
+             {"gzip", "identity", "chunked, gzip", "", "x;v=1, chunked", "X;V=1,Chunked", "\"x\", chunked",
+              "\"x, chunked", "x y, chunked", "x;v=1\r\n , chunked", "x;v=1\r\nTransfer-Encoding: chunked",
+              "chunked\r\nTransfer-Encoding: x;v=1, chunked", ", chunked", "chunked;v=1", "gzip, chunked"}) {
             const auto answer =
                 exchange(absl::StrCat("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: ", codings,
                                       "\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n"));
@@ -173,6 +177,21 @@
         }
     }
 
+    // Taken for a request with this length, the rest of its chunk was run as a second request.
+    void unknownCodingsBesideALengthAreRefused()
+    {
+        for (const auto *codings : {"x;v=1, chunked", "\"x\", chunked", "x y, chunked", "x;v=1\r\n , chunked",
+                                    "gzip, chunked", "identity"}) {
+            const auto answer =
+                exchange(absl::StrCat("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: ", codings,
+                                      "\r\nContent-Length: 4\r\n\r\n22\r\n",
+                                      "GET /second HTTP/1.1\r\nHost: a\r\n\r\n\r\n0\r\n\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(codings, answer.rfind("HTTP/1.1 400", 0) == 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(codings, std::string::npos, answer.find("HTTP/1.1 ", 1));
+        }
+        CPPUNIT_ASSERT(m_handler.bodies.empty());
+    }
+
     void conflictingLengthsAreRefused()
     {
         for (const auto *fields : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
