LibNet: End an answer with its connection only after its request

Cause: after the end of the engine's sending side the reader sees an ordinary end of file, and the reset reaches the writer, as a broken pipe, which didn't count as a failure. A write under way wasn't waited for. An upload that fits into the kernel's buffers fails no write at all.

Such an answer ends when the request has been written; any failed write makes it lost. The connection stays open until the target has been checked, and a reset that has arrived by then counts.

--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -421,7 +421,8 @@
             const auto running = ended.lock();
             if (!self || !running || self->isFinished())
                 return;
-            if (result == ProbeResult::Connected && !self->m_gatewayContext.targets.isSuperseded(process))
+            if (result == ProbeResult::Connected && !running->wasResetAfterAnswer()
+                && !self->m_gatewayContext.targets.isSuperseded(process))
                 complete(*self, self->roleOf(*running));
             else
                 self->attemptLost(*running, TargetFault::ConnectionLost);
--- a/Libraries/LibGateway/TargetAttempt.cpp
+++ b/Libraries/LibGateway/TargetAttempt.cpp
@@ -105,7 +105,8 @@
 
 void TargetAttempt::answerEnded(AnswerEnd end)
 {
-    m_connection.reset();
+    if (end == AnswerEnd::Framed)
+        m_connection.reset();
     m_hasAnswerEnded = true;
     // A generation has at least one event; only a resumed one may have none left.
     if (m_isStream && !m_highestReceived && (end == AnswerEnd::ConnectionClosed || !m_lastEvent)) {
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -62,6 +62,8 @@
     [[nodiscard]] bool canWaitForRoom() const override { return !m_isStream; }
     // The target has ended its answer, if not as it should have. It is no longer at work on the request.
     [[nodiscard]] bool hasAnswerEnded() const { return m_hasAnswerEnded; }
+    // The connection was reset after an answer that ended with it, which may lack its end.
+    [[nodiscard]] bool wasResetAfterAnswer() const { return m_connection && m_connection->hasBeenReset(); }
     // The rest of the response may wait in the socket for room in the memory account, so that its delay says
     // nothing about the target.
     [[nodiscard]] bool isWaitingForRoom() const
@@ -78,7 +80,7 @@
     RequestId m_id;
     // Null after the final call.
     AttemptListener *m_listener;
-    // Null once the answer has ended, since the connection may then carry another request.
+    // Null once the answer has ended within its connection, which may then carry another request.
     std::shared_ptr<HttpClientConnection> m_connection;
     std::optional<EventNumber> m_lastEvent;
     // Of this run's events, those included that are dropped.
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -78,6 +78,7 @@
     m_bodyBytes = 0;
     m_headTaken = false;
     m_discardsRest = false;
+    m_endsAfterWrite = false;
     m_framingLimit = {};
     resetParser();
     updateReservation();
@@ -144,13 +145,14 @@
             self->m_isWriting = false;
             self->m_sending = {};
             self->updateReservation();
-            // The socket reports its error once; the reader then sees an end of file. A
-            // broken pipe is a reset after the peer had ended in order.
-            self->m_hasConnectionFailed = ec && ec != boost::asio::error::broken_pipe;
+            // The socket reports its error once; the reader then sees an end of file.
+            self->m_hasConnectionFailed = static_cast<bool>(ec);
             // NOTE: A write that fails leaves the answer to the reader: the peer may
             // have answered early and closed.
             if (ec && self->m_state == State::Idle)
                 self->close();
+            if (std::exchange(self->m_endsAfterWrite, false) && self->m_state == State::Waiting)
+                self->onEndOfInput();
         });
 }
 
@@ -197,22 +199,33 @@
         return;
     }
     if (ec) {
-        boost::system::error_code parseError;
-        if (ec == boost::asio::error::eof && !m_hasConnectionFailed && m_parser->is_header_done()
-            && m_parser->need_eof()) {
-            m_parser->put_eof(parseError);
-            if (!parseError) {
-                endAnswer(AnswerEnd::ConnectionClosed);
-                return;
-            }
-        }
-        fail(HttpFailure::ConnectionLost);
+        if (ec == boost::asio::error::eof)
+            onEndOfInput();
+        else
+            fail(HttpFailure::ConnectionLost);
         return;
     }
     if (feed({m_buf.data(), n}))
         read();
 }
 
+void HttpClientConnection::onEndOfInput()
+{
+    const bool mayBeEnd = !m_hasConnectionFailed && m_parser->is_header_done() && m_parser->need_eof();
+    // A peer that ends its answer in order reads on. One that is gone resets the connection.
+    if (mayBeEnd && m_isWriting) {
+        m_endsAfterWrite = true;
+        return;
+    }
+    boost::system::error_code ec;
+    if (mayBeEnd)
+        m_parser->put_eof(ec);
+    if (mayBeEnd && !ec)
+        endAnswer(AnswerEnd::ConnectionClosed);
+    else
+        fail(HttpFailure::ConnectionLost);
+}
+
 bool HttpClientConnection::feed(std::string_view data)
 {
     m_unparsed.append(data);
@@ -287,13 +300,16 @@
 void HttpClientConnection::endAnswer(AnswerEnd end)
 {
     MemoryAccount::ofProcess().endReceivingWithoutRoom(this);
-    const bool isClean = m_parser->keep_alive() && m_unparsed.empty() && !m_isWriting;
+    const bool isClean =
+        m_parser->keep_alive() && m_unparsed.empty() && !m_isWriting && !m_hasConnectionFailed;
     const auto listener = takeListener();
     if (isClean) {
         m_state = State::Idle;
         m_hasAnsweredBefore = true;
         if (m_becameIdle)
             m_becameIdle(shared_from_this());
+    } else if (end == AnswerEnd::ConnectionClosed) {
+        m_state = State::PeerEnded;
     } else {
         close();
     }
@@ -301,6 +317,14 @@
         listener->answerEnded(end);
 }
 
+bool HttpClientConnection::hasBeenReset()
+{
+    boost::asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> pending;
+    boost::system::error_code ec;
+    m_socket.get_option(pending, ec);
+    return m_hasConnectionFailed || ec || pending.value() != 0;
+}
+
 bool HttpClientConnection::hasUnexpectedInput() const
 {
     char byte = 0;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -96,6 +96,9 @@
 
     // The connection can take another request.
     [[nodiscard]] bool isReusable() const { return m_state == State::Idle; }
+    // After an answer that ended with its connection: the peer has reset the connection since, so that the
+    // end of the answer may be missing. A reset that follows the end of the peer's sending side is seen late.
+    [[nodiscard]] bool hasBeenReset();
     // An answer to an earlier request has ended on this connection.
     [[nodiscard]] bool hasAnsweredBefore() const { return m_hasAnsweredBefore; }
     // The peer has closed the idle connection, or has sent bytes that belong to no request. The event loop
@@ -115,7 +118,8 @@
     [[nodiscard]] std::optional<absl::Duration> peerIdleTimeout() const { return m_peerIdleTimeout; }
 
 private:
-    enum class State { Unconnected, Connecting, Waiting, Idle, Closed };
+    // PeerEnded: an answer has ended with its connection. The socket is kept for hasBeenReset().
+    enum class State { Unconnected, Connecting, Waiting, Idle, PeerEnded, Closed };
     using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
     void resetParser();
@@ -132,6 +136,8 @@
     bool takeHead();
     void takeBody();
     void endAnswer(AnswerEnd);
+    // The peer sends no more on the connection.
+    void onEndOfInput();
     void fail(HttpFailure);
     // Fails because of the bytes that came.
     void failBadAnswer(std::string_view reason);
@@ -148,8 +154,10 @@
     // Follows `m_sending`; null once it is being written.
     std::shared_ptr<const std::string> m_body;
     bool m_isWriting{false};
-    // A write failed because the connection was reset or timed out.
+    // A write failed: the connection was reset or timed out.
     bool m_hasConnectionFailed{false};
+    // The answer has ended with its connection while the request was being written.
+    bool m_endsAfterWrite{false};
     bool m_headTaken{false};
     bool m_hasAnsweredBefore{false};
     bool m_discardsRest{false};
--- a/Tests/LibNet/TestAnswersResetBesideTheirRequest.cpp
+++ b/Tests/LibNet/TestAnswersResetBesideTheirRequest.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(TestAnswersResetBesideTheirRequest);
     CPPUNIT_TEST(resetAnswerIsLost);
+    CPPUNIT_TEST(answerBeforeAnUnreadRequestIsLost);
     CPPUNIT_TEST(answerThatEndsInOrderIsWhole);
     CPPUNIT_TEST_SUITE_END();
 
@@ -27,6 +28,19 @@
         }
     }
 
+    // The peer ends its answer in order and closes, so that its machine resets the connection: either the
+    // write fails with a broken pipe, or the reset follows the end that was read.
+    void answerBeforeAnUnreadRequestIsLost()
+    {
+        for (const auto ending : {FakeEnding::Close, FakeEnding::HalfCloseThenClose}) {
+            for (const auto *body : {"", "half"}) {
+                const auto result = ask(body, ending);
+                CPPUNIT_ASSERT_MESSAGE(body, !result);
+                CPPUNIT_ASSERT(result.error() == HttpFailure::ConnectionLost);
+            }
+        }
+    }
+
     void answerThatEndsInOrderIsWhole()
     {
         for (const auto *body : {"", "whole"}) {
@@ -37,7 +51,7 @@
     }
 
 private:
-    // The peer reads the beginning of the request only.
+    // Until its end, the peer reads the beginning of the request only.
     static HttpCallResult ask(const std::string &body, FakeEnding ending)
     {
         // More than the kernel's buffers of a loopback connection hold.
