LibNet: Take a status below 100 for no answer

An engine in trouble answered with status 000. The caller waited for the whole time of the attempt and got 504, though the answer was broken at once.

Cause: each status below 200 counted as an interim answer, which the final one follows.

Evidence: TestCutHeads::oddStatusesAreBad failed before, at "HTTP/1.1 000".

Such an answer fails the attempt at once, as 101 does, which no request asks for. Higher statuses than 599 are still passed on: an engine's status is returned unchanged.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -28,7 +28,9 @@
 
 namespace detail {
 
-constexpr int firstFinalStatus = 200;
+constexpr unsigned firstStatus = 100;
+constexpr unsigned statusSwitchingProtocols = 101;
+constexpr unsigned firstFinalStatus = 200;
 // A peer that answers wrongly tends to do so on each request.
 constexpr double badAnswerLogSeconds = 1;
 
@@ -263,7 +265,13 @@
 bool HttpClientConnection::takeHead()
 {
     auto &message = m_parser->get();
-    if (message.result_int() < detail::firstFinalStatus) {
+    const auto status = message.result_int();
+    // Nothing was asked to switch protocols.
+    if (status < detail::firstStatus || status == detail::statusSwitchingProtocols) {
+        failBadAnswer("no status of an answer");
+        return false;
+    }
+    if (status < detail::firstFinalStatus) {
         // An interim answer (RFC 9110, section 15.2); the final one follows.
         m_framingLimit.addInterimAnswer();
         resetParser();
--- a/Tests/LibNet/TestCutHeads.cpp
+++ b/Tests/LibNet/TestCutHeads.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(framedAnswerCutAfterItsHeadIsLost);
     CPPUNIT_TEST(answerWithoutLengthEndsOnlyInOrder);
     CPPUNIT_TEST(oddLengthsAreBad);
+    CPPUNIT_TEST(oddStatusesAreBad);
     CPPUNIT_TEST(oddTransferCodingsAreBad);
     CPPUNIT_TEST(headThatGoesOnAsAnotherOneIsBad);
     CPPUNIT_TEST(repeatedLengthCounts);
@@ -135,6 +136,15 @@
             checkBad(absl::StrCat(detail::statusLine, fields, "\r\n\r\nx"));
     }
 
+    // An answer without a final status was taken for an interim one, and waited for until its timeout.
+    void oddStatusesAreBad()
+    {
+        for (const auto *status : {"000", "001", "099", "101", "20", "2000", "abc", "-20", "+20", ""}) {
+            checkBad(absl::StrCat("HTTP/1.1 ", status, " OK\r\nContent-Length: 0\r\n\r\n"));
+            checkBad(absl::StrCat("HTTP/1.1 ", status, " OK\r\n\r\n", detail::lengthHead));
+        }
+    }
+
     // Their bodies end where no one can tell, or aren't the bytes that the peer encoded.
     void oddTransferCodingsAreBad()
     {
