LibGateway: Ask a target which process it is before its answer ends

Cause: a bare connect to the address was taken for the proof that the process still runs. The next process there accepts connections, too, and is listed only with its first entry.

A full engine, which rejects the check, is asked again. Services without a status path and engines that may not be asked are connected to as before.

--- a/Libraries/LibForwarding/TrafficConfiguration.h
+++ b/Libraries/LibForwarding/TrafficConfiguration.h
@@ -81,6 +81,8 @@
     ServiceName name;
     // Maximum number of connections that one target accepts from all routers together.
     int maxConnections{100};
+    // Where a target says which process it is; empty if it doesn't.
+    std::string statusPath;
     bool isModelService{false};
     EngineCapabilities engine;
 };
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -57,6 +57,15 @@
     std::string handle;
 };
 
+// Which process answered a status check.
+enum class TargetIdentity {
+    Same,
+    // Another process uses the address.
+    Other,
+    // The target was too busy to say.
+    Unknown,
+};
+
 // Parameters of one attempt, passed to the target in header fields.
 struct AttemptParameters
 {
@@ -119,6 +128,10 @@
                                                          const std::string &otherAddress) const = 0;
     [[nodiscard]] virtual StopResponse parseStopResponse(const HttpResponse &) const = 0;
     [[nodiscard]] virtual ControlRequest makeCopyReleaseRequest(const std::string &handle) const = 0;
+    // `path` is the statusPath of the target's service.
+    [[nodiscard]] virtual ControlRequest makeStatusCheck(const std::string &path) const = 0;
+    [[nodiscard]] virtual TargetIdentity parseStatusResponse(const HttpResponse &,
+                                                             const TargetProcess &) const = 0;
     // Returns an empty optional if the request is not an entry point query.
     [[nodiscard]] virtual std::optional<EntryPointQuery>
     readEntryPointQuery(std::string_view requestTarget) const = 0;
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -408,27 +408,6 @@
         completeIfTargetRuns(attempt, [](ForwardSession &self, RunRole role) { self.completeStream(role); });
 }
 
-void ForwardSession::completeIfTargetRuns(const TargetAttempt &attempt,
-                                          std::function<void(ForwardSession &, RunRole)> complete)
-{
-    const auto &run = *runOf(roleOf(attempt));
-    const ForwardingTarget record{.id = run.target(), .address = run.process().address};
-    m_gatewayContext.connections.probe(
-        record,
-        [weak = weak_from_this(), ended = std::weak_ptr(run.attempt()), process = run.process(),
-         complete = std::move(complete)](ProbeResult result) {
-            const auto self = weak.lock();
-            const auto running = ended.lock();
-            if (!self || !running || self->isFinished())
-                return;
-            if (result == ProbeResult::Connected && !running->wasResetAfterAnswer()
-                && !self->m_gatewayContext.targets.isSuperseded(process))
-                complete(*self, self->roleOf(*running));
-            else
-                self->attemptLost(*running, TargetFault::ConnectionLost);
-        });
-}
-
 void ForwardSession::completeStream(RunRole role)
 {
     const auto &run = *runOf(role);
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -141,17 +141,29 @@
     void reserveLoad(TargetRun &);
     void completeStream(RunRole);
     void completeResponse(RunRole, HttpResponse);
-    // Completes an answer that ended with its connection, unless the target's process has ended, which looks
-    // the same.
+    // An answer that ended with its connection, which the end of the target's process looks like, too.
+    struct UnframedAnswer
+    {
+        std::weak_ptr<TargetAttempt> attempt;
+        TargetProcess process;
+        // Completes the run with the answer.
+        std::function<void(ForwardSession &, RunRole)> complete;
+        int checks{0};
+    };
+    // Completes the answer if the process that sent it still runs, and else counts the attempt as lost.
     void completeIfTargetRuns(const TargetAttempt &, std::function<void(ForwardSession &, RunRole)> complete);
+    void verify(const std::shared_ptr<UnframedAnswer> &);
+    // A target that may not be asked, or has no status, is only connected to.
+    void verifyByConnecting(const std::shared_ptr<UnframedAnswer> &);
+    void answerVerified(const UnframedAnswer &, bool isTargetRunning);
     void runLost(RunRole, TargetFault);
     // Asks the target of a run that was given up to stop it if it still works on it, since targets may notice
     // late, or not at all, that a connection has closed. Nothing is sent unless the request goes on
     // elsewhere.
     void stopAbandonedRun(const TargetProcess &);
     void sendStopRequest(const TargetProcess &, int tries);
-    // Whether the target may be sent a stop request now. Takes a permit if it limits its requests.
-    [[nodiscard]] bool maySendStopRequest(const TargetId &);
+    // Whether the target may be sent a control request now. Takes a permit if it limits its requests.
+    [[nodiscard]] bool maySendControlRequest(const TargetId &);
     void stopAnswered(const TargetProcess &, const HttpCallResult &, absl::Time askedAt);
     // A stop request may reach the target late, so that the request can't run there again.
     [[nodiscard]] bool isStopping(const TargetId &) const;
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -68,7 +68,7 @@
         if (const auto *record = self->m_gatewayContext.targets.find(process.id);
             record && record->process() != process)
             return;
-        if (!self->maySendStopRequest(process.id)) {
+        if (!self->maySendControlRequest(process.id)) {
             if (tries < detail::maxStopTries)
                 self->sendStopRequest(process, tries + 1);
             else
@@ -97,7 +97,7 @@
     });
 }
 
-bool ForwardSession::maySendStopRequest(const TargetId &id)
+bool ForwardSession::maySendControlRequest(const TargetId &id)
 {
     const auto now = monotonicNow();
     if (m_gatewayContext.targets.isBackingOff(id, now))
--- a/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
+++ b/Tests/Platform/TestAnswersThatEndWithTheirConnection.cpp
@@ -1,5 +1,6 @@
 // End-to-end tests of engines whose answers have neither a length nor chunks: whole ones, and those that the
-// end of the engine or of the connection breaks off.
+// end of the engine or of the connection breaks off. An engine that had started again at its address when the
+// gateway looked counted as still running, so that half an answer was delivered as a whole one.
 
 #include "FakeDeployment.h"
 
@@ -16,6 +17,16 @@
 const std::string streamHead =
     "HTTP/1.1 200 OK\r\nEngine-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
 
+constexpr const char *statusCheck = "GET /health ";
+const std::string fullEngine = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+std::string statusOf(const std::string &engine, const std::string &status = "200 OK",
+                     const std::string &body = "")
+{
+    return absl::StrCat("HTTP/1.1 ", status, "\r\nInstance-Id: ", engine, "\r\nContent-Length: ", body.size(),
+                        "\r\n\r\n", body);
+}
+
 } // namespace detail
 
 class TestAnswersThatEndWithTheirConnection : public FakeDeployment
@@ -30,6 +41,11 @@
     CPPUNIT_TEST(wholePlainAnswerIsDelivered);
     CPPUNIT_TEST(plainAnswerThatIsResetIsNotDelivered);
     CPPUNIT_TEST(plainAnswerOfEngineThatEndsIsNotDelivered);
+    CPPUNIT_TEST(plainAnswerOfEngineThatStartedAgainIsNotDelivered);
+    CPPUNIT_TEST(streamOfEngineThatStartedAgainIsResumed);
+    CPPUNIT_TEST(wholeAnswerOfEngineThatSaysWhichItIsIsDelivered);
+    CPPUNIT_TEST(wholeAnswerOfFullEngineIsDeliveredOnceItSaysWhichItIs);
+    CPPUNIT_TEST(plainAnswerBeforeAnUnreadUploadIsNotDelivered);
     CPPUNIT_TEST(errorAfterAStreamBeganIsNotSent);
     CPPUNIT_TEST(rejectionIsNotExecuted);
     CPPUNIT_TEST_SUITE_END();
@@ -123,6 +139,76 @@
         CPPUNIT_ASSERT(!m_engineState.runsByRequest.contains("r2"));
     }
 
+    void plainAnswerOfEngineThatStartedAgainIsNotDelivered()
+    {
+        useStatusChecks();
+        for (const auto &status :
+             {detail::statusOf("app-9"), detail::statusOf("app-0", "200 OK", R"({"born": 77})")}) {
+            replaceEngine("app-0", detail::plainHead + "half", FakeEnding::Close);
+            m_peer->setControlRequest(detail::statusCheck, status);
+            CPPUNIT_ASSERT_EQUAL(502, call("POST", "/book/x", absl::StrCat("r", m_calls++)).head.status);
+            CPPUNIT_ASSERT_EQUAL(1, m_peer->requestCount());
+            CPPUNIT_ASSERT_EQUAL(1, m_peer->controlRequestCount());
+        }
+        CPPUNIT_ASSERT(m_engineState.runsByRequest.empty());
+    }
+
+    void streamOfEngineThatStartedAgainIsResumed()
+    {
+        useStatusChecks();
+        replaceEngine("llm-0", detail::streamHead + beginOfStream(5), FakeEnding::Close);
+        m_peer->setControlRequest(detail::statusCheck, detail::statusOf("llm-9"));
+        expectWholeStream();
+    }
+
+    void wholeAnswerOfEngineThatSaysWhichItIsIsDelivered()
+    {
+        useStatusChecks();
+        for (const auto &status : {detail::statusOf("app-0"), detail::statusOf("app-0", "503 Draining")}) {
+            replaceEngine("app-0", detail::plainHead + "whole", FakeEnding::Close);
+            m_peer->setControlRequest(detail::statusCheck, status);
+            CPPUNIT_ASSERT_EQUAL(std::string("whole"),
+                                 call("POST", "/book/x", absl::StrCat("r", m_calls++)).body);
+            CPPUNIT_ASSERT_EQUAL(1, m_peer->controlRequestCount());
+        }
+        replaceEngine("llm-0", detail::streamHead + m_engineState.completeStream(), FakeEnding::Close);
+        m_peer->setControlRequest(detail::statusCheck, detail::statusOf("llm-0"));
+        expectWholeStream();
+        CPPUNIT_ASSERT(m_engineState.runsByRequest.empty());
+    }
+
+    void wholeAnswerOfFullEngineIsDeliveredOnceItSaysWhichItIs()
+    {
+        useStatusChecks();
+        replaceEngine("app-0", detail::plainHead + "whole", FakeEnding::Close);
+        m_peer->setControlRequest(detail::statusCheck, detail::fullEngine);
+        HttpResponse response;
+        bool isDone = false;
+        startCall("POST", "/book/x", "r", "key", response, isDone);
+        CPPUNIT_ASSERT(runUntil([&] { return m_peer->controlRequestCount() > 0; }));
+        m_peer->setControlRequest(detail::statusCheck, detail::statusOf("app-0"));
+        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+    }
+
+    // The engine answers early and closes; its machine resets the connection for the bytes that it left
+    // unread.
+    void plainAnswerBeforeAnUnreadUploadIsNotDelivered()
+    {
+        for (const auto ending : {FakeEnding::Close, FakeEnding::HalfCloseThenClose}) {
+            for (const std::size_t bytes : {std::size_t{100} << 10U, std::size_t{4} << 20U}) {
+                replaceEngine("app-0", detail::plainHead + "half", ending);
+                HttpResponse response;
+                bool isDone = false;
+                startCall("POST", "/book/x", absl::StrCat("r", m_calls++), "key", response, isDone,
+                          std::string(bytes, 'x'));
+                CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+                CPPUNIT_ASSERT_EQUAL(502, response.head.status);
+                CPPUNIT_ASSERT_EQUAL(1, m_peer->requestCount());
+            }
+        }
+    }
+
     // Neither does the error stand in the stream, nor does the stream look complete.
     void errorAfterAStreamBeganIsNotSent()
     {
@@ -157,11 +243,21 @@
     }
 
 private:
+    // The targets of all services say which process they are.
+    void useStatusChecks()
+    {
+        auto configuration = fakeConfiguration(1);
+        for (auto &it : configuration["services"])
+            it["healthPath"] = "/health";
+        m_store->put("config", "main", configuration);
+    }
+
     // Starts a gateway that sends its next request of the service to the peer.
     void replaceEngine(const std::string &id, const std::string &answer, FakeEnding ending)
     {
         endRouter(m_gateway, m_client);
         m_peer = std::make_unique<FakeClosingPeer>(*m_context, answer, ending);
+        m_peer->setControlRequest(fakeMoveRequest);
         m_engines[id]->setPublishedAddress(m_peer->address());
         m_store->put("servers", id, m_engines[id]->storeRecord());
         startGateway();
@@ -189,4 +285,3 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(TestAnswersThatEndWithTheirConnection);
 
 } // namespace Wisteria
-        m_peer->setControlRequest(fakeMoveRequest);
