LibPlatform: Read answers for the own interface with LibNet's client

Operators of other systems saw a machine run out of memory for an answer without end. The gateway bounds such answers; wisteria-router and wisteria-placer did not.

Cause: their blocking clients were cpp-httplib's, which bounds neither heads nor bodies and has a timeout for each read only, so that an endless answer was kept whole and its call never ended.

BlockingHttpClient runs LibNet's client in an event loop of its own for each call; engine streams use it, too. A call that times out before it has connected counts as not sent, as a refused one does. The memory account and the counts of connections belong to a thread, since such threads have event loops.

Checks: TestCutAnswersOfObjectApi and TestChunkedAnswersCutInALineEnd ask the new client; their cuts and assertions are the same.

--- a/Libraries/LibGateway/GatewayResources.cpp
+++ b/Libraries/LibGateway/GatewayResources.cpp
@@ -26,7 +26,7 @@
         // Freed small blocks, such as parsed fields, are joined at once.
         mallopt(M_MXFAST, 0);
     }
-    MemoryAccount::ofProcess().setCapacity(memoryAccountCapacity(m_settings.memoryLimitMb));
+    MemoryAccount::ofThread().setCapacity(memoryAccountCapacity(m_settings.memoryLimitMb));
     HttpClientConnection::setMaxKept(maxKeptTargetConnections(m_settings.descriptors));
     const auto plans = planListeners(m_settings);
     for (std::size_t n = 0; n < m_servers.size(); ++n)
@@ -36,7 +36,7 @@
 void Gateway::connectionShed(ShedReason reason)
 {
     const auto name = shedReasonName(reason);
-    const auto &account = MemoryAccount::ofProcess();
+    const auto &account = MemoryAccount::ofThread();
     m_metrics.increment("connections_shed_total", absl::StrCat("reason=\"", std::string(name), "\""));
     m_log.write("connection_shed",
                 {{"reason", name},
@@ -48,7 +48,7 @@
 
 void Gateway::updateResourceMetrics()
 {
-    const auto &account = MemoryAccount::ofProcess();
+    const auto &account = MemoryAccount::ofThread();
     m_metrics.setGauge("memory_account_bytes", static_cast<double>(account.used()));
     m_metrics.setGauge("memory_account_peak_bytes", static_cast<double>(account.peak()));
     m_metrics.setGauge("connections_open", static_cast<double>(connectionCount()));
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -68,7 +68,7 @@
     // nothing about the target.
     [[nodiscard]] bool isWaitingForRoom() const
     {
-        return canWaitForRoom() && !MemoryAccount::ofProcess().hasRoomFor(m_response.body.size());
+        return canWaitForRoom() && !MemoryAccount::ofThread().hasRoomFor(m_response.body.size());
     }
 
 private:
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -51,6 +51,23 @@
 
 } // namespace detail
 
+std::string_view httpFailureName(HttpFailure failure)
+{
+    switch (failure) {
+    case HttpFailure::NotConnected:
+        return "not connected";
+    case HttpFailure::Refused:
+        return "connection refused";
+    case HttpFailure::ConnectionLost:
+        return "connection lost";
+    case HttpFailure::BadAnswer:
+        return "malformed or oversized answer";
+    case HttpFailure::Timeout:
+        return "timed out";
+    }
+    return "unknown";
+}
+
 ErrorOr<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
 {
     const auto address = TRY(Address::parse(text));
@@ -67,7 +84,7 @@
 
 HttpClientConnection::~HttpClientConnection()
 {
-    MemoryAccount::ofProcess().endReceivingWithoutRoom(this);
+    MemoryAccount::ofThread().endReceivingWithoutRoom(this);
     openConnections -= m_hasSocket ? 1 : 0;
 }
 
@@ -160,7 +177,7 @@
 
 bool HttpClientConnection::mustWaitForRoom() const
 {
-    auto &account = MemoryAccount::ofProcess();
+    auto &account = MemoryAccount::ofThread();
     if (m_bodyBytes <= MemoryAccount::smallBytes || account.hasRoomFor(m_bodyBytes))
         return false;
     const auto listener = m_listener.lock();
@@ -307,7 +324,7 @@
 
 void HttpClientConnection::endAnswer(AnswerEnd end)
 {
-    MemoryAccount::ofProcess().endReceivingWithoutRoom(this);
+    MemoryAccount::ofThread().endReceivingWithoutRoom(this);
     const bool isClean =
         m_parser->keep_alive() && m_unparsed.empty() && !m_isWriting && !m_hasConnectionFailed;
     const auto listener = takeListener();
@@ -381,7 +398,7 @@
     const bool wasIdle = m_state == State::Idle;
     m_state = State::Closed;
     openConnections -= std::exchange(m_hasSocket, false) ? 1 : 0;
-    MemoryAccount::ofProcess().endReceivingWithoutRoom(this);
+    MemoryAccount::ofThread().endReceivingWithoutRoom(this);
     m_body.reset();
     updateReservation();
     m_timer.cancel();
@@ -465,11 +482,13 @@
         // The timer owns the call until it has ended.
         m_timer.async_wait([self = shared_from_this()](const auto &ec) {
             if (!ec)
-                self->finish(tl::unexpected(HttpFailure::Timeout));
+                self->finish(
+                    tl::unexpected(self->m_isConnected ? HttpFailure::Timeout : HttpFailure::NotConnected));
         });
         m_connection->send(std::move(request), weak_from_this(), timeout);
     }
 
+    void connected() override { m_isConnected = true; }
     void answerHead(const HttpResponseHead &head) override { m_response.head = head; }
     void answerBody(std::string_view data) override
     {
@@ -498,6 +517,7 @@
     boost::asio::steady_timer m_timer;
     std::shared_ptr<HttpClientConnection> m_connection;
     std::size_t m_maxBodyBytes;
+    bool m_isConnected{false};
     HttpResponse m_response;
     // Null once it has been called.
     HttpCallHandler m_handler;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -38,10 +38,12 @@
     ConnectionLost,
     // The bytes that came are no answer, or more of them than any answer has.
     BadAnswer,
-    // Nothing complete came in time; only for calls with a timeout.
+    // Nothing complete came in time, though the connection was made; only for calls with a timeout.
     Timeout,
 };
 
+[[nodiscard]] std::string_view httpFailureName(HttpFailure);
+
 // What shows that an answer is complete.
 enum class AnswerEnd {
     // Its length or its last chunk.
@@ -109,7 +111,7 @@
     {
         m_becameIdle = std::move(handler);
     }
-    // Connections with a socket, of the whole process.
+    // Connections with a socket, of this thread.
     [[nodiscard]] static std::size_t openCount() { return openConnections; }
     // An idle connection is closed rather than kept while more than so many are open.
     static void setMaxKept(std::size_t n) { maxKeptConnections = n; }
@@ -174,8 +176,8 @@
     std::function<void(const std::shared_ptr<HttpClientConnection> &)> m_becameIdle;
 
     // Of the event loop's thread.
-    inline static std::size_t openConnections{0};
-    inline static std::size_t maxKeptConnections{std::numeric_limits<std::size_t>::max()};
+    inline static thread_local std::size_t openConnections{0};
+    inline static thread_local std::size_t maxKeptConnections{std::numeric_limits<std::size_t>::max()};
 };
 
 // Kept connections to one address.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -57,13 +57,13 @@
     : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_server(&server),
       m_receivedAt(monotonicNow())
 {
-    MemoryAccount::ofProcess().add(*this);
+    MemoryAccount::ofThread().add(*this);
     updateReservation();
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
-    MemoryAccount::ofProcess().remove(*this);
+    MemoryAccount::ofThread().remove(*this);
 }
 
 void HttpServerConnection::start()
@@ -474,7 +474,7 @@
         m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
         m_socket.close(ignored);
     }
-    MemoryAccount::ofProcess().remove(*this);
+    MemoryAccount::ofThread().remove(*this);
     m_parser.reset();
     m_unparsed = {};
     m_unsent = {};
--- a/Libraries/LibNet/HttpServerPressure.cpp
+++ b/Libraries/LibNet/HttpServerPressure.cpp
@@ -69,7 +69,7 @@
 bool HttpServerConnection::claimRoom()
 {
     updateReservation();
-    auto &account = MemoryAccount::ofProcess();
+    auto &account = MemoryAccount::ofThread();
     if (account.hasRoomFor(m_reservation.bytes()))
         return true;
     const auto self = shared_from_this();
@@ -98,13 +98,13 @@
 bool HttpServerConnection::mustWaitForReader() const
 {
     return unsentBytes() > MemoryAccount::smallBytes
-        && !MemoryAccount::ofProcess().hasRoomFor(m_reservation.bytes());
+        && !MemoryAccount::ofThread().hasRoomFor(m_reservation.bytes());
 }
 
 std::size_t HttpServerConnection::maxAheadNow() const
 {
     const bool isAhead = m_hasOpenRequest || m_isWaitingForReader;
-    const bool hasRoom = MemoryAccount::ofProcess().hasRoomFor(MemoryAccount::smallBytes + 1);
+    const bool hasRoom = MemoryAccount::ofThread().hasRoomFor(MemoryAccount::smallBytes + 1);
     return isAhead && !hasRoom ? 0 : maxBytesAhead;
 }
 
--- a/Libraries/LibNet/MemoryAccount.cpp
+++ b/Libraries/LibNet/MemoryAccount.cpp
@@ -15,9 +15,9 @@
 
 } // namespace detail
 
-MemoryAccount &MemoryAccount::ofProcess()
+MemoryAccount &MemoryAccount::ofThread()
 {
-    static MemoryAccount account;
+    static thread_local MemoryAccount account;
     return account;
 }
 
--- a/Libraries/LibNet/MemoryAccount.h
+++ b/Libraries/LibNet/MemoryAccount.h
@@ -1,4 +1,4 @@
-// Counts the bytes that clients and targets make this process hold, and makes room when there are too many.
+// Counts the bytes that clients and targets make an event loop hold, and makes room when there are too many.
 
 #pragma once
 
@@ -37,8 +37,8 @@
 
     static constexpr absl::Duration searchInterval = absl::Milliseconds(100);
 
-    // The account of this process.
-    [[nodiscard]] static MemoryAccount &ofProcess();
+    // The account of the calling thread, which runs one event loop.
+    [[nodiscard]] static MemoryAccount &ofThread();
 
     void setCapacity(std::size_t bytes) { m_capacity = bytes; }
     [[nodiscard]] std::size_t capacity() const { return m_capacity; }
@@ -90,7 +90,7 @@
 class MemoryReservation
 {
 public:
-    explicit MemoryReservation(MemoryAccount &account = MemoryAccount::ofProcess()) : m_account(account) { }
+    explicit MemoryReservation(MemoryAccount &account = MemoryAccount::ofThread()) : m_account(account) { }
     ~MemoryReservation() { resize(0); }
     MemoryReservation(const MemoryReservation &) = delete;
     MemoryReservation &operator=(const MemoryReservation &) = delete;
--- a/Libraries/LibPlatform/HttpObjectStore.cpp
+++ b/Libraries/LibPlatform/HttpObjectStore.cpp
@@ -3,7 +3,7 @@
 
 #include <LibPlatform/HttpObjectStore.h>
 
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -28,23 +28,24 @@
     return absl::StrCat("\"", version.value(), "\"");
 }
 
-ErrorOr<ObjectVersion> versionOf(const httplib::Response &response)
+ErrorOr<ObjectVersion> versionOf(const HttpResponse &response)
 {
-    auto tag = response.get_header_value("ETag");
+    const std::string tag(fieldValue(response.head.fields, "ETag"));
     std::uint64_t n = 0;
     if (tag.size() < 2 || !absl::SimpleAtoi(tag.substr(1, tag.size() - 2), &n))
         return makeError(ErrorCode::StoreUnavailable, "the object API sent no entity tag");
     return ObjectVersion(n);
 }
 
-ErrorOr<std::optional<StoredObject>> readResult(const httplib::Result &result, const std::string &name)
+ErrorOr<std::optional<StoredObject>> readResult(const HttpCallResult &result, const std::string &name)
 {
     if (!result)
-        return makeError(ErrorCode::StoreUnavailable, httplib::to_string(result.error()));
-    if (result->status == statusNotFound || result->status == statusNotModified)
+        return makeError(ErrorCode::StoreUnavailable, std::string(httpFailureName(result.error())));
+    const int status = result->head.status;
+    if (status == statusNotFound || status == statusNotModified)
         return std::nullopt;
-    if (result->status != statusOk)
-        return makeError(ErrorCode::StoreUnavailable, absl::StrCat("status ", result->status));
+    if (status != statusOk)
+        return makeError(ErrorCode::StoreUnavailable, absl::StrCat("status ", status));
     return StoredObject{name, TRY(versionOf(*result)), result->body};
 }
 
@@ -64,45 +65,46 @@
 
 ErrorOr<std::optional<StoredObject>> HttpObjectStore::get(const std::string &kind, const std::string &name)
 {
-    auto client = makeHttpClient(m_address, m_timeout);
-    return detail::readResult(client.Get(detail::objectPath(kind, name)), name);
+    const BlockingHttpClient client(m_address, m_timeout);
+    return detail::readResult(client.get(detail::objectPath(kind, name)), name);
 }
 
 ErrorOr<ObjectVersion> HttpObjectStore::put(const std::string &kind, const std::string &name,
                                             const std::string &body, ObjectVersion expected)
 {
-    auto client = makeHttpClient(m_address, m_timeout);
-    httplib::Headers headers;
+    const BlockingHttpClient client(m_address, m_timeout);
+    HttpFields fields;
     if (expected == ObjectVersion())
-        headers.emplace("If-None-Match", "*");
+        fields.set("If-None-Match", "*");
     else
-        headers.emplace("If-Match", detail::entityTag(expected));
-    auto result = client.Put(detail::objectPath(kind, name), headers, body, "application/json");
+        fields.set("If-Match", detail::entityTag(expected));
+    const auto result = client.put(detail::objectPath(kind, name), body, std::move(fields));
     if (!result) {
         // Only a refused connection proves that the write had no effect.
         return makeError(wasNeverSent(result.error()) ? ErrorCode::StoreUnavailable
                                                       : ErrorCode::StoreOutcomeUnknown,
-                         httplib::to_string(result.error()));
+                         std::string(httpFailureName(result.error())));
     }
-    if (result->status == detail::statusPreconditionFailed)
+    const int status = result->head.status;
+    if (status == detail::statusPreconditionFailed)
         return makeError(ErrorCode::Conflict, absl::StrCat(kind, "/", name));
-    if (result->status == detail::statusOk || result->status == detail::statusCreated) {
+    if (status == detail::statusOk || status == detail::statusCreated) {
         auto version = detail::versionOf(*result);
         if (!version)
             return makeError(ErrorCode::StoreOutcomeUnknown, version.error().detail);
         return version;
     }
     // A server error may have come from a part behind the one that wrote.
-    return makeError(ErrorCode::StoreOutcomeUnknown, absl::StrCat("status ", result->status));
+    return makeError(ErrorCode::StoreOutcomeUnknown, absl::StrCat("status ", status));
 }
 
 ErrorOr<std::optional<StoredObject>> HttpObjectStore::watch(const std::string &kind, const std::string &name,
                                                             ObjectVersion after, absl::Duration timeout)
 {
-    auto client = makeHttpClient(m_address, timeout + m_timeout);
+    const BlockingHttpClient client(m_address, timeout + m_timeout);
     auto path = absl::StrCat(detail::objectPath(kind, name), "?watch=true&after=", after.value(),
                              "&timeout_ms=", absl::ToInt64Milliseconds(timeout));
-    return detail::readResult(client.Get(path), name);
+    return detail::readResult(client.get(path), name);
 }
 
 } // namespace Wisteria
--- a/Libraries/LibPlatform/VmDirectory.cpp
+++ b/Libraries/LibPlatform/VmDirectory.cpp
@@ -2,7 +2,7 @@
 
 #include <LibPlatform/VmDirectory.h>
 
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -21,11 +21,11 @@
 
     ErrorOr<std::vector<VmEntry>> list() override
     {
-        auto result = makeHttpClient(m_address, m_timeout).Get("/v1/vms");
+        const auto result = BlockingHttpClient(m_address, m_timeout).get("/v1/vms");
         if (!result)
-            return makeError(ErrorCode::ConnectionFailed, httplib::to_string(result.error()));
-        if (result->status != 200)
-            return makeError(ErrorCode::ConnectionFailed, absl::StrCat("status ", result->status));
+            return makeError(ErrorCode::ConnectionFailed, std::string(httpFailureName(result.error())));
+        if (result->head.status != 200)
+            return makeError(ErrorCode::ConnectionFailed, absl::StrCat("status ", result->head.status));
         return parse(result->body);
     }
 
--- a/Services/Placer/PlacerProcess.cpp
+++ b/Services/Placer/PlacerProcess.cpp
@@ -3,7 +3,7 @@
 #include <Placer/PlacerProcess.h>
 
 #include <LibConfig/ConfigurationJson.h>
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 #include <LibPlatform/HttpObjectStore.h>
 #include <LibPlatform/MonotonicClock.h>
 
@@ -196,8 +196,8 @@
         auto parsed = Address::parse(address.value_or(""));
         std::optional<EngineState> state;
         if (parsed) {
-            auto result = makeHttpClient(*parsed, detail::orderTimeout).Get(detail::statePath);
-            if (result && result->status == 200)
+            const auto result = BlockingHttpClient(*parsed, detail::orderTimeout).get(detail::statePath);
+            if (result && result->head.status == 200)
                 state = detail::readState(result->body);
         }
         if (state)
@@ -227,17 +227,17 @@
             (void)m_ring.push(OrderAnswered{action.target, Error{ErrorCode::LeaseLost}});
             return;
         }
-        auto client = makeHttpClient(*parsed, detail::orderTimeout);
-        auto result =
-            client.Put(detail::statePath, {{"Fencing-Number", std::to_string(action.fencing.value())}},
-                       detail::describe(action.wish), "application/json");
+        const BlockingHttpClient client(*parsed, detail::orderTimeout);
+        HttpFields fields;
+        fields.set("Fencing-Number", std::to_string(action.fencing.value()));
+        const auto result = client.put(detail::statePath, detail::describe(action.wish), std::move(fields));
         std::optional<Error> error;
         if (!result)
-            error = Error{ErrorCode::ConnectionLost, httplib::to_string(result.error())};
-        else if (result->status == detail::statusConflict)
+            error = Error{ErrorCode::ConnectionLost, std::string(httpFailureName(result.error()))};
+        else if (result->head.status == detail::statusConflict)
             error = Error{ErrorCode::FencedOff};
-        else if (result->status != 200)
-            error = Error{ErrorCode::ProtocolViolation, absl::StrCat("status ", result->status)};
+        else if (result->head.status != 200)
+            error = Error{ErrorCode::ProtocolViolation, absl::StrCat("status ", result->head.status)};
         (void)m_ring.push(OrderAnswered{action.target, error});
     });
 }
--- a/Services/Router/EngineStreams.cpp
+++ b/Services/Router/EngineStreams.cpp
@@ -1,16 +1,21 @@
-// Reads engine streams with cpp-httplib and turns them into routing events.
+// Reads engine streams, each in an event loop of its own thread, and turns them into routing events.
 
 #include <Router/EngineStreams.h>
 
 #include <LibCore/EventStream.h>
-#include <LibPlatform/HttpClient.h>
+#include <LibNet/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <optional>
 
 namespace Wisteria {
 
@@ -60,12 +65,10 @@
     // Next expected offset when the engine's events carry no id.
     TokenOffset nextToken;
     bool isFinished{false};
-    bool wasAnswered{false};
-    int status{0};
 
     absl::Mutex mutex;
-    // Invariant: null, or the client that the stream's thread is using.
-    httplib::Client *client ABSL_GUARDED_BY(mutex){nullptr};
+    // Invariant: null, or the event loop of the stream's thread.
+    boost::asio::io_context *context ABSL_GUARDED_BY(mutex){nullptr};
     EngineStreamId streamId ABSL_GUARDED_BY(mutex);
 };
 
@@ -93,6 +96,125 @@
     return sink.post(RoutingEvent(TokenArrived{request.attempt, offset, choice["text"].get<std::string>()}));
 }
 
+namespace detail {
+
+// After the last token, for the end of the answer.
+constexpr absl::Duration endTimeout = absl::Seconds(1);
+
+std::string streamRequest(const EngineRequest &request)
+{
+    HttpFields fields;
+    fields.set("Host", hostField(request.address));
+    fields.set("Connection", "close");
+    fields.set("Accept", "text/event-stream");
+    if (request.stream.value().empty()) {
+        fields.set("Content-Type", "application/json");
+        return serializeRequest("POST", "/v1/completions", fields, request.body);
+    }
+    const auto lastSeen = static_cast<std::int64_t>(request.from.value() - request.streamStart.value()) - 1;
+    return serializeRequest(
+        "GET",
+        absl::StrCat("/v1/completions/", request.stream.value(), "?stream=true&starting_after=", lastSeen),
+        fields, "");
+}
+
+} // namespace detail
+
+// Takes the answer of an engine in the event loop of the stream's thread, which ends with the answer.
+class EngineStreams::Answer final : public HttpAnswerListener, public std::enable_shared_from_this<Answer>
+{
+public:
+    Answer(boost::asio::io_context &context, std::shared_ptr<Stream> stream, EventSink &sink,
+           const StreamTimeouts &timeouts)
+        : m_context(context), m_idleTimer(context), m_stream(std::move(stream)), m_sink(sink),
+          m_timeouts(timeouts),
+          m_connection(std::make_shared<HttpClientConnection>(
+              context,
+              boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(m_stream->request.address.host()),
+                                             static_cast<std::uint16_t>(m_stream->request.address.port())),
+              SocketLimits{}))
+    {
+    }
+
+    void start()
+    {
+        m_connection->send(detail::streamRequest(m_stream->request), weak_from_this(), m_timeouts.connect);
+    }
+
+    // Null unless the engine's answer has failed.
+    [[nodiscard]] const std::optional<AttemptFailure> &failure() const { return m_failure; }
+
+    void connected() override { armIdleTimer(m_timeouts.idle); }
+
+    void answerHead(const HttpResponseHead &head) override
+    {
+        if (head.status != detail::statusOk) {
+            fail(detail::failureOf(head.status));
+            return;
+        }
+        const std::string id(fieldValue(head.fields, "X-Request-Id"));
+        if (!id.empty()) {
+            absl::MutexLock lock(&m_stream->mutex);
+            m_stream->streamId = EngineStreamId(id);
+        }
+        m_sink.post(RoutingEvent(AttemptStarted{m_stream->request.attempt, EngineStreamId(id)}));
+        armIdleTimer(m_timeouts.idle);
+    }
+
+    void answerBody(std::string_view data) override
+    {
+        // What follows the last token says nothing more, and need not end.
+        if (m_stream->isFinished)
+            return;
+        const auto events = m_stream->reader.feed(data);
+        if (!events) {
+            fail(AttemptFailure::StreamLost);
+            return;
+        }
+        for (const auto &it : *events) {
+            if (m_stream->isCancelled || !m_stream->takeEvent(it, m_sink)) {
+                fail(AttemptFailure::StreamLost);
+                return;
+            }
+        }
+        armIdleTimer(m_stream->isFinished ? detail::endTimeout : m_timeouts.idle);
+    }
+
+    void answerEnded(AnswerEnd) override { fail(AttemptFailure::StreamLost); }
+
+    void answerFailed(HttpFailure failure) override
+    {
+        fail(wasNeverSent(failure) ? AttemptFailure::NotStarted : AttemptFailure::StreamLost);
+    }
+
+private:
+    // Ends the event loop. A stream that is finished has not failed, however its answer ends.
+    void fail(AttemptFailure failure)
+    {
+        if (!m_stream->isFinished && !m_failure)
+            m_failure = failure;
+        m_connection->cancel();
+        m_context.stop();
+    }
+
+    void armIdleTimer(absl::Duration timeout)
+    {
+        m_idleTimer.expires_after(absl::ToChronoNanoseconds(timeout));
+        m_idleTimer.async_wait([self = shared_from_this()](const auto &ec) {
+            if (!ec)
+                self->fail(AttemptFailure::StreamLost);
+        });
+    }
+
+    boost::asio::io_context &m_context;
+    boost::asio::steady_timer m_idleTimer;
+    std::shared_ptr<Stream> m_stream;
+    EventSink &m_sink;
+    const StreamTimeouts m_timeouts;
+    std::shared_ptr<HttpClientConnection> m_connection;
+    std::optional<AttemptFailure> m_failure;
+};
+
 EngineStreams::EngineStreams(EventSink &sink, std::size_t maxStreams, StreamTimeouts timeouts)
     : m_sink(sink), m_timeouts(timeouts), m_pool("engine-stream", maxStreams),
       m_cancelPool("engine-cancel", detail::maxCancelThreads)
@@ -143,8 +265,8 @@
     stream->isCancelled = true;
     {
         absl::MutexLock lock(&stream->mutex);
-        if (stream->client)
-            stream->client->stop();
+        if (stream->context)
+            stream->context->stop();
     }
     if (mode == CancelMode::StopEngine)
         m_cancelPool.post([this, stream] { tellEngineToStop(stream); });
@@ -166,8 +288,8 @@
     // An engine that has not named the stream yet sees the closed connection and cancels it by itself later.
     if (id.value().empty())
         return;
-    auto client = makeHttpClient(stream->request.address, detail::cancelTimeout);
-    (void)client.Post(absl::StrCat("/v1/completions/", id.value(), "/cancel"));
+    const BlockingHttpClient client(stream->request.address, detail::cancelTimeout);
+    (void)client.post(absl::StrCat("/v1/completions/", id.value(), "/cancel"), "");
 }
 
 void EngineStreams::run(const std::shared_ptr<Stream> &stream)
@@ -177,68 +299,23 @@
         absl::MutexLock lock(&m_mutex);
         m_streams.erase(request.attempt);
     });
-    auto client = makeHttpClient(request.address, m_timeouts.idle);
-    client.set_connection_timeout(std::chrono::milliseconds(absl::ToInt64Milliseconds(m_timeouts.connect)));
+    boost::asio::io_context context(1);
     {
         absl::MutexLock lock(&stream->mutex);
         if (stream->isCancelled)
             return;
-        stream->client = &client;
+        stream->context = &context;
     }
     auto release = absl::MakeCleanup([&] {
         absl::MutexLock lock(&stream->mutex);
-        stream->client = nullptr;
+        stream->context = nullptr;
     });
-
-    httplib::Request http;
-    http.headers.emplace("Accept", "text/event-stream");
-    if (request.stream.value().empty()) {
-        http.method = "POST";
-        http.path = "/v1/completions";
-        http.headers.emplace("Content-Type", "application/json");
-        http.body = request.body;
-    } else {
-        auto lastSeen = static_cast<std::int64_t>(request.from.value() - request.streamStart.value()) - 1;
-        http.method = "GET";
-        http.path = absl::StrCat("/v1/completions/", request.stream.value(),
-                                 "?stream=true&starting_after=", lastSeen);
-    }
-    http.response_handler = [&](const httplib::Response &response) {
-        stream->status = response.status;
-        stream->wasAnswered = true;
-        if (response.status != detail::statusOk)
-            return true;
-        auto id = response.get_header_value("X-Request-Id");
-        if (!id.empty()) {
-            absl::MutexLock lock(&stream->mutex);
-            stream->streamId = EngineStreamId(id);
-        }
-        m_sink.post(RoutingEvent(AttemptStarted{request.attempt, EngineStreamId(id)}));
-        return !stream->isCancelled.load();
-    };
-    http.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
-        if (stream->status != detail::statusOk)
-            return true;
-        auto events = stream->reader.feed(std::string_view(data, size));
-        if (!events)
-            return false;
-        for (const auto &it : *events) {
-            if (stream->isCancelled || !stream->takeEvent(it, m_sink))
-                return false;
-        }
-        return true;
-    };
-
-    httplib::Response response;
-    auto error = httplib::Error::Success;
-    (void)client.send(http, response, error);
+    const auto answer = std::make_shared<Answer>(context, stream, m_sink, m_timeouts);
+    answer->start();
+    context.run();
     if (stream->isCancelled || stream->isFinished)
         return;
-    auto failure = AttemptFailure::StreamLost;
-    if (!stream->wasAnswered && wasNeverSent(error))
-        failure = AttemptFailure::NotStarted;
-    else if (stream->wasAnswered && stream->status != detail::statusOk)
-        failure = detail::failureOf(stream->status);
+    const auto failure = answer->failure().value_or(AttemptFailure::StreamLost);
     m_sink.post(RoutingEvent(AttemptFailed{request.attempt, failure}));
     if (failure == AttemptFailure::NotStarted)
         m_sink.post(MembershipEvent(TargetObserved{request.target, false}));
--- a/Services/Router/EngineStreams.h
+++ b/Services/Router/EngineStreams.h
@@ -64,6 +64,7 @@
 
 private:
     struct Stream;
+    class Answer;
 
     void run(const std::shared_ptr<Stream> &stream);
     void tellEngineToStop(const std::shared_ptr<Stream> &stream);
--- a/Services/Router/TargetCalls.cpp
+++ b/Services/Router/TargetCalls.cpp
@@ -2,7 +2,7 @@
 
 #include <Router/TargetCalls.h>
 
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 #include <LibPlatform/MonotonicClock.h>
 
 #include <absl/strings/str_cat.h>
@@ -58,10 +58,12 @@
     }
     noteChoice(key.value(), *slot, "non-idempotent, least outstanding");
     m_metrics.count("dispatches_total");
-    auto client = makeHttpClient(slot->target().address, timeout);
-    auto result = client.Post(detail::callPath, {{"Idempotency-Key", key.value()}}, body, "application/json");
+    const BlockingHttpClient client(slot->target().address, timeout);
+    HttpFields fields;
+    fields.set("Idempotency-Key", key.value());
+    const auto result = client.post(detail::callPath, body, std::move(fields));
     if (result) {
-        m_sink.post(LedgerEvent(TargetAnswered{call, result->status, result->body}));
+        m_sink.post(LedgerEvent(TargetAnswered{call, result->head.status, result->body}));
         return;
     }
     auto sent = wasNeverSent(result.error()) ? BytesSent::None : BytesSent::Maybe;
@@ -88,11 +90,11 @@
         }
         noteChoice("-", *slot, tried.empty() ? "idempotent, least outstanding" : "retry after a failure");
         tried.push_back(slot->target().id);
-        auto client =
-            makeHttpClient(slot->target().address, std::min(remaining, detail::idempotentAttemptTimeout));
-        auto result = client.Post(detail::callPath, body, "application/json");
-        if (result && result->status != detail::statusOverloaded)
-            return CallAnswer{CallOutcome::Ran, result->status, result->body};
+        const BlockingHttpClient client(slot->target().address,
+                                        std::min(remaining, detail::idempotentAttemptTimeout));
+        const auto result = client.post(detail::callPath, body);
+        if (result && result->head.status != detail::statusOverloaded)
+            return CallAnswer{CallOutcome::Ran, result->head.status, result->body};
         last = Error{result ? ErrorCode::Overloaded : ErrorCode::ConnectionLost, slot->target().id.value(),
                      detail::retryAfterFailure};
         if (!result)
--- a/Services/Router/TargetPoller.cpp
+++ b/Services/Router/TargetPoller.cpp
@@ -2,7 +2,7 @@
 
 #include <Router/TargetPoller.h>
 
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -81,8 +81,8 @@
 
 void TargetPoller::poll(const PolledTarget &target)
 {
-    auto client = makeHttpClient(target.address, detail::pollTimeout);
-    auto result = client.Get("/load");
+    const BlockingHttpClient client(target.address, detail::pollTimeout);
+    const auto result = client.get("/load");
     m_sink.post(MembershipEvent(TargetObserved{target.id, static_cast<bool>(result)}));
     if (!result || target.kind == PollKind::PlainService)
         return;
@@ -101,9 +101,9 @@
         absl::MutexLock lock(&m_mutex);
         position = m_cachePositions[target.id];
     }
-    auto client = makeHttpClient(target.address, detail::pollTimeout);
-    auto result = client.Get(absl::StrCat("/v1/cache-events?after=", position));
-    if (!result || result->status != 200)
+    const BlockingHttpClient client(target.address, detail::pollTimeout);
+    const auto result = client.get(absl::StrCat("/v1/cache-events?after=", position));
+    if (!result || result->head.status != 200)
         return;
     CacheReported report{target.id, {}, {}};
     try {
--- a/Tests/LibPlatform/TestChunkedAnswersCutInALineEnd.cpp
+++ b/Tests/LibPlatform/TestChunkedAnswersCutInALineEnd.cpp
@@ -1,9 +1,9 @@
-// A chunked answer that is cut inside the line end after a chunk's data is taken for whole by cpp-httplib,
-// with the chunks so far as its body.
+// A chunked answer that was cut inside the line end after a chunk's data was taken for whole by the client of
+// that time (cpp-httplib), with the chunks so far as its body.
 
 #include <Support/FakeClosingPeer.h>
 
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -36,11 +36,11 @@
         boost::asio::io_context context(1);
         FakeClosingPeer peer(context, bytes, ending);
         std::thread thread([&context] { context.run(); });
-        auto client = makeHttpClient(*Address::parse(peer.address()), absl::Seconds(2));
-        const auto result = client.Post("/v1/calls", "{}", "application/json");
+        const BlockingHttpClient client(*Address::parse(peer.address()), absl::Seconds(2));
+        const auto result = client.post("/v1/calls", "{}");
         context.stop();
         thread.join();
-        return result && result->status == 200;
+        return result && result->head.status == 200;
     }
 };
 
--- a/Tests/LibPlatform/TestCutAnswersOfObjectApi.cpp
+++ b/Tests/LibPlatform/TestCutAnswersOfObjectApi.cpp
@@ -2,7 +2,7 @@
 
 #include <Support/FakeClosingPeer.h>
 
-#include <LibPlatform/HttpClient.h>
+#include <LibPlatform/BlockingHttpClient.h>
 #include <LibPlatform/HttpObjectStore.h>
 
 #include <absl/cleanup/cleanup.h>
@@ -44,8 +44,8 @@
     void cutAnswerToACallIsNone()
     {
         forEachCut([](const std::string &address) {
-            auto client = makeHttpClient(*Address::parse(address), timeout);
-            const auto result = client.Post("/v1/calls", "{}", "application/json");
+            const BlockingHttpClient client(*Address::parse(address), timeout);
+            const auto result = client.post("/v1/calls", "{}");
             CPPUNIT_ASSERT(!result && !wasNeverSent(result.error()));
         });
     }
