LibForwarding: Don't let entries of other writers do away with targets

Cause: of two entries with one address the later process is current, and the other one counted as gone for good. The rule held for any entry, also with the same start.

Only a later start in an entry of a named service says something about an address. The mark ends when the process renews its entry after the one that replaced it, or when it names itself in a 421 to a request for the other entry.

--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -114,7 +114,7 @@
     for (const auto &[id, lost] : m_lostRuns) {
         const bool isEarlier = id == current.id
             ? current.isLaterThan(lost.process)
-            : current.address == lost.process.address && current.startedAtMs >= lost.process.startedAtMs;
+            : current.address == lost.process.address && current.isLaterStart(lost.process);
         // An address has one earlier process at most.
         if (isEarlier)
             return confirmEnd(TargetId(id), now);
--- a/Libraries/LibForwarding/TargetNotices.h
+++ b/Libraries/LibForwarding/TargetNotices.h
@@ -37,6 +37,12 @@
             return startedAtMs > other.startedAtMs;
         return !other.address.empty() && address != other.address;
     }
+    // For processes of two targets at one address. Those without a known start follow each other as they are
+    // listed; one with the same start is a copy of the entry.
+    [[nodiscard]] bool isLaterStart(const TargetProcess &other) const
+    {
+        return startedAtMs > other.startedAtMs || (startedAtMs == 0 && other.startedAtMs == 0);
+    }
     bool operator==(const TargetProcess &) const = default;
 };
 
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -74,12 +74,10 @@
 {
     std::optional<TargetProcess> replaced;
     for (auto &[id, other] : m_targets) {
-        if (id == record.id || other.isGone || other.record.address != record.address)
-            continue;
-        // If two targets have the same address, the one whose process started last is current.
-        if (other.record.startedAtMs > record.startedAtMs)
+        if (id == record.id || other.isGone || !takesOver(record, other.record))
             continue;
         other.isGone = true;
+        other.replacedAt = record.listedAt;
         replaced = other.record.process();
     }
     if (m_notices.processStarted(record.process()))
@@ -101,12 +99,33 @@
         m_slices.clear();
     const bool wasDraining = target.record.startedAtMs != 0 && target.record.startedAtMs == record.startedAtMs
         && target.record.phase == ForwardingTargetPhase::Draining;
+    // A process that renews its entry after that of its alleged successor lives on: the other entry is a
+    // copy.
+    if (target.replacedAt && *target.replacedAt < record.listedAt) {
+        target.isGone = false;
+        target.replacedAt.reset();
+    }
     target.record = record;
     if (wasDraining)
         target.record.phase = ForwardingTargetPhase::Draining;
     return replaced;
 }
 
+bool TargetPool::takesOver(const ForwardingTarget &record, const ForwardingTarget &other) const
+{
+    return record.address == other.address && isKnownService(record.service)
+        && record.process().isLaterStart(other.process());
+}
+
+void TargetPool::recordAnsweredBy(const TargetId &id, const std::string &address)
+{
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end() || it->second.record.address != address || !it->second.replacedAt)
+        return;
+    it->second.isGone = false;
+    it->second.replacedAt.reset();
+}
+
 void TargetPool::remove(const TargetId &id)
 {
     if (const auto it = m_targets.find(id); it != m_targets.end()) {
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -167,10 +167,19 @@
 
     // Targets in the directory.
     //
+    // The services of the configuration. An entry of another service may come from another writer, so it says
+    // nothing about who uses its address. Until this is called, all services count as named.
+    void setServices(absl::flat_hash_set<ServiceName> services) { m_services = std::move(services); }
+    [[nodiscard]] bool isKnownService(const ServiceName &service) const
+    {
+        return !m_services || m_services->contains(service);
+    }
     // Adds or updates a target. Returns the process that had the same address before, which no longer exists.
     // A process that drains never becomes ready again, even if a restored store still says that it is.
     std::optional<TargetProcess> upsert(const ForwardingTarget &);
     void remove(const TargetId &);
+    // The process at the address has said that it is this target. It exists, whatever other entries say.
+    void recordAnsweredBy(const TargetId &, const std::string &address);
     [[nodiscard]] const ForwardingTarget *find(const TargetId &) const;
     [[nodiscard]] std::size_t size() const { return m_targets.size(); }
 
@@ -276,12 +285,17 @@
         absl::Time unprovenUntil{absl::InfinitePast()};
         // The target no longer exists; the entry remains until the directory removes it.
         bool isGone{false};
+        // Position of the entry of a later process at the address, if that is why the target counts as gone.
+        std::optional<StorePosition> replacedAt;
         bool isHeld{false};
         // Moving average of failed requests, in [0, 1].
         double failureRate{0};
         // When another router last reported unprocessed prompts.
         absl::Time peerPromptAt{absl::InfinitePast()};
     };
+    // Whether a process with this entry shows that the other one has ended, since they have one address.
+    [[nodiscard]] bool takesOver(const ForwardingTarget &record, const ForwardingTarget &other) const;
+
     struct PeerLoads
     {
         TargetLoads loads;
@@ -345,6 +359,7 @@
                                            const ServicePerformance &, absl::Time now) const;
 
     FailureDomain m_ownDomain;
+    std::optional<absl::flat_hash_set<ServiceName>> m_services;
     RandomSource &m_random;
     // The index refers to the elements, so the map must not move them.
     std::map<TargetId, Target> m_targets;
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -117,6 +117,8 @@
                                                          ConnectionAge) const = 0;
     // Fields that are malformed are ignored.
     [[nodiscard]] virtual TargetNotice readTargetNotice(const HttpResponseHead &) const = 0;
+    // The target that answered, if the head names it.
+    [[nodiscard]] virtual std::optional<TargetId> readAnsweringTarget(const HttpResponseHead &) const = 0;
     [[nodiscard]] virtual bool isEventStream(const HttpResponseHead &) const = 0;
     // Asks the target to copy the KV cache of a running generation to the holder while the generation
     // continues.
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -123,7 +123,8 @@
     if (response.handle.empty())
         return;
     // NOTE: The response is ignored because a copy that is not released expires on its own.
-    sendControlRequest(detail::targetOf(process), m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
+    sendControlRequest(detail::targetOf(process),
+                       m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
                        [](const HttpCallResult &) {});
 }
 
@@ -202,8 +203,11 @@
     const bool isFull = wasRefused && fault != TargetFault::Gone;
     const bool isCopyMissing = run.origin().isFromCopy && isFull;
     // Another process answered at the address.
-    if (fault == TargetFault::Gone)
+    if (fault == TargetFault::Gone) {
         m_gatewayContext.promptGuard.targetEnded(run.target(), monotonicNow());
+        if (const auto current = m_gatewayContext.dialect.readAnsweringTarget(attempt.head()))
+            m_gatewayContext.targets.recordAnsweredBy(*current, run.process().address);
+    }
     if (!wasRefused && m_gatewayContext.targets.limitOf(run.target()))
         m_gatewayContext.limits.giveBack(run.process());
     if (!isFull)
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -119,6 +119,8 @@
     m_startedAt = monotonicNow();
     m_self.incarnation = Incarnation(static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now())));
     m_routersView.setWatching(false);
+    // Nothing is known of services before the first configuration.
+    m_targets.setServices({});
 }
 
 Gateway::~Gateway()
@@ -323,6 +325,10 @@
                        .requestTimeout = limits.headerTimeout,
                        .idleTimeout = limits.idleTimeout});
     }
+    absl::flat_hash_set<ServiceName> services;
+    for (const auto &it : routes->configuration().services)
+        services.insert(it.name);
+    m_targets.setServices(std::move(services));
     m_routes = std::move(routes);
     m_peerLink->scheduleReport(ReportUrgency::Urgent);
 }
@@ -344,7 +350,8 @@
                      {"started_at_ms", now.startedAtMs}},
                     monotonicNow());
     }
-    m_promptGuard.processListed(now.process(), monotonicNow());
+    if (m_targets.isKnownService(now.service))
+        m_promptGuard.processListed(now.process(), monotonicNow());
     if (m_rolloutGuard)
         m_rolloutGuard->targetListed(now, monotonicNow());
     if (replacedProcess)
--- a/Libraries/LibGateway/TargetAttempt.h
+++ b/Libraries/LibGateway/TargetAttempt.h
@@ -60,6 +60,8 @@
     void answerFailed(HttpFailure) override;
     // Plain responses are passed on when they are complete; a stream that waits would look silent.
     [[nodiscard]] bool canWaitForRoom() const override { return !m_isStream; }
+    // The head of the answer; empty before it.
+    [[nodiscard]] const HttpResponseHead &head() const { return m_response.head; }
     // The target has ended its answer, if not as it should have. It is no longer at work on the request.
     [[nodiscard]] bool hasAnswerEnded() const { return m_hasAnswerEnded; }
     // The connection was reset after an answer that ended with it, which may lack its end.
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -22,6 +22,11 @@
     CPPUNIT_TEST(suspicionExpires);
     CPPUNIT_TEST(failingDomainIsAvoidedBeforeAllItsTargetsFail);
     CPPUNIT_TEST(replacedTargetIsNeverChosen);
+    CPPUNIT_TEST(laterProcessAtTheAddressReplacesTarget);
+    CPPUNIT_TEST(entryOfUnnamedServiceReplacesNoTarget);
+    CPPUNIT_TEST(copyOfAnEntryReplacesNoTarget);
+    CPPUNIT_TEST(targetThatRenewsItsEntryIsChosenAgain);
+    CPPUNIT_TEST(targetThatAnswersIsChosenAgain);
     CPPUNIT_TEST(restartedTargetIsChosenAgain);
     CPPUNIT_TEST(lateReportsOfEndedProcessAreIgnored);
     CPPUNIT_TEST(reportOfUnknownProcessConcernsItsTarget);
@@ -163,6 +168,58 @@
         CPPUNIT_ASSERT(!m_pool.choose(restricted, m_now));
     }
 
+    void laterProcessAtTheAddressReplacesTarget()
+    {
+        CPPUNIT_ASSERT(m_pool.upsert(otherEntry(2)) == process(0));
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+    }
+
+    // A mirror of the entries of sound targets, under names and a service of its own, did away with them.
+    void entryOfUnnamedServiceReplacesNoTarget()
+    {
+        m_pool.setServices({ServiceName("s")});
+        auto entry = otherEntry(2);
+        entry.service = ServiceName("mirror");
+        CPPUNIT_ASSERT(!m_pool.upsert(entry));
+        CPPUNIT_ASSERT(m_pool.isHealthy(id(0), m_now));
+    }
+
+    void copyOfAnEntryReplacesNoTarget()
+    {
+        CPPUNIT_ASSERT(!m_pool.upsert(otherEntry(1)));
+        CPPUNIT_ASSERT(m_pool.isHealthy(id(0), m_now));
+        CPPUNIT_ASSERT(!m_pool.upsert(otherEntry(0)));
+        CPPUNIT_ASSERT(m_pool.isHealthy(id(0), m_now));
+    }
+
+    void targetThatRenewsItsEntryIsChosenAgain()
+    {
+        auto later = otherEntry(2);
+        later.listedAt.revision = ObjectVersion(5);
+        CPPUNIT_ASSERT(m_pool.upsert(later));
+        auto renewed = record(0);
+        // A router may hear of it late.
+        renewed.listedAt.revision = ObjectVersion(4);
+        m_pool.upsert(renewed);
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+        renewed.listedAt.revision = ObjectVersion(6);
+        m_pool.upsert(renewed);
+        CPPUNIT_ASSERT(m_pool.isHealthy(id(0), m_now));
+    }
+
+    void targetThatAnswersIsChosenAgain()
+    {
+        CPPUNIT_ASSERT(m_pool.upsert(otherEntry(2)));
+        m_pool.recordAnsweredBy(id(0), record(1).address);
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+        m_pool.recordAnsweredBy(id(0), record(0).address);
+        CPPUNIT_ASSERT(m_pool.isHealthy(id(0), m_now));
+        // Another process has answered at the address.
+        m_pool.recordFault(process(0), TargetFault::Gone, m_now);
+        m_pool.recordAnsweredBy(id(0), record(0).address);
+        CPPUNIT_ASSERT(!m_pool.isHealthy(id(0), m_now));
+    }
+
     void restartedTargetIsChosenAgain()
     {
         m_pool.recordFault(process(0), TargetFault::Gone, m_now);
@@ -561,6 +618,14 @@
                 .startedAtMs = 1};
     }
     static TargetProcess process(int n) { return record(n).process(); }
+    // Under another id, at the address of target 0.
+    static ForwardingTarget otherEntry(std::int64_t startedAtMs)
+    {
+        auto entry = record(0);
+        entry.id = id(targetCount);
+        entry.startedAtMs = startedAtMs;
+        return entry;
+    }
     static TargetRequirements need()
     {
         TargetRequirements need;
--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -282,6 +282,7 @@
     response.head.fields.set("Request-Id", requestId);
     if (fieldValue(request, "Expect-Instance") != m_id) {
         response.head.status = 421;
+        response.head.fields.set("Instance-Id", m_id);
         respond(connection, std::move(response));
         return;
     }
--- /dev/null
+++ b/Tests/Platform/TestForeignEntries.cpp
@@ -0,0 +1,83 @@
+// Guards against entries of another writer at the addresses of sound engines: they counted as later processes
+// there, so that running requests were given up and the engines were never used again.
+
+#include "FakeDeployment.h"
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Wisteria {
+
+class TestForeignEntries : public FakeDeployment
+{
+    CPPUNIT_TEST_SUITE(TestForeignEntries);
+    CPPUNIT_TEST(entriesOfAnUnnamedServiceChangeNothing);
+    CPPUNIT_TEST(copiesOfEntriesChangeNothing);
+    CPPUNIT_TEST(enginesAreUsedBesideEntriesThatStartedLater);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void entriesOfAnUnnamedServiceChangeNothing() { checkRequestsBeside("mirror", 7); }
+
+    void copiesOfEntriesChangeNothing() { checkRequestsBeside("", 0); }
+
+    // Such an entry looks like that of a later engine until its address answers with another name.
+    void enginesAreUsedBesideEntriesThatStartedLater()
+    {
+        startGateway();
+        putForeignEntries("", 7);
+        m_context->run_for(std::chrono::milliseconds(100));
+        expectService();
+        expectService();
+    }
+
+private:
+    // With an empty service, the entries name that of the engine. They say that they started later by so
+    // much.
+    void putForeignEntries(const std::string &service, int startedLaterMs)
+    {
+        for (const auto &[id, engine] : m_engines) {
+            auto entry = engine->storeRecord();
+            if (!service.empty())
+                entry["service"] = service;
+            entry["born"] = entry["born"].get<int>() + startedLaterMs;
+            m_store->put("servers", "other-" + id, entry);
+        }
+    }
+
+    void expectService()
+    {
+        for (int n = 0; n < 8; ++n) {
+            const auto id = absl::StrCat("r", m_calls++);
+            CPPUNIT_ASSERT_EQUAL("answer of " + id, call("POST", "/book/x", id).body);
+            CPPUNIT_ASSERT_EQUAL(1, m_engineState.runsByRequest[id]);
+            CPPUNIT_ASSERT_EQUAL("answer of " + id, call("GET", "/look/x", id).body);
+            CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), call("POST", "/stream/x", id).body);
+        }
+    }
+
+    void checkRequestsBeside(const std::string &service, int startedLaterMs)
+    {
+        m_engineState.eventsPerStream = 40;
+        startGateway();
+        HttpResponse response;
+        bool isDone = false;
+        startCall("POST", "/stream/x", "running", "key", response, isDone);
+        CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.contains("running"); }));
+        putForeignEntries(service, startedLaterMs);
+        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
+        CPPUNIT_ASSERT_EQUAL(1, m_engineState.acceptedByRequest.at("running"));
+        expectService();
+        // A router that starts lists the entries in one go.
+        endRouter(m_gateway, m_client);
+        startGateway();
+        expectService();
+    }
+
+    int m_calls{0};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestForeignEntries);
+
+} // namespace Wisteria
