--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(unreadableEntryDoesNotSpoilWatch);
     CPPUNIT_TEST(unreadableEntryOfKnownNameIsUnusable);
     CPPUNIT_TEST(largeForeignEntryIsNotRead);
+    CPPUNIT_TEST(onlyKnownFieldsOfEntriesAreKept);
     CPPUNIT_TEST(numbersOutOfRangeAreInvalid);
     CPPUNIT_TEST(pageWithoutNamesEndsTheList);
     CPPUNIT_TEST(nameInPathIsEncoded);
@@ -119,6 +120,28 @@
         CPPUNIT_ASSERT(batch->objects[1].content.is_null());
     }
 
+    // Parsed entries of another writer, many times the size of their text, took routers beyond their memory.
+    void onlyKnownFieldsOfEntriesAreKept()
+    {
+        auto spec = nlohmann::json::parse(sound);
+        const auto kept = list({object("a", sound)})->objects.at(0).content;
+        for (int n = 0; n < 2000; ++n)
+            spec["field-" + std::to_string(n)] = {1, 2, 3};
+        const auto batch = list({object("a", spec.dump())});
+        CPPUNIT_ASSERT(batch && batch->objects.size() == 1);
+        CPPUNIT_ASSERT(batch->objects[0].content == kept);
+        CPPUNIT_ASSERT(m_decoder.target(batch->objects[0]));
+        for (const auto *field : {"service", "address", "zone", "state", "slots", "born"}) {
+            for (const auto &odd : {nlohmann::json(std::string(5000, 'x')), nlohmann::json::array({1, 2})}) {
+                auto spoiled = nlohmann::json::parse(sound);
+                spoiled[field] = odd;
+                const auto entry = list({object("a", spoiled.dump())})->objects.at(0);
+                CPPUNIT_ASSERT_MESSAGE(field, entry.content.dump().size() < 500);
+                CPPUNIT_ASSERT_MESSAGE(field, !m_decoder.target(entry));
+            }
+        }
+    }
+
     void numbersOutOfRangeAreInvalid()
     {
         for (const auto *slots : {"-1", "1e300", "2147483648", "9223372036854775807", "null", "\"6\""}) {
