LibNet: End streams to slow readers while memory is short

Cause: the backlog of a stream is in the memory account, but no decision looked at it: each stream might lag by 4 MiB as long as its caller took a byte now and then.

While there is no room in the account, stalled answers are shed, and then a stream that lags by more than 64 KiB ends.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -342,7 +342,8 @@
     m_unsent += data;
     updateReservation();
     const bool isStalled = !m_sending.empty() && monotonicNow() - m_lastSentAt > streamStallTimeout;
-    if (unsentBytes() > (isStalled ? maxUnsentBytes : maxStreamBacklogBytes)) {
+    const bool isTooMuch = unsentBytes() > (isStalled ? maxUnsentBytes : maxStreamBacklogBytes);
+    if (isTooMuch || (unsentBytes() > MemoryAccount::smallBytes && !hasRoomForBacklog())) {
         LOG_EVERY_N(WARNING, 100) << "a caller does not read its answer";
         closeAndReport(ClosureReason::AnswerUnread);
         return;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -62,7 +62,8 @@
     // A stream of which the caller leaves more than this unread, and of which it takes nothing for the time
     // below, ends with its connection.
     static constexpr std::size_t maxUnsentBytes = std::size_t{512} * 1024;
-    // A stream that outruns its caller by this ends at once, since it would use up the memory.
+    // A stream that outruns its caller by this ends at once, since it would use up the memory. While there is
+    // no room in the account, MemoryAccount::smallBytes are the limit.
     static constexpr std::size_t maxStreamBacklogBytes = std::size_t{4} << 20U;
     static constexpr absl::Duration streamStallTimeout = absl::Seconds(1);
     // Bytes that a caller may send ahead while its request is open.
@@ -131,6 +132,9 @@
     void updateWait();
     // Makes room for what has arrived. Returns false if this connection was shed.
     bool claimRoom();
+    // Makes room for what the caller leaves unread of a stream. False if there is none; the connection may
+    // have been shed itself.
+    [[nodiscard]] bool hasRoomForBacklog();
     // The next request waits until its caller has taken the answers before it, since there is no room for
     // more of them.
     [[nodiscard]] bool mustWaitForReader() const;
--- a/Libraries/LibNet/HttpServerPressure.cpp
+++ b/Libraries/LibNet/HttpServerPressure.cpp
@@ -95,6 +95,15 @@
     refuse(detail::statusUnavailable, detail::nextShedRetry());
 }
 
+bool HttpServerConnection::hasRoomForBacklog()
+{
+    auto &account = MemoryAccount::ofThread();
+    if (account.hasRoomFor(m_reservation.bytes()))
+        return true;
+    account.makeRoomForAnswers(monotonicNow());
+    return account.hasRoomFor(m_reservation.bytes());
+}
+
 bool HttpServerConnection::mustWaitForReader() const
 {
     return unsentBytes() > MemoryAccount::smallBytes
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -96,6 +97,7 @@
     CPPUNIT_TEST(refusalDoesNotResetCallerThatStillSends);
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(streamsToSlowReadersStayWithinTheMemory);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
     CPPUNIT_TEST(connectionThatItsPeerHasClosedIsNotReused);
     CPPUNIT_TEST(garbageAnswerIsBad);
@@ -350,6 +352,46 @@
         CPPUNIT_ASSERT_MESSAGE(ec.message(), !ec);
         socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
         const auto read = readToEnd(socket);
+    // Each stream may lag by some megabytes; a crowd of slow readers took the process beyond its memory.
+    void streamsToSlowReadersStayWithinTheMemory()
+    {
+        constexpr std::size_t capacity = std::size_t{8} << 20U;
+        constexpr std::size_t piece = std::size_t{64} << 10U;
+        // More than the kernel's buffers of a connection and the longest backlog together.
+        constexpr std::size_t streamBytes = std::size_t{16} << 20U;
+        auto &account = MemoryAccount::ofThread();
+        account.setCapacity(capacity);
+        const auto reset = absl::MakeCleanup([&] { account.setCapacity(MemoryAccount::unlimited); });
+        m_handler.isHolding = true;
+        std::vector<std::shared_ptr<HttpServerConnection>> streams;
+        std::vector<boost::asio::ip::tcp::socket> readers;
+        for (int n = 0; n < 8; ++n) {
+            readers.emplace_back(*m_context).connect(*parseEndpoint(m_address));
+            boost::asio::write(readers.back(), boost::asio::buffer(detail::shortRequest));
+            while (!m_handler.held)
+                m_context->run_one();
+            streams.push_back(std::exchange(m_handler.held, nullptr));
+            streams.back()->openStream(makeResponse(200, "text/plain", "").head);
+        }
+        const std::string data(piece, 'x');
+        for (std::size_t sent = 0; sent < streamBytes; sent += piece) {
+            for (const auto &it : streams) {
+                it->writeStream(data);
+                CPPUNIT_ASSERT(account.used() <= capacity);
+            }
+            // Slow, but not stalled.
+            for (auto &it : readers) {
+                std::array<char, 1024> buf{};
+                boost::system::error_code ignored;
+                it.non_blocking(true);
+                (void)it.read_some(boost::asio::buffer(buf), ignored);
+            }
+            m_context->poll();
+        }
+        m_handler.isHolding = false;
+        CPPUNIT_ASSERT(exchange(detail::shortRequest).rfind("HTTP/1.1 200", 0) == 0);
+    }
+
         CPPUNIT_ASSERT(read.text.rfind("HTTP/1.1 413", 0) == 0);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(read.end.message(), true, read.end == boost::asio::error::eof);
     }
