LibNet: Forward the head of a request as its caller sent it

Trailers of a request became fields of its head: "Connection: Request-Id" took the id away and "Model" was sent on as a second one.

Cause: the parser adds trailers to the fields; only the first Host was read; the target was looked up as a path.

Evidence: trailersAreNoFieldsOfTheHead, secondHostIsRefused and absoluteTargetBecomesPathAndHost of TestHttp failed before.

The head is parsed before anything else and kept where chunks follow. A second Host is 400 (RFC 9112, section 3.2); of an absolute target the path and the host are used (3.2.2).

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -134,6 +134,24 @@
 
 namespace detail {
 
+// Turns an absolute request target into a path with the host in its field, which targets expect (RFC 9112,
+// section 3.2.2).
+void useOriginForm(HttpRequest &request)
+{
+    constexpr std::string_view scheme = "http://";
+    const auto target = stdView(request.target());
+    if (!absl::StartsWithIgnoreCase(abslView(target), abslView(scheme)))
+        return;
+    const auto rest = target.substr(scheme.size());
+    const auto hostEnd = std::min(rest.find_first_of("/?"), rest.size());
+    const std::string host(rest.substr(0, hostEnd));
+    auto path = std::string(rest.substr(hostEnd));
+    if (!path.starts_with('/'))
+        path.insert(0, 1, '/');
+    request.target(path);
+    request.set(http::field::host, host);
+}
+
 // The parser must have understood the transfer coding as it is checked here. A body whose end the two see at
 // different places hides a request (RFC 9112, sections 6.3 and 11.2).
 template <typename Parser>
@@ -171,7 +189,9 @@
             m_fieldBytes = 0;
             m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
             m_parser->body_limit(limits.maxBodyBytes);
-            m_parser->eager(true);
+            // The head is looked at before anything else of the request.
+            m_parser->eager(false);
+            m_head.reset();
         }
         if (!m_hasBytes) {
             m_hasBytes = true;
@@ -186,10 +206,8 @@
             refuse(detail::statusOfParserError(ec));
             return false;
         }
-        if (m_parser->is_header_done() && detail::hasUnknownFraming(*m_parser)) {
-            refuse(detail::statusBadRequest);
+        if (!hadHeader && m_parser->is_header_done() && !takeHead())
             return false;
-        }
         if (hadHeader) {
             const auto bodyBytes = m_parser->get().body().size() - bodyBytesBefore;
             m_framingLimit.add(used - std::min(used, bodyBytes), bodyBytes);
@@ -200,8 +218,8 @@
         }
         // Trailers add to the fields.
         if (m_parser->is_header_done() && (!hadHeader || m_parser->is_done()))
-            m_fieldBytes = detail::fieldBytes(m_parser->get());
-        if (!hadHeader && m_parser->is_header_done() && !m_parser->is_done()
+            m_fieldBytes = detail::fieldBytes(m_parser->get()) + (m_head ? detail::fieldBytes(*m_head) : 0);
+        if (!hadHeader && m_parser->is_header_done() && !m_parser->is_done() && m_unparsed.empty()
             && absl::EqualsIgnoreCase(abslView(fieldValue(m_parser->get(), "Expect")), "100-continue"))
             write("HTTP/1.1 100 Continue\r\n\r\n");
         // The write may have closed the connection.
@@ -214,12 +232,33 @@
     }
 }
 
+bool HttpServerConnection::takeHead()
+{
+    const auto &head = m_parser->get();
+    // A second Host would be read differently by targets (RFC 9112, section 3.2).
+    if (detail::hasUnknownFraming(*m_parser) || head.count(http::field::host) > 1) {
+        refuse(detail::statusBadRequest);
+        return false;
+    }
+    if (m_parser->chunked())
+        m_head = head.base();
+    m_parser->eager(true);
+    return true;
+}
+
 void HttpServerConnection::handOver()
 {
     auto message = m_parser->release();
     m_parser.reset();
     HttpRequest request;
-    request.base() = std::move(message.base());
+    if (m_head) {
+        request.base() = std::move(*m_head);
+        m_fieldBytes = detail::fieldBytes(request.base());
+        m_head.reset();
+    } else {
+        request.base() = std::move(message.base());
+    }
+    detail::useOriginForm(request);
     request.body() = std::move(message.body());
     m_keepAlive = request.keep_alive();
     m_hasOpenRequest = true;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -120,6 +120,8 @@
     void parse();
     // Feeds the parser. Returns false if the connection has nothing to hand over yet.
     bool parseRequest();
+    // Checks the head that the parser has just completed. Returns false if the request was refused.
+    bool takeHead();
     void handOver();
     void refuse(int status);
     // Rejects a request that was not handed over. It may be sent again after `retryAfter`.
@@ -130,11 +132,11 @@
     void updateReservation();
     // Brings the connection's place among those that wait up to date.
     void updateWait();
-    // Makes room for what has arrived. Returns false if this connection was shed.
-    bool claimRoom();
     // Makes room for what the caller leaves unread of a stream. False if there is none; the connection may
     // have been shed itself.
     [[nodiscard]] bool hasRoomForBacklog();
+    // Makes room for what has arrived. Returns false if this connection was shed.
+    bool claimRoom();
     // The next request waits until its caller has taken the answers before it, since there is no room for
     // more of them.
     [[nodiscard]] bool mustWaitForReader() const;
@@ -166,6 +168,9 @@
     // Null once the server is gone.
     HttpServer *m_server;
     std::optional<Parser> m_parser;
+    // Head of the request in `m_parser` if it comes in chunks: the parser adds the trailers to its fields,
+    // and a trailer must not pass for a field of the head (RFC 9110, section 6.5.1).
+    std::optional<HttpRequest::header_type> m_head;
     // Bytes of a request's chunk sizes, extensions and trailers.
     FramingLimit m_framingLimit;
     std::string m_unparsed;
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -24,6 +24,8 @@
     void handleRequest(const std::shared_ptr<HttpServerConnection> &connection, HttpRequest request) override
     {
         bodies.push_back(request.body());
+        heads.push_back(request.base());
+        targets.emplace_back(request.target().data(), request.target().size());
         if (isHolding) {
             connection->setCallerLeftHandler([this] { ++callersLeft; });
             held = connection;
@@ -33,6 +35,8 @@
     }
 
     std::vector<std::string> bodies;
+    std::vector<HttpFields> heads;
+    std::vector<std::string> targets;
     // The connection of the last open request.
     std::shared_ptr<HttpServerConnection> held;
     bool isHolding{false};
@@ -82,6 +86,9 @@
     CPPUNIT_TEST(conflictingLengthsAreRefused);
     CPPUNIT_TEST(bodiesWithoutAnEndAreRefused);
     CPPUNIT_TEST(unknownCodingsBesideALengthAreRefused);
+    CPPUNIT_TEST(trailersAreNoFieldsOfTheHead);
+    CPPUNIT_TEST(secondHostIsRefused);
+    CPPUNIT_TEST(absoluteTargetBecomesPathAndHost);
     CPPUNIT_TEST(garbageIsRefused);
     CPPUNIT_TEST(largeHeadsAndBodiesAreRefused);
     CPPUNIT_TEST(slowRequestTimesOut);
@@ -90,6 +97,7 @@
     CPPUNIT_TEST(callerThatPausesReadingGetsItsWholeAnswer);
     CPPUNIT_TEST(burstOfAStreamReachesCallerThatReads);
     CPPUNIT_TEST(streamThatOutrunsItsCallerDoesNotGrowWithoutBound);
+    CPPUNIT_TEST(streamsToSlowReadersStayWithinTheMemory);
     CPPUNIT_TEST(idleTimeoutDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerDoesNotCutAnswerThatIsBeingSent);
     CPPUNIT_TEST(closingServerAnswersRequestThatHasArrived);
@@ -97,7 +105,6 @@
     CPPUNIT_TEST(refusalDoesNotResetCallerThatStillSends);
     CPPUNIT_TEST(truncatedAnswerIsNoAnswer);
     CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
-    CPPUNIT_TEST(streamsToSlowReadersStayWithinTheMemory);
     CPPUNIT_TEST(extraAnswerClosesTheConnection);
     CPPUNIT_TEST(connectionThatItsPeerHasClosedIsNotReused);
     CPPUNIT_TEST(garbageAnswerIsBad);
@@ -206,6 +213,51 @@
         CPPUNIT_ASSERT(m_handler.bodies.empty());
     }
 
+    // They changed what was forwarded: a trailer named in the head's place took a field away, or added one.
+    void trailersAreNoFieldsOfTheHead()
+    {
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nX: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string rest = "1\r\nb\r\n0\r\nX: 2\r\nConnection: X, close\r\nHost: b\r\nY: 3\r\n\r\n";
+        for (const auto pause : {std::chrono::milliseconds(0), std::chrono::milliseconds(20)}) {
+            boost::asio::ip::tcp::socket socket(*m_context);
+            socket.connect(*parseEndpoint(m_address));
+            if (pause.count() == 0) {
+                boost::asio::write(socket, boost::asio::buffer(head + rest));
+            } else {
+                boost::asio::write(socket, boost::asio::buffer(head));
+                m_context->run_for(pause);
+                boost::asio::write(socket, boost::asio::buffer(rest));
+            }
+            m_context->run_for(std::chrono::milliseconds(30));
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), m_handler.bodies.back());
+            const auto &fields = m_handler.heads.back();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fields.count("X"));
+            CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(fieldValue(fields, "X")));
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), std::string(fieldValue(fields, "Host")));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fields.count("Y"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fields.count("Connection"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_handler.bodies.size());
+    }
+
+    void secondHostIsRefused()
+    {
+        const auto answer = exchange("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+        CPPUNIT_ASSERT(answer.rfind("HTTP/1.1 400", 0) == 0);
+        CPPUNIT_ASSERT(m_handler.bodies.empty());
+    }
+
+    void absoluteTargetBecomesPathAndHost()
+    {
+        const std::pair<const char *, const char *> targets[] = {
+            {"http://b/x?y=1", "/x?y=1"}, {"HTTP://b", "/"}, {"http://b?y=1", "/?y=1"}};
+        for (const auto &[target, path] : targets) {
+            (void)exchange(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: a\r\n\r\n"));
+            CPPUNIT_ASSERT_EQUAL(std::string(path), m_handler.targets.back());
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), std::string(fieldValue(m_handler.heads.back(), "Host")));
+        }
+    }
+
     void garbageIsRefused()
     {
         CPPUNIT_ASSERT(exchange("\x16\x03\x01 nonsense\r\n\r\n").rfind("HTTP/1.1 400", 0) == 0);
@@ -300,6 +352,46 @@
     }
 
     // The idle time begins when the caller has taken the answer.
+    // Each stream may lag by some megabytes; a crowd of slow readers took the process beyond its memory.
+    void streamsToSlowReadersStayWithinTheMemory()
+    {
+        constexpr std::size_t capacity = std::size_t{8} << 20U;
+        constexpr std::size_t piece = std::size_t{64} << 10U;
+        // More than the kernel's buffers of a connection and the longest backlog together.
+        constexpr std::size_t streamBytes = std::size_t{16} << 20U;
+        auto &account = MemoryAccount::ofThread();
+        account.setCapacity(capacity);
+        const auto reset = absl::MakeCleanup([&] { account.setCapacity(MemoryAccount::unlimited); });
+        m_handler.isHolding = true;
+        std::vector<std::shared_ptr<HttpServerConnection>> streams;
+        std::vector<boost::asio::ip::tcp::socket> readers;
+        for (int n = 0; n < 8; ++n) {
+            readers.emplace_back(*m_context).connect(*parseEndpoint(m_address));
+            boost::asio::write(readers.back(), boost::asio::buffer(detail::shortRequest));
+            while (!m_handler.held)
+                m_context->run_one();
+            streams.push_back(std::exchange(m_handler.held, nullptr));
+            streams.back()->openStream(makeResponse(200, "text/plain", "").head);
+        }
+        const std::string data(piece, 'x');
+        for (std::size_t sent = 0; sent < streamBytes; sent += piece) {
+            for (const auto &it : streams) {
+                it->writeStream(data);
+                CPPUNIT_ASSERT(account.used() <= capacity);
+            }
+            // Slow, but not stalled.
+            for (auto &it : readers) {
+                std::array<char, 1024> buf{};
+                boost::system::error_code ignored;
+                it.non_blocking(true);
+                (void)it.read_some(boost::asio::buffer(buf), ignored);
+            }
+            m_context->poll();
+        }
+        m_handler.isHolding = false;
+        CPPUNIT_ASSERT(exchange(detail::shortRequest).rfind("HTTP/1.1 200", 0) == 0);
+    }
+
     void idleTimeoutDoesNotCutAnswerThatIsBeingSent()
     {
         m_server->setLimits({.idleTimeout = absl::Milliseconds(60)});
@@ -352,46 +444,6 @@
         CPPUNIT_ASSERT_MESSAGE(ec.message(), !ec);
         socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
         const auto read = readToEnd(socket);
-    // Each stream may lag by some megabytes; a crowd of slow readers took the process beyond its memory.
-    void streamsToSlowReadersStayWithinTheMemory()
-    {
-        constexpr std::size_t capacity = std::size_t{8} << 20U;
-        constexpr std::size_t piece = std::size_t{64} << 10U;
-        // More than the kernel's buffers of a connection and the longest backlog together.
-        constexpr std::size_t streamBytes = std::size_t{16} << 20U;
-        auto &account = MemoryAccount::ofThread();
-        account.setCapacity(capacity);
-        const auto reset = absl::MakeCleanup([&] { account.setCapacity(MemoryAccount::unlimited); });
-        m_handler.isHolding = true;
-        std::vector<std::shared_ptr<HttpServerConnection>> streams;
-        std::vector<boost::asio::ip::tcp::socket> readers;
-        for (int n = 0; n < 8; ++n) {
-            readers.emplace_back(*m_context).connect(*parseEndpoint(m_address));
-            boost::asio::write(readers.back(), boost::asio::buffer(detail::shortRequest));
-            while (!m_handler.held)
-                m_context->run_one();
-            streams.push_back(std::exchange(m_handler.held, nullptr));
-            streams.back()->openStream(makeResponse(200, "text/plain", "").head);
-        }
-        const std::string data(piece, 'x');
-        for (std::size_t sent = 0; sent < streamBytes; sent += piece) {
-            for (const auto &it : streams) {
-                it->writeStream(data);
-                CPPUNIT_ASSERT(account.used() <= capacity);
-            }
-            // Slow, but not stalled.
-            for (auto &it : readers) {
-                std::array<char, 1024> buf{};
-                boost::system::error_code ignored;
-                it.non_blocking(true);
-                (void)it.read_some(boost::asio::buffer(buf), ignored);
-            }
-            m_context->poll();
-        }
-        m_handler.isHolding = false;
-        CPPUNIT_ASSERT(exchange(detail::shortRequest).rfind("HTTP/1.1 200", 0) == 0);
-    }
-
         CPPUNIT_ASSERT(read.text.rfind("HTTP/1.1 413", 0) == 0);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(read.end.message(), true, read.end == boost::asio::error::eof);
     }
