--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -111,14 +111,16 @@
 
     // Errors: InvalidRequest when a header field is missing or malformed.
     [[nodiscard]] virtual ErrorOr<CallerRequest> readRequest(const HttpFields &) const = 0;
+    // Whether the field is for the other end of a request, so that no connection may keep it. In any case.
+    [[nodiscard]] virtual bool isEndToEndField(std::string_view name) const = 0;
     // Replaces the caller's header fields with those for the target.
     virtual void writeTargetFields(HttpFields &, const CallerRequest &, const AttemptParameters &) const = 0;
     [[nodiscard]] virtual ResponseClass classifyResponse(const HttpResponseHead &, const RequestId &,
                                                          ConnectionAge) const = 0;
-    // Fields that are malformed are ignored.
-    [[nodiscard]] virtual TargetNotice readTargetNotice(const HttpResponseHead &) const = 0;
     // The target that answered, if the head names it.
     [[nodiscard]] virtual std::optional<TargetId> readAnsweringTarget(const HttpResponseHead &) const = 0;
+    // Fields that are malformed are ignored.
+    [[nodiscard]] virtual TargetNotice readTargetNotice(const HttpResponseHead &) const = 0;
     [[nodiscard]] virtual bool isEventStream(const HttpResponseHead &) const = 0;
     // Asks the target to copy the KV cache of a running generation to the holder while the generation
     // continues.
@@ -142,4 +144,10 @@
     [[nodiscard]] virtual bool isReadinessCheck(std::string_view requestTarget) const = 0;
 };
 
+// The same as removeConnectionFields() of LibNet, without the dialect's end-to-end fields.
+inline void removeConnectionFields(HttpFields &fields, const Dialect &dialect)
+{
+    removeConnectionFields(fields, [&dialect](std::string_view it) { return dialect.isEndToEndField(it); });
+}
+
 } // namespace Wisteria
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -272,7 +272,7 @@
             parameters.copyHolder = holder->address;
     }
     HttpFields fields = m_routed.message.base();
-    removeConnectionFields(fields);
+    removeConnectionFields(fields, m_gatewayContext.dialect);
     m_gatewayContext.dialect.writeTargetFields(fields, m_routed.request, parameters);
     const auto method = m_routed.message.method_string();
     const auto target = m_routed.message.target();
@@ -445,7 +445,7 @@
     }
     const int status = response.head.status;
     m_response = std::move(response);
-    removeConnectionFields(m_response.head.fields);
+    removeConnectionFields(m_response.head.fields, m_gatewayContext.dialect);
     // A plain answer can't continue a stream that has started.
     if (status >= detail::firstServerError || m_forwardedRequest.hasResponseStarted()) {
         noteRunEnd(role, "failed");
--- a/Libraries/LibGateway/TargetRun.cpp
+++ b/Libraries/LibGateway/TargetRun.cpp
@@ -51,7 +51,7 @@
 {
     m_acceptedAt = now;
     m_streamHead = head;
-    removeConnectionFields(m_streamHead->fields);
+    removeConnectionFields(m_streamHead->fields, m_gatewayContext.dialect);
 }
 
 bool TargetRun::recordEvents(std::size_t n, absl::Time now)
--- a/Libraries/LibNet/HttpMessage.cpp
+++ b/Libraries/LibNet/HttpMessage.cpp
@@ -48,7 +48,7 @@
 
 } // namespace detail
 
-void removeConnectionFields(HttpFields &fields)
+void removeConnectionFields(HttpFields &fields, const std::function<bool(std::string_view name)> &isEndToEnd)
 {
     std::vector<std::string> named;
     const auto range = fields.equal_range("Connection");
@@ -58,7 +58,7 @@
             named.emplace_back(absl::StripAsciiWhitespace(token));
     }
     for (const auto &it : named) {
-        if (!it.empty())
+        if (!it.empty() && !(isEndToEnd && isEndToEnd(it)))
             fields.erase(detail::beastView(it));
     }
     for (auto it : detail::hopFields)
--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -39,8 +40,9 @@
 }
 
 // Removes the fields that concern one connection only (RFC 9110, section 7.6.1), those that `Connection`
-// names included, and the framing of the body.
-void removeConnectionFields(HttpFields &);
+// names included, and the framing of the body. Fields for which `isEndToEnd` holds stay: `Connection` must
+// not name them, and the peer that does would change what the other end gets.
+void removeConnectionFields(HttpFields &, const std::function<bool(std::string_view name)> &isEndToEnd = {});
 
 // Whether the transfer coding is another one than `chunked` alone. Lists and parameters count as unknown,
 // too: parsers differ in where they find the last coding of them (RFC 9112, sections 6.1 and 7).
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(requestFieldsAreDecoded);
     CPPUNIT_TEST(sharedPartsOfPromptAreDecoded);
     CPPUNIT_TEST(malformedRequestIsRejected);
+    CPPUNIT_TEST(repeatedFieldsAreRejected);
+    CPPUNIT_TEST(connectionCannotTakeFieldsOfTheOtherEnd);
     CPPUNIT_TEST(callerCannotForgeReservedHeaders);
     CPPUNIT_TEST(responseOriginIsClassified);
     CPPUNIT_TEST(requestIdThatIsNotUtf8IsWritten);
@@ -69,6 +71,32 @@
         CPPUNIT_ASSERT(!m_dialect.readRequest(fields));
     }
 
+    // Engines could read the other one, and run the request with another id or model.
+    void repeatedFieldsAreRejected()
+    {
+        for (const auto *name :
+             {"Request-Id", "Model", "Token-Counts", "Prompt-Prefix", "Last-Event-Id", "Authorization"}) {
+            auto fields = callerFields();
+            fields.set(name, "1,2");
+            fields.insert(name, "1,2");
+            CPPUNIT_ASSERT_MESSAGE(name, !m_dialect.readRequest(fields));
+        }
+    }
+
+    // A sealed answer that named its seal was delivered as a success without one, and a request lost its id.
+    void connectionCannotTakeFieldsOfTheOtherEnd()
+    {
+        HttpFields fields;
+        fields.set("Connection", "engine-seal, Request-Id, Model, Host, X-Hop");
+        for (const auto *name : {"Engine-Seal", "Request-Id", "Model", "Host", "X-Hop"})
+            fields.set(name, "1");
+        removeConnectionFields(fields, m_dialect);
+        for (const auto *name : {"Engine-Seal", "Request-Id", "Model", "Host"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1}, fields.count(name));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fields.count("X-Hop"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fields.count("Connection"));
+    }
+
     void callerCannotForgeReservedHeaders()
     {
         auto fields = callerFields();
