LibForwarding: Judge parts that targets have lived on after the others

Cause: sound streams are resumed at once at engines that the cause ends as well, so that their shared part is on more ending engines than the cause. The part with the most ends was judged first, and took the ends away from the cause.

Evidence: TestPromptQuarantine::partThatTargetsHaveLivedOnIsJudgedAfterTheCause, which replays the traced pattern, failed before.

Parts on which no target has ever lived come first now; the number of ends decides among equals. A part that is the only one with enough ends is barred as before.

--- a/Libraries/LibForwarding/PromptQuarantine.cpp
+++ b/Libraries/LibForwarding/PromptQuarantine.cpp
@@ -476,9 +476,10 @@
 std::optional<PromptQuarantine::Verdict> PromptQuarantine::nextVerdict()
 {
     const auto endsByPart = unexplainedEndsByPart();
-    // Of parts with equal evidence, the one whose runs have most in common is judged, so that as few other
-    // requests as possible are barred.
-    using Weight = std::tuple<std::size_t, std::size_t, std::size_t>;
+    // A part that targets have lived on before is rarely the cause: it is in many requests, so that it is on
+    // each target that another part ends, and on those that end by themselves. Of parts with equal evidence,
+    // the one whose runs have most in common is judged, so that as few other requests as possible are barred.
+    using Weight = std::tuple<bool, std::size_t, std::size_t, std::size_t>;
     Weight most;
     PromptParts parts;
     const std::vector<TargetEndId> *judged = nullptr;
@@ -487,7 +488,7 @@
         if (independent < endsForVerdict)
             continue;
         auto common = commonParts(part, ends);
-        const Weight weight{independent, ends.size(), common.size()};
+        const Weight weight{!m_survivals.contains(part), independent, ends.size(), common.size()};
         if (judged && weight <= most)
             continue;
         most = weight;
--- a/Libraries/LibForwarding/PromptQuarantine.h
+++ b/Libraries/LibForwarding/PromptQuarantine.h
@@ -9,8 +9,8 @@
 // written for long. Each part of a suspect run is suspect, unless a target has written an answer on it and
 // lived on about the same time. A verdict takes several independent ends, and each end counts for one verdict
 // only: the part with the most independent ends explains them, and parts that were merely beside it lose
-// theirs. A verdict names all parts that its suspect runs have in common, since any of them may be the cause;
-// a request is barred if it has them all.
+// theirs. Parts that a target has ever lived on come after the others. A verdict names all parts that its
+// suspect runs have in common, since any of them may be the cause; a request is barred if it has them all.
 //
 // Targets that end at about the same time may have a cause of their own in common, such as the loss of their
 // failure domain, and requests that arrive together often share parts. Such ends are one piece of evidence,
@@ -250,7 +250,7 @@
     // The parts that all suspect runs with this part have in common.
     [[nodiscard]] PromptParts commonParts(PromptPartId, const std::vector<TargetEndId> &) const;
     [[nodiscard]] Verdict makeVerdict(PromptParts, const std::vector<TargetEndId> &) const;
-    // The verdict on the part with the most independent unexplained ends, if they are enough.
+    // The verdict on the part that explains the most, if its independent unexplained ends are enough.
     [[nodiscard]] std::optional<Verdict> nextVerdict();
     // Derives the verdicts from the evidence.
     void judge(QuarantineChange &);
--- a/Tests/LibForwarding/TestPromptQuarantine.cpp
+++ b/Tests/LibForwarding/TestPromptQuarantine.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(earlierSurvivalDoesNotExcuseLaterEnds);
     CPPUNIT_TEST(partsBesideTheCauseAreNotBarred);
     CPPUNIT_TEST(requestBesideTheCauseOnEachTargetIsNotBarred);
+    CPPUNIT_TEST(partThatTargetsHaveLivedOnIsJudgedAfterTheCause);
     CPPUNIT_TEST(verdictNarrowsToTheCommonPart);
     CPPUNIT_TEST(twoCausesAreToldApart);
     CPPUNIT_TEST(lostConnectionsWithoutAnEndAreNoEvidence);
@@ -120,6 +121,21 @@
         CPPUNIT_ASSERT(!isBarred(quarantine, {5}));
     }
 
+    // Sound streams are resumed at once at targets that the cause ends as well, and so their part is on more
+    // targets that end than the cause. It was barred in place of the cause, which went on to end targets.
+    void partThatTargetsHaveLivedOnIsJudgedAfterTheCause()
+    {
+        PromptQuarantine quarantine;
+        (void)quarantine.recordSurvival(parts({5}), m_now);
+        pass(2 * PromptQuarantine::trustTime);
+        (void)end(quarantine, 0, {{5, 30}});
+        for (int n = 1; n < 4; ++n)
+            (void)end(quarantine, n, {{n, 9}, {5, 10 + n}, {5, 20 + n}});
+        (void)end(quarantine, 4, {{5, 31}});
+        CPPUNIT_ASSERT(isBarred(quarantine, {4, 9}));
+        CPPUNIT_ASSERT(!isBarred(quarantine, {5, 6}));
+    }
+
     void verdictNarrowsToTheCommonPart()
     {
         PromptQuarantine quarantine;
