LibForwarding: Relay removals that are deferred after an outage

Cause: a watching router holds removals back for 2.3 s after an outage. Its view takes the removal's position at once and applies the removal later, without a new position. Followers, who pull when they hear of a newer position, got the position without the removal and were never told of it.

Change: a relayed view names the deferred removals and the time that is left, and followers adopt them. A write of the entry ends the deferral as before; no relay extends one.

Evidence: TestDirectoryView::deferredRemovalTakesEffectAtFollowers was red before (the follower kept the target after the grace period) and is green now; TestDirectoryView 16, TestDirectorySynchronizer 30, TestViewRelay 8 of 8.

--- a/Libraries/LibForwarding/DirectorySynchronizer.cpp
+++ b/Libraries/LibForwarding/DirectorySynchronizer.cpp
@@ -107,6 +107,7 @@
             m_hasView = true;
         }
     }
+    deferRelayedRemovals(event.deferredRemovals, now);
     m_position = std::max(m_position, event.position);
     m_changePosition = event.position;
 }
@@ -242,10 +243,7 @@
     if (it == m_objects.end() || it->second > position)
         return;
     if (now < m_acceptRemovalsFrom) {
-        auto &removal = m_deferredRemovals.try_emplace(name, DeferredRemoval{m_acceptRemovalsFrom, position})
-                            .first->second;
-        removal = {std::max(removal.until, m_acceptRemovalsFrom), std::max(removal.position, position)};
-        setTimer();
+        deferRemoval(name, position, m_acceptRemovalsFrom);
         return;
     }
     removeObject(name, position, now);
@@ -260,6 +258,35 @@
     m_actions.emplace_back(DirectorySyncActions::Remove{name});
 }
 
+void DirectorySynchronizer::deferRemoval(const std::string &name, StorePosition position, absl::Time until)
+{
+    auto &removal = m_deferredRemovals.try_emplace(name, DeferredRemoval{until, position}).first->second;
+    removal = {std::max(removal.until, until), std::max(removal.position, position)};
+    setTimer();
+}
+
+void DirectorySynchronizer::deferRelayedRemovals(const std::vector<DeferredRemovalNotice> &removals,
+                                                 absl::Time now)
+{
+    for (const auto &it : removals) {
+        const auto known = m_objects.find(it.name);
+        // A removal that is deferred already isn't prolonged, or routers that relay to each other would do so
+        // again and again.
+        if (known == m_objects.end() || known->second > it.position || m_deferredRemovals.contains(it.name))
+            continue;
+        deferRemoval(it.name, it.position,
+                     now + std::clamp(it.remaining, absl::ZeroDuration(), removalGracePeriod));
+    }
+}
+
+std::vector<DeferredRemovalNotice> DirectorySynchronizer::deferredRemovals(absl::Time now) const
+{
+    std::vector<DeferredRemovalNotice> out;
+    for (const auto &[name, removal] : m_deferredRemovals)
+        out.push_back({name, removal.position, std::max(removal.until - now, absl::ZeroDuration())});
+    return out;
+}
+
 void DirectorySynchronizer::forgetOldRemovals(absl::Time now)
 {
     for (auto it = m_recentRemovals.begin(); it != m_recentRemovals.end();) {
--- a/Libraries/LibForwarding/DirectorySynchronizer.h
+++ b/Libraries/LibForwarding/DirectorySynchronizer.h
@@ -33,6 +33,15 @@
     bool isRemoved{false};
 };
 
+// A removal that was read from the store and takes effect later, unless the object is written again.
+struct DeferredRemovalNotice
+{
+    std::string name;
+    // Position of the view that lacked the object.
+    StorePosition position;
+    absl::Duration remaining;
+};
+
 namespace DirectorySyncEvents {
 
 struct ListCompleted
@@ -59,6 +68,8 @@
     StorePosition position;
     // `objects` is the complete list; known objects missing from it were removed.
     bool isSnapshot{false};
+    // Removals that the other router defers. They don't advance its position when they take effect.
+    std::vector<DeferredRemovalNotice> deferredRemovals;
 };
 // What another router holds back since the store was restored.
 struct HoldBackReceived
@@ -171,6 +182,8 @@
     // Objects that the restored store lists and that are not applied.
     [[nodiscard]] const absl::btree_set<std::string> &heldBack() const { return m_heldBack; }
     [[nodiscard]] StorePosition eraStart() const { return m_eraStart; }
+    [[nodiscard]] bool hasDeferredRemovals() const { return !m_deferredRemovals.empty(); }
+    [[nodiscard]] std::vector<DeferredRemovalNotice> deferredRemovals(absl::Time now) const;
     [[nodiscard]] bool isStoreLost() const { return m_storeLostSince.has_value(); }
     // Returns true if the store is reachable and the grace period after its last outage is over, so that
     // objects missing from it were really removed.
@@ -207,6 +220,9 @@
                                                             StorePosition upTo) const;
     void remove(const std::string &name, StorePosition, absl::Time now);
     void removeObject(const std::string &name, StorePosition, absl::Time now);
+    void deferRemoval(const std::string &name, StorePosition, absl::Time until);
+    // Adopts the removals that another router defers.
+    void deferRelayedRemovals(const std::vector<DeferredRemovalNotice> &, absl::Time now);
     void forgetOldRemovals(absl::Time now);
     void endHoldBack(absl::Time now);
     void recordStoreSuccess(absl::Time now);
--- a/Libraries/LibGateway/DirectoryView.cpp
+++ b/Libraries/LibGateway/DirectoryView.cpp
@@ -62,6 +62,41 @@
     return out;
 }
 
+// Reads the removals that another router defers; none if its view does not say. Empty if it is malformed.
+std::optional<std::vector<DeferredRemovalNotice>> deferredRemovalsOf(const nlohmann::json &view)
+{
+    std::vector<DeferredRemovalNotice> out;
+    const auto deferred = view.find("deferred_removals");
+    if (deferred == view.end())
+        return out;
+    if (!deferred->is_array())
+        return std::nullopt;
+    for (const auto &it : *deferred) {
+        const auto position = positionOf(it);
+        if (!position || !it.contains("name") || !it["name"].is_string() || !it.contains("remaining_ms")
+            || !it["remaining_ms"].is_number_unsigned())
+            return std::nullopt;
+        const auto remaining =
+            std::min<std::uint64_t>(it["remaining_ms"].get<std::uint64_t>(),
+                                    absl::ToInt64Milliseconds(DirectorySynchronizer::removalGracePeriod));
+        out.push_back({it["name"].get<std::string>(), *position,
+                       absl::Milliseconds(static_cast<std::int64_t>(remaining))});
+    }
+    return out;
+}
+
+nlohmann::json deferredRemovalsJson(const std::vector<DeferredRemovalNotice> &removals)
+{
+    auto out = nlohmann::json::array();
+    for (const auto &it : removals)
+        out.push_back(
+            {{"name", it.name},
+             {"era", it.position.era.value()},
+             {"revision", it.position.revision.value()},
+             {"remaining_ms", static_cast<std::uint64_t>(absl::ToInt64Milliseconds(it.remaining))}});
+    return out;
+}
+
 } // namespace detail
 
 DirectoryView::DirectoryView(DirectoryKind kind, absl::Duration changeDeadline,
@@ -456,6 +491,9 @@
                             {"revision", start.revision.value()},
                             {"names", std::vector<std::string>(heldBack.begin(), heldBack.end())}};
     }
+    if (hasDeferredRemovals())
+        out["deferred_removals"] =
+            detail::deferredRemovalsJson(m_synchronizer.deferredRemovals(monotonicNow()));
     return out;
 }
 
@@ -469,7 +507,8 @@
         || !json["complete"].is_boolean())
         return malformed();
     const auto holdBack = detail::holdBackOf(json);
-    if (!holdBack)
+    auto deferredRemovals = detail::deferredRemovalsOf(json);
+    if (!holdBack || !deferredRemovals)
         return malformed();
     std::vector<DirectoryObject> objects;
     for (auto &it : json["objects"]) {
@@ -489,7 +528,8 @@
     stage(std::move(objects));
     const auto relayed = m_staged;
     const auto versionBefore = m_configVersion;
-    handle(DirectorySyncEvents::RelayReceived{std::move(metadata), *position, json["complete"].get<bool>()});
+    handle(DirectorySyncEvents::RelayReceived{std::move(metadata), *position, json["complete"].get<bool>(),
+                                              std::move(*deferredRemovals)});
     // A configuration that has just been applied need not be decoded again.
     if (m_kind == DirectoryKind::Configuration && m_configVersion == versionBefore) {
         for (const auto &[name, object] : relayed)
--- a/Libraries/LibGateway/DirectoryView.h
+++ b/Libraries/LibGateway/DirectoryView.h
@@ -82,6 +82,8 @@
     // Number of changes of the view. It also counts deferred removals and the objects held back, which do not
     // advance the position.
     [[nodiscard]] std::uint64_t changeCount() const { return m_changeCount; }
+    // While true, changesAfter() contains times that pass.
+    [[nodiscard]] bool hasDeferredRemovals() const { return m_synchronizer.hasDeferredRemovals(); }
     // Zero without a configuration.
     [[nodiscard]] ConfigVersion configurationVersion() const { return m_configVersion; }
     [[nodiscard]] bool hasView() const { return m_synchronizer.hasView(); }
--- a/Libraries/LibGateway/ViewRelay.cpp
+++ b/Libraries/LibGateway/ViewRelay.cpp
@@ -24,6 +24,8 @@
 // Routers ask for changes after a few distinct revisions only; the cache is cleared when it exceeds this
 // size.
 constexpr std::size_t maxEncodedResponses = 8;
+// How long a response that contains times may be reused.
+constexpr absl::Duration maxEncodedAge = absl::Milliseconds(50);
 
 std::string_view httpFailureName(HttpFailure failure)
 {
@@ -71,9 +73,13 @@
     const auto position = m_view.changePosition();
     if (after.revision.value() != 0 && after >= position)
         return makeResponse(detail::statusNoContent, "", "");
-    if (m_encodedPosition != position || m_encodedChangeCount != m_view.changeCount()
+    const auto now = monotonicNow();
+    const bool isOutOfDate = m_view.hasDeferredRemovals() && now - m_encodedAt > detail::maxEncodedAge;
+    if (m_encodedPosition != position || m_encodedChangeCount != m_view.changeCount() || isOutOfDate
         || m_encodedResponses.size() >= detail::maxEncodedResponses)
         m_encodedResponses.clear();
+    if (m_encodedResponses.empty())
+        m_encodedAt = now;
     m_encodedPosition = position;
     m_encodedChangeCount = m_view.changeCount();
     auto &encoded = m_encodedResponses[after];
--- a/Libraries/LibGateway/ViewRelay.h
+++ b/Libraries/LibGateway/ViewRelay.h
@@ -79,10 +79,11 @@
     // A pull is in progress or scheduled.
     bool m_isPulling{false};
     // Encoded responses by the requested position. Invariant: encoded when the view had changed
-    // m_encodedChangeCount times and was at m_encodedPosition.
+    // m_encodedChangeCount times and was at m_encodedPosition, none before m_encodedAt.
     std::map<StorePosition, std::string> m_encodedResponses;
     StorePosition m_encodedPosition;
     std::uint64_t m_encodedChangeCount{0};
+    absl::Time m_encodedAt{absl::InfinitePast()};
 };
 
 } // namespace Wisteria
--- a/Tests/LibForwarding/TestDirectorySynchronizer.cpp
+++ b/Tests/LibForwarding/TestDirectorySynchronizer.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(expiredEntryThatReturnsWithinGraceIsKept);
     CPPUNIT_TEST(expiredEntryIsRemovedAfterGrace);
     CPPUNIT_TEST(relayOfOldEntryDoesNotUndoDeferredRemoval);
+    CPPUNIT_TEST(relayedDeferralIsNotProlonged);
     CPPUNIT_TEST(removalAppliesAtOnceWhenOtherRoutersReachedStore);
     CPPUNIT_TEST(relayedRemovalAppliesDuringOutage);
     CPPUNIT_TEST(initialListIsRetriedWithShorterBackoff);
@@ -149,6 +150,22 @@
             DirectorySyncEvents::Tick{}, storeReturn + DirectorySynchronizer::removalGracePeriod)));
     }
 
+    // Routers that relay the same deferral to each other must not extend it.
+    void relayedDeferralIsNotProlonged()
+    {
+        loadInitialList();
+        auto now = m_now;
+        for (std::int64_t n = 11; n < 15; ++n) {
+            (void)m_synchronizer.handle(
+                DirectorySyncEvents::RelayReceived{
+                    {}, at(n), false, {{"a", at(11), absl::Hours(1)}, {"unknown", at(11), absl::Hours(1)}}},
+                now);
+            now += absl::Milliseconds(500);
+        }
+        CPPUNIT_ASSERT(hasAction<DirectorySyncActions::Remove>(m_synchronizer.handle(
+            DirectorySyncEvents::Tick{}, m_now + DirectorySynchronizer::removalGracePeriod)));
+    }
+
     // If the store rejected only this router's calls, a removal is real. Holding it back as a possible expiry
     // delayed the removal of a draining target beyond its bound.
     void removalAppliesAtOnceWhenOtherRoutersReachedStore()
--- a/Tests/LibGateway/TestDirectoryView.cpp
+++ b/Tests/LibGateway/TestDirectoryView.cpp
@@ -2,6 +2,8 @@
 
 #include "FakeDirectory.h"
 
+#include <LibPlatform/MonotonicClock.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace Wisteria {
@@ -20,6 +22,8 @@
     CPPUNIT_TEST(configurationOfRestoredCopyIsIgnored);
     CPPUNIT_TEST(restoredStoreIsRelayedAsFullView);
     CPPUNIT_TEST(deferredRemovalIsRelayed);
+    CPPUNIT_TEST(deferredRemovalTakesEffectAtFollowers);
+    CPPUNIT_TEST(relayedDeferralEndsWhenTargetReturns);
     CPPUNIT_TEST(configurationOfRestoredCopyOutranksNewerOneOfPeer);
     CPPUNIT_TEST(targetThatRestartsWithinBatchIsKept);
     CPPUNIT_TEST(endOfOutageIsNoticedSoon);
@@ -229,6 +233,40 @@
         CPPUNIT_ASSERT(first.view.changeCount() > before);
     }
 
+    // A router that follows a watching one kept using a target that had left just after an outage: the other
+    // applied the removal later, without a new position that would have told of it.
+    void deferredRemovalTakesEffectAtFollowers()
+    {
+        detail::DirectoryViewFixture watching(DirectoryKind::Targets);
+        detail::DirectoryViewFixture following(DirectoryKind::Targets);
+        detail::DirectoryViewFixture followingIt(DirectoryKind::Targets);
+        for (auto *it : {&following, &followingIt})
+            it->store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        deferRemoval(watching);
+        relay(watching, following);
+        relay(following, followingIt);
+        CPPUNIT_ASSERT(following.listener.targets.contains("a"));
+        runThroughGracePeriod({&watching, &following, &followingIt});
+        CPPUNIT_ASSERT(watching.listener.targets.empty());
+        CPPUNIT_ASSERT(following.listener.targets.empty());
+        CPPUNIT_ASSERT(followingIt.listener.targets.empty());
+    }
+
+    void relayedDeferralEndsWhenTargetReturns()
+    {
+        detail::DirectoryViewFixture watching(DirectoryKind::Targets);
+        detail::DirectoryViewFixture following(DirectoryKind::Targets);
+        following.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        deferRemoval(watching);
+        relay(watching, following);
+        watching.context.restart();
+        watching.context.run_for(std::chrono::milliseconds(400));
+        watching.store.completeWatch({{detail::makeObject("a", 3, "1.1.1.1:1")}, detail::makePosition(3)});
+        relay(watching, following);
+        runThroughGracePeriod({&watching, &following});
+        CPPUNIT_ASSERT(following.listener.targets.contains("a"));
+    }
+
     // The second view's router started after the restoration.
     void configurationOfRestoredCopyOutranksNewerOneOfPeer()
     {
@@ -250,6 +288,36 @@
         third.store.completeList(copy);
         CPPUNIT_ASSERT((third.listener.versions == std::vector<std::uint64_t>{7}));
     }
+
+private:
+    // Loads a target, loses the store, and reads the target's removal when the store is back.
+    static void deferRemoval(detail::DirectoryViewFixture &fixture)
+    {
+        fixture.store.completeList({{detail::makeObject("a", 1, "1.1.1.1:1")}, detail::makePosition(1)});
+        fixture.store.failWatch(ErrorCode::StoreUnavailable);
+        fixture.context.run_for(std::chrono::milliseconds(400));
+        DirectoryObject removal = detail::makeObject("a", 2, nullptr);
+        removal.isRemoved = true;
+        fixture.store.completeWatch({{removal}, detail::makePosition(2)});
+        CPPUNIT_ASSERT(fixture.listener.targets.contains("a"));
+    }
+
+    static void relay(const detail::DirectoryViewFixture &from, detail::DirectoryViewFixture &to)
+    {
+        CPPUNIT_ASSERT(to.view.mergePeerView(from.view.changesAfter(to.view.changePosition())));
+        CPPUNIT_ASSERT(to.view.changePosition() == from.view.changePosition());
+    }
+
+    static void runThroughGracePeriod(std::initializer_list<detail::DirectoryViewFixture *> fixtures)
+    {
+        const auto end = monotonicNow() + DirectorySynchronizer::removalGracePeriod + absl::Milliseconds(300);
+        while (monotonicNow() < end) {
+            for (auto *it : fixtures) {
+                it->context.restart();
+                it->context.run_for(std::chrono::milliseconds(10));
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestDirectoryView);
