Meta: Keep what known red tests print, and show why they failed

It now stays in the build folder, and the broken promise or assertion is printed under the test's name. Which tests are passed over is unchanged.

--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -13,10 +13,14 @@
 if [ ${#red[@]} -gt 0 ]; then
     echo "Known red tests (KNOWN-RED.txt), run apart:"
     for it in "${red[@]}"; do
-        if ctest --test-dir "$build" -R "^$it\$" --output-on-failure >/dev/null 2>&1; then
+        # What a rare failure said is needed to trace it.
+        output=$build/known-red/${it//\//-}.log
+        mkdir -p "$build/known-red"
+        if ctest --test-dir "$build" -R "^$it\$" --output-on-failure >"$output" 2>&1; then
             echo "  $it: passes now; take it out of KNOWN-RED.txt"
         else
             echo "  $it: red"
+            grep -E 'broken: |Test name: |^- |\*\*\*Timeout' "$output" | head -n 8 | cut -c1-200 | sed 's/^/    /' || true
         fi
     done
     ctest --test-dir "$build" -j "$jobs" --output-on-failure --no-tests=error -E "^($excluded)\$" "$@"
