Let the stand-ins' engines queue requests

Cause: the entry on stop requests that find no run needs engines where requests wait for a slot. Change: ModelEngine has a queue, a slowness and a call for requests that begin to wait.

--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -473,6 +473,13 @@
         self.move_s = 0
         # PROTOCOL.md: "Most engines drop a request when its connection closes."
         self.notices_close = True
+        # How many requests may wait for a slot, and those that do.
+        self.queue = 0
+        self.waiting = []
+        # Called with the engine, a request that begins to wait, and the connection of its answer.
+        self.on_waiting = None
+        # How many times as long each event takes.
+        self.slowness = 1
         # Called with the engine and the request that it has turned away.
         self.on_turned_away = None
 
@@ -490,7 +497,7 @@
         work = self.work[request]
         try:
             for n in range(first, self.events + 1):
-                await asyncio.sleep(self.event_s)
+                await asyncio.sleep(self.event_s * self.slowness)
                 text = b"id: %d\ndata: %s-%d\n\n" % (n, request.encode(), n)
                 if work[3] is not None and not work[3].is_closing():
                     work[3].write(b"%x\r\n%s\r\n" % (len(text), text))
@@ -528,7 +535,7 @@
                 if source and not (source == self.address + "/" + request and request in self.backups):
                     writer.write(response(503, b"", {"Not-Executed": "1", **echo}))
                     continue
-                if len(self.work) >= self.slots and not source:
+                if len(self.work) + len(self.waiting) >= self.slots + self.queue and not source:
                     self.record.write("%s is full, turns %s away%s" % (
                         self.id, request, " for %.1f s" % self.pause_s if self.pause_s else ""))
                     pause = {"Retry-After": self.pause_s} if self.pause_s else {}
@@ -536,6 +543,10 @@
                     if self.on_turned_away:
                         self.on_turned_away(self, request)
                     continue
+                # The page: "A request starts to run with its first token." What waits for a slot is no run.
+                if len(self.work) >= self.slots and not source:
+                    if not await self.wait_for_slot(request, reader, writer):
+                        return
                 first = int(fields.get("last-event-id", "0")) + 1
                 self.record.write("%s begins to work on %s at event %d%s" % (
                     self.id, request, first, ", from its backup" if source else ""))
@@ -545,8 +556,11 @@
                 holder = ModelEngine.by_address.get(fields.get("kv-backup", ""))
                 if holder:
                     holder.backups.add(request)
-                self.work[request] = [now(), None, None, writer]
+                self.work[request] = [now(), None, None, None if writer.is_closing() else writer]
                 task = self.work[request][2] = asyncio.ensure_future(self.run(request, first))
+                if self.work[request][3] is None:
+                    # Its answer was lost while it waited.
+                    return
                 closed = asyncio.ensure_future(reader.read(1))
                 await asyncio.wait([task, closed], return_when=asyncio.FIRST_COMPLETED)
                 if not task.done():
@@ -570,6 +584,20 @@
         finally:
             writer.close()
 
+    async def wait_for_slot(self, request, reader, writer):
+        """False if the other end has closed the connection meanwhile, and the engine has noticed it."""
+        self.record.write("%s lets %s wait for a slot" % (self.id, request))
+        self.waiting.append(request)
+        if self.on_waiting:
+            self.on_waiting(self, request, writer)
+        while len(self.work) >= self.slots or self.waiting[0] != request:
+            await asyncio.sleep(0.01)
+            if reader.at_eof() and not writer.is_closing() and self.notices_close:
+                self.waiting.remove(request)
+                return False
+        self.waiting.remove(request)
+        return True
+
     async def move(self, body):
         request, last = body["id"], body.get("last")
         work = self.work.get(request)
