--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -47,8 +47,12 @@
 class Record:
     """What was sent, answered and run, as text lines with the seconds since the start."""
 
+    # The one of the running case.
+    current = None
+
     def __init__(self, folder):
         self.file = open(os.path.join(folder, "record.txt"), "w")
+        Record.current = self
 
     def write(self, text):
         self.file.write("%9.3f  %s\n" % (now() - started_at, text))
@@ -281,6 +285,7 @@
                                                      "Request-Id": fields["request-id"]}))
                     continue
                 self.runs.append((fields["request-id"], now(), head[0].split(" ")[1]))
+                self.record.write("%s runs %s" % (self.id, fields["request-id"]))
                 await asyncio.sleep(self.work_s)
                 body = ("answer of %s to %s" % (self.id, fields["request-id"])).encode()
                 writer.write(response(200, body, {"Request-Id": fields["request-id"],
@@ -398,6 +403,7 @@
                     asyncio.open_connection(self.gateway.ip, self.gateway.port, limit=1 << 20), 1)
             reader, writer = self.streams
             sent_at = now()
+            Record.current.write("client sends %s, %s %s, to %s" % (request, method, path, self.gateway.name))
             writer.write(head.encode("latin-1") + body)
             got = await asyncio.wait_for(read_head(reader), deadline_ms / 1000)
             if got is None:
@@ -637,6 +643,7 @@
     writer = None
     try:
         reader, writer = await asyncio.open_connection(client.gateway.ip, client.gateway.port)
+        Record.current.write("client sends %s, POST %s, to %s" % (request, path, client.gateway.name))
         writer.write(head.encode() + body)
         got = await asyncio.wait_for(read_head(reader), deadline_ms / 1000)
         if got is None:
