LibForwarding, LibGateway: Ask for lost runs until they are known to be over

Cause: ForwardSession::sendStopRequest() ended its effort by a count. A target that backs off or limits its requests was sent nothing for eight tries in 0.4 s and then given up; one that answers 409, since it copies the run for us, was given up after 0.45 s; a 404 for a request that waits in the target's queue was taken for the end of its run. The next attempt never waited.

Change: RunStopper, a state machine for each request, keeps each abandoned run until it is over, and holds the next attempt while the target can't be asked in time. TargetNotices counts the two requests that a backoff leaves, over all runs; they are for stops. Stops ask for permits with the longest patience. A target's report settles requests that have left its queue.

Why it works: a target is asked within 300 ms of the moment from which it can stop the run, and the next engine begins before only if its caller can't wait.

--- a/Libraries/LibForwarding/TargetNotices.cpp
+++ b/Libraries/LibForwarding/TargetNotices.cpp
@@ -7,7 +7,7 @@
 namespace Wisteria {
 
 TargetNoticeEffect TargetNotices::record(const TargetProcess &process, const TargetNotice &notice,
-                                         absl::Time now)
+                                         absl::Time requestSentAt, absl::Time now)
 {
     if (!notice.isLeaving && !notice.backoff)
         return {};
@@ -28,6 +28,16 @@
         const auto end = now + std::min(*notice.backoff, maxBackoff);
         effect.hasBackedOff = end > known.backoffEnd;
         known.backoffEnd = std::max(known.backoffEnd, end);
+        std::erase_if(known.backoffs, [&](const Backoff &old) { return old.end <= now; });
+        if (known.backoffs.size() >= maxBackoffs) {
+            const auto oldest = known.backoffs.front();
+            known.backoffs.erase(known.backoffs.begin());
+            auto &merged = known.backoffs.front();
+            merged.countedFrom = std::min(merged.countedFrom, oldest.countedFrom);
+            merged.end = std::max(merged.end, oldest.end);
+            merged.requests = std::max(merged.requests, oldest.requests);
+        }
+        known.backoffs.push_back({.countedFrom = requestSentAt + uncountedTime, .end = end});
     }
     if (m_order.size() > maxNotices) {
         m_notices.erase(m_order.front());
@@ -58,4 +68,37 @@
     return it == m_notices.end() ? absl::InfinitePast() : it->second.backoffEnd;
 }
 
+absl::Time TargetNotices::earliestUrgentRequest(const TargetId &id, absl::Time now) const
+{
+    const auto it = m_notices.find(id);
+    auto earliest = now;
+    if (it == m_notices.end())
+        return earliest;
+    // The end of one backoff may lie in another one.
+    const auto &backoffs = it->second.backoffs;
+    for (std::size_t n = 0; n < backoffs.size();) {
+        if (backoffs[n].isExhausted(earliest)) {
+            earliest = backoffs[n].end;
+            n = 0;
+        } else {
+            ++n;
+        }
+    }
+    return earliest;
+}
+
+bool TargetNotices::tryTakeUrgentRequest(const TargetId &id, absl::Time now)
+{
+    if (earliestUrgentRequest(id, now) > now)
+        return false;
+    const auto it = m_notices.find(id);
+    if (it == m_notices.end())
+        return true;
+    for (auto &backoff : it->second.backoffs) {
+        if (now >= backoff.countedFrom && now < backoff.end)
+            ++backoff.requests;
+    }
+    return true;
+}
+
 } // namespace Wisteria
--- a/Libraries/LibForwarding/TargetNotices.h
+++ b/Libraries/LibForwarding/TargetNotices.h
@@ -3,6 +3,9 @@
 //
 // A notice holds for one process of a target. It outlives the target's removal from the directory, since an
 // entry may expire, or be restored from an older copy, while the process still runs.
+//
+// A target that backs off still takes a few requests from each router. They are kept for what can't wait for
+// the end of that time: requests to stop a run that goes on elsewhere.
 
 #pragma once
 
@@ -17,6 +20,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Wisteria {
 
@@ -77,22 +81,51 @@
     static constexpr absl::Duration maxBackoff = absl::Hours(1);
     // The oldest notices are dropped first.
     static constexpr std::size_t maxNotices = 4096;
+    // Requests that reach a target this soon after it has asked for a backoff may have crossed its answer, so
+    // that they don't count. Shortened by the time that a request takes to its target.
+    static constexpr absl::Duration uncountedTime = absl::Milliseconds(400);
+    // Requests that may reach the target in the rest of one backoff.
+    static constexpr int requestsPerBackoff = 2;
 
-    // Ignored if a later process of the target is known.
-    TargetNoticeEffect record(const TargetProcess &, const TargetNotice &, absl::Time now);
+    // Ignored if a later process of the target is known. `requestSentAt` is when the request was sent whose
+    // answer contained the notice, so that the target has answered after that time.
+    TargetNoticeEffect record(const TargetProcess &, const TargetNotice &, absl::Time requestSentAt,
+                              absl::Time now);
     // Drops the notice of an earlier process. Returns whether there was one.
     bool processStarted(const TargetProcess &);
     [[nodiscard]] bool isLeaving(const TargetId &) const;
     // The past if the target accepts requests.
     [[nodiscard]] absl::Time backoffEnd(const TargetId &) const;
+    // When the target may be sent a request that can't wait for the end of its backoff. Not after that end.
+    [[nodiscard]] absl::Time earliestUrgentRequest(const TargetId &, absl::Time now) const;
+    // Counts such a request. Returns false if it may not be sent now.
+    [[nodiscard]] bool tryTakeUrgentRequest(const TargetId &, absl::Time now);
 
 private:
+    // One answer that asked for a backoff.
+    struct Backoff
+    {
+        // Requests count from here on.
+        absl::Time countedFrom;
+        absl::Time end;
+        int requests{0};
+
+        [[nodiscard]] bool isExhausted(absl::Time now) const
+        {
+            return now >= countedFrom && now < end && requests >= requestsPerBackoff;
+        }
+    };
     struct Notice
     {
         TargetProcess process;
         bool isLeaving{false};
         absl::Time backoffEnd{absl::InfinitePast()};
+        // Those that have not ended. Invariant: at most `maxBackoffs`, by the time of their answers.
+        std::vector<Backoff> backoffs;
     };
+    // Requests that cross a backoff may each be answered with one. The oldest two are merged then, so that
+    // they allow no more than each of them did.
+    static constexpr std::size_t maxBackoffs = 64;
 
     absl::flat_hash_map<TargetId, Notice> m_notices;
     // Invariant: holds each key of `m_notices` once, oldest first.
--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -259,7 +259,7 @@
     // A target that the directory has removed may still run, so its notices count.
     if (isSuperseded(process))
         return {};
-    auto effect = m_notices.record(process, notice, now);
+    auto effect = m_notices.record(process, notice, requestSentAt, now);
     if (effect.hasStartedLeaving)
         m_slices.clear();
     if (notice.limit)
@@ -583,4 +583,18 @@
     return holder;
 }
 
+const ForwardingTarget *TargetPool::findBeside(const ServiceName &service, const TargetId &id) const
+{
+    const ForwardingTarget *found = nullptr;
+    for (const auto *entry : targetsOf(service)) {
+        const auto &[other, target] = *entry;
+        if (other == id)
+            continue;
+        if (isReady(other, target))
+            return &target.record;
+        found = &target.record;
+    }
+    return found;
+}
+
 } // namespace Wisteria
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -221,6 +221,15 @@
     [[nodiscard]] bool acceptsRequests(const TargetId &, absl::Time now) const;
     [[nodiscard]] absl::Time backoffEnd(const TargetId &id) const { return m_notices.backoffEnd(id); }
     [[nodiscard]] bool isBackingOff(const TargetId &id, absl::Time now) const { return now < backoffEnd(id); }
+    // Requests that can't wait for the end of a backoff, of which the target takes a few.
+    [[nodiscard]] absl::Time earliestUrgentRequest(const TargetId &id, absl::Time now) const
+    {
+        return m_notices.earliestUrgentRequest(id, now);
+    }
+    [[nodiscard]] bool tryTakeUrgentRequest(const TargetId &id, absl::Time now)
+    {
+        return m_notices.tryTakeUrgentRequest(id, now);
+    }
     // When a target of the service accepts requests again, if none does now.
     struct Availability
     {
@@ -245,6 +254,9 @@
     // Selects the target that holds the copy of a generation running on `primary`.
     [[nodiscard]] std::optional<TargetId> chooseCopyHolder(const TargetRequirements &,
                                                            const TargetId &primary, absl::Time now);
+    // Another target of the service, whatever its state, but a ready one if there is one. Null if there is
+    // none.
+    [[nodiscard]] const ForwardingTarget *findBeside(const ServiceName &, const TargetId &) const;
     // Time until the target would start prefilling the prompt.
     [[nodiscard]] absl::Duration expectedWait(const TargetId &, const TargetRequirements &, absl::Time now);
     // Time until the least loaded healthy target would start prefilling the prompt; infinite if there is
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Error.h>
 #include <LibForwarding/Request.h>
+#include <LibForwarding/RunStopper.h>
 #include <LibForwarding/TargetPool.h>
 #include <LibNet/HttpMessage.h>
 
@@ -132,6 +133,10 @@
     [[nodiscard]] virtual ControlRequest makeStopRequest(const RequestId &,
                                                          const std::string &otherAddress) const = 0;
     [[nodiscard]] virtual StopResponse parseStopResponse(const HttpResponse &) const = 0;
+    // Asks the target which requests it runs, and how many wait.
+    [[nodiscard]] virtual ControlRequest makeQueueReportRequest() const = 0;
+    // Absent only if the report is complete and leaves no place for the request.
+    [[nodiscard]] virtual QueuePresence parseQueueReport(const HttpResponse &, const RequestId &) const = 0;
     [[nodiscard]] virtual ControlRequest makeCopyReleaseRequest(const std::string &handle) const = 0;
     // `path` is the statusPath of the target's service.
     [[nodiscard]] virtual ControlRequest makeStatusCheck(const std::string &path) const = 0;
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -68,7 +68,8 @@
                                RoutedRequest routed, RetryGate &gate, absl::Time now)
     : m_gatewayContext(gatewayContext), m_caller(std::move(caller)), m_routed(std::move(routed)),
       m_forwardedRequest(detail::makeForwardingParameters(m_routed), gate, now),
-      m_timer(gatewayContext.context), m_arrivedAt(now), m_copyTimer(gatewayContext.context)
+      m_timer(gatewayContext.context), m_arrivedAt(now), m_copyTimer(gatewayContext.context),
+      m_runStopper(longestHold(*m_routed.route)), m_stopTimer(gatewayContext.context)
 {
 }
 
@@ -97,7 +98,7 @@
     const auto role =
         m_replacement && m_replacement->target() == process.id ? RunRole::Replacement : RunRole::Current;
     const auto *run = runOf(role).get();
-    if (!run || run->target() != process.id || run->process().isLaterThan(process))
+    if (!run || run->hasEnded() || run->target() != process.id || run->process().isLaterThan(process))
         return;
     if (fault == TargetFault::Gone) {
         // The generation ended with the target's process, even if no connection reset was received.
@@ -151,6 +152,8 @@
 
 void ForwardSession::perform(const ForwardingActions::StartAttempt &action)
 {
+    if (tryHold(action))
+        return;
     // A replacement was found with versions that have been chosen already.
     if (action.role == RunRole::Current)
         chooseVersions();
@@ -210,7 +213,7 @@
     chooseVersions();
     // An answer that waits for room would need even more of it beside a replacement's.
     const bool isWaiting = m_run && m_run->attempt() && m_run->attempt()->isWaitingForRoom();
-    const bool maySearch = !isWaiting && !barTime(now);
+    const bool maySearch = !isWaiting && !barTime(now) && (!m_run || canStopSoon(*m_run));
     bool isFound = maySearch && action.fromCopy && findUsableCopy();
     if (maySearch && !isFound && action.mayRecompute && canFinishInTime(action.number, action.timeLeft)) {
         const auto target = chooseTarget(RunRole::Replacement, now);
@@ -266,6 +269,7 @@
         parameters.workspace = m_routed.workspace->name;
     parameters.lastEvent = action.lastEvent;
     parameters.resumeFrom = source;
+    m_usedCopyHandle = source ? source->handle : "";
     parameters.priority = rank().value();
     if (run->copyHolder()) {
         if (const auto *holder = m_gatewayContext.targets.find(*run->copyHolder()))
@@ -518,6 +522,7 @@
     m_timer.cancel();
     m_copyTimer.cancel();
     m_permit.reset();
+    endStops();
     handleCopyEvent(KvCopyEvents::AttemptEnded{});
     for (const auto role : {RunRole::Replacement, RunRole::Current})
         noteRunEnd(role, outcome);
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -6,6 +6,7 @@
 #include <LibForwarding/KvCopyManager.h>
 #include <LibForwarding/PromptWaste.h>
 #include <LibForwarding/RouteTable.h>
+#include <LibForwarding/RunStopper.h>
 #include <LibGateway/GatewayContext.h>
 #include <LibGateway/TargetAttempt.h>
 #include <LibGateway/TargetRun.h>
@@ -53,6 +54,8 @@
     // is one of them.
     void promptsBarred();
     [[nodiscard]] bool isFinished() const { return m_forwardedRequest.isFinished(); }
+    // A run of the request has been sent to the process and has not ended.
+    [[nodiscard]] bool isRunningAt(const TargetProcess &) const;
 
     void attemptReached(const TargetAttempt &) override;
     void headReceived(const TargetAttempt &, const HttpResponseHead &) override;
@@ -157,17 +160,45 @@
     void verifyByConnecting(const std::shared_ptr<UnframedAnswer> &);
     void answerVerified(const UnframedAnswer &, TargetIdentity);
     void runLost(RunRole, TargetFault);
-    // Asks the target of a run that was given up to stop it if it still works on it, since targets may notice
-    // late, or not at all, that a connection has closed. Nothing is sent unless the request goes on
-    // elsewhere.
-    void stopAbandonedRun(const TargetProcess &);
-    void sendStopRequest(const TargetProcess &, int tries);
+    // Asks the target of a run that was given up to stop it, until it is known to be over, since targets may
+    // notice late, or not at all, that a connection has closed. Ends with the request: nothing goes on
+    // elsewhere then.
+    void stopAbandonedRun(const TargetRun &);
+    void handleStopEvent(const RunStopEvent &);
+    void perform(const RunStopActions::AskToStop &);
+    void perform(const RunStopActions::AskForReport &);
+    void perform(const RunStopActions::RunSettled &);
+    void perform(const RunStopActions::SetTimer &);
+    // The run's target can be asked to stop it if the request goes on elsewhere.
+    [[nodiscard]] bool canStopRuns() const;
+    // Why the target can't be asked to stop a run when this is due. Takes one of its few urgent requests for
+    // that if it backs off.
+    [[nodiscard]] StopObstacle reserveStop(const TargetProcess &);
+    // The run, or a replacement beside it, can be stopped when one of them is cancelled, or the run has been
+    // silent for too long to wait for that.
+    [[nodiscard]] bool canStopSoon(const TargetRun &) const;
+    // Sends the request as soon as the target takes one, or reports when that is. `isUrgent` requests may be
+    // sent to a target that backs off.
+    void askWhenAllowed(const TargetProcess &, bool isUrgent, std::function<void(ForwardSession &)> send);
+    // The same without a check of the target's limit. Returns whether it was sent.
+    bool askUnlessBackingOff(const TargetProcess &, bool isUrgent,
+                             const std::function<void(ForwardSession &)> &send);
+    void delayStop(const TargetProcess &, absl::Time until, std::string_view reason);
+    void askToStop(const TargetProcess &, int number);
+    void askForReport(const TargetProcess &);
+    void stopAnswered(const TargetProcess &, int number, const HttpCallResult &, absl::Time askedAt);
+    // Address of another target, which requests to stop a run name. Empty if there is none.
+    [[nodiscard]] std::string addressBeside(const TargetProcess &);
+    // Keeps the attempt until abandoned runs are stopped. False if it may start now.
+    [[nodiscard]] bool tryHold(const ForwardingActions::StartAttempt &);
+    // Sends the attempt that was held if it need not wait any longer.
+    void sendHeldAttempt();
+    // The request has ended, and nothing goes on elsewhere.
+    void endStops();
+    // For how long an attempt may be held.
+    [[nodiscard]] static absl::Duration longestHold(const RouteSpec &);
     // Whether the target may be sent a control request now. Takes a permit if it limits its requests.
     [[nodiscard]] bool maySendControlRequest(const TargetId &);
-    void stopAnswered(const TargetProcess &, const HttpCallResult &, absl::Time askedAt);
-    // A stop request may reach the target late, so that the request can't run there again.
-    [[nodiscard]] bool isStopping(const TargetId &) const;
-    [[nodiscard]] bool isRunningAt(const TargetProcess &);
     // Records the end of a run and, if another run of the request was at work beside it, of their overlap.
     void noteRunEnd(RunRole, std::string_view reason);
     // Records that the run has ended before its target had written for long.
@@ -224,8 +255,24 @@
     std::vector<TargetId> m_triedTargets;
     // Versions that the attempt may use which is sent next.
     VersionRule m_versions;
-    // Targets that were asked to stop a run of the request and have not answered.
-    std::vector<TargetId> m_stoppingTargets;
+    RunStopper m_runStopper;
+    boost::asio::steady_timer m_stopTimer;
+    // Processes that copy the KV cache of a run for this request.
+    std::vector<TargetProcess> m_copyingProcesses;
+    // Processes that back off, for which an urgent request has been taken.
+    std::vector<TargetProcess> m_reservedStops;
+    // Requests about abandoned runs that wait for a permit.
+    struct StopPermit
+    {
+        TargetProcess process;
+        std::unique_ptr<PermitTicket> ticket;
+    };
+    std::vector<StopPermit> m_stopPermits;
+    // Waits until abandoned runs are stopped.
+    std::optional<ForwardingActions::StartAttempt> m_heldAttempt;
+    absl::Time m_heldSince;
+    // Handle of the latest copy that an attempt goes on from.
+    std::string m_usedCopyHandle;
     // The latest complete response of a target.
     HttpResponse m_response;
     bool m_isOutcomeLogged{false};
--- a/Libraries/LibGateway/ForwardSessionCopies.cpp
+++ b/Libraries/LibGateway/ForwardSessionCopies.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <absl/cleanup/cleanup.h>
+
 namespace Wisteria {
 
 namespace detail {
@@ -33,7 +35,7 @@
 {
     const auto &copy = m_copies.copy();
     if (!copy || !m_gatewayContext.targets.isHealthy(copy->holder, monotonicNow())
-        || isStopping(copy->holder))
+        || m_runStopper.isStopping(copy->holder))
         return std::nullopt;
     const auto *holder = m_gatewayContext.targets.find(copy->holder);
     if (!mayResumeAt(*holder))
@@ -87,7 +89,8 @@
     }
     const auto *to = holder ? m_gatewayContext.targets.find(*holder) : nullptr;
     const auto *from = m_run ? m_gatewayContext.targets.find(m_run->target()) : nullptr;
-    if (!to || !from) {
+    // A target that copies can't be asked to stop the run.
+    if (!to || !from || m_run->hasEnded()) {
         boost::asio::post(m_gatewayContext.context, [self = shared_from_this(), call = action.callId] {
             self->handleCopyEvent(KvCopyEvents::CopyFailed{call});
         });
@@ -95,11 +98,17 @@
     }
     m_run->reserveCopy(holder, m_routed.request.size.memoryTokens());
     const auto controlRequest = m_gatewayContext.dialect.makeCopyRequest(m_routed.request.id, to->address);
+    m_copyingProcesses.push_back(from->process());
     sendControlRequest(
         *from, controlRequest,
-        [self = shared_from_this(), holder = *holder, number = action.callId](const HttpCallResult &result) {
+        [self = shared_from_this(), process = from->process(), holder = *holder,
+         number = action.callId](const HttpCallResult &result) {
             if (self->m_forwardedRequest.isFinished())
                 return;
+            const absl::Cleanup copyEnded = [&] {
+                std::erase(self->m_copyingProcesses, process);
+                self->handleStopEvent(RunStopEvents::CopyEnded{process});
+            };
             const auto answer =
                 result ? self->m_gatewayContext.dialect.parseCopyResponse(*result) : CopyResponse{};
             self->log("copy",
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -15,88 +15,9 @@
 
 // A single connect timeout may be caused by a lost packet; the target is suspected after this many in a row.
 constexpr int maxProbeAttempts = 2;
-// Most targets drop a run when its connection closes. They get this long to notice, since stopping a run
-// costs more than finding none.
-constexpr absl::Duration stopDelay = absl::Milliseconds(50);
-// A target can't stop a run while it copies its KV cache.
-constexpr int maxStopTries = 8;
-
-std::string_view stopOutcomeName(StopOutcome outcome)
-{
-    switch (outcome) {
-    case StopOutcome::NotRunning:
-        return "ended";
-    case StopOutcome::Stopped:
-        return "stopped";
-    case StopOutcome::Busy:
-        return "busy";
-    case StopOutcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
-// What a control request to the process needs.
-ForwardingTarget targetOf(const TargetProcess &process)
-{
-    return {.id = process.id, .address = process.address, .startedAtMs = process.startedAtMs};
-}
 
 } // namespace detail
 
-void ForwardSession::stopAbandonedRun(const TargetProcess &process)
-{
-    if (m_routed.route->kind == RouteKind::ResumableStream && m_routed.service->engine.canStopRuns)
-        sendStopRequest(process, 1);
-}
-
-void ForwardSession::sendStopRequest(const TargetProcess &process, int tries)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_gatewayContext.context,
-                                                             absl::ToChronoNanoseconds(detail::stopDelay));
-    // The gateway, and with it the context, may end before the timer.
-    timer->async_wait([self = shared_from_this(), timer, gateway = std::weak_ptr(m_gatewayContext.notices),
-                       process, tries](const auto &ec) {
-        if (ec || gateway.expired() || self->m_isOutcomeLogged || self->isRunningAt(process))
-            return;
-        if (!self->m_run) {
-            // The next attempt waits for a permit. The request would name its target.
-            self->sendStopRequest(process, tries);
-            return;
-        }
-        // A target that is no longer listed may still work.
-        if (const auto *record = self->m_gatewayContext.targets.find(process.id);
-            record && record->process() != process)
-            return;
-        if (!self->maySendControlRequest(process.id)) {
-            if (tries < detail::maxStopTries)
-                self->sendStopRequest(process, tries + 1);
-            else
-                self->stopAnswered(process, tl::unexpected(HttpFailure::NotConnected), monotonicNow());
-            return;
-        }
-        self->m_stoppingTargets.push_back(process.id);
-        self->sendPermittedControlRequest(
-            detail::targetOf(process),
-            self->m_gatewayContext.dialect.makeStopRequest(self->m_routed.request.id,
-                                                           self->m_run->process().address),
-            [self, gateway, process, tries, askedAt = monotonicNow()](const HttpCallResult &result) {
-                if (gateway.expired())
-                    return;
-                const bool isBusy = result
-                    && self->m_gatewayContext.dialect.parseStopResponse(*result).outcome == StopOutcome::Busy;
-                // A target that loses answers may have lost this one.
-                const bool isLost = !result
-                    && (result.error() == HttpFailure::ConnectionLost
-                        || result.error() == HttpFailure::BadAnswer);
-                if ((isBusy || isLost) && tries < detail::maxStopTries)
-                    self->sendStopRequest(process, tries + 1);
-                else
-                    self->stopAnswered(process, result, askedAt);
-            });
-    });
-}
-
 bool ForwardSession::maySendControlRequest(const TargetId &id)
 {
     const auto now = monotonicNow();
@@ -106,34 +27,7 @@
     return !limit || m_gatewayContext.limits.tryTake(*limit, now);
 }
 
-void ForwardSession::stopAnswered(const TargetProcess &process, const HttpCallResult &result,
-                                  absl::Time askedAt)
-{
-    const auto response = result ? m_gatewayContext.dialect.parseStopResponse(*result) : StopResponse{};
-    if (response.outcome == StopOutcome::NotRunning || response.outcome == StopOutcome::Stopped)
-        std::erase(m_stoppingTargets, process.id);
-    const auto outcome = detail::stopOutcomeName(response.outcome);
-    m_gatewayContext.metrics.increment("abandoned_runs_total",
-                                       absl::StrCat("outcome=\"", abslView(outcome), "\""));
-    log("abandoned_run",
-        {{"target", process.id.value()},
-         {"outcome", outcome},
-         {"status", result ? result->head.status : 0},
-         {"after_ms", absl::ToInt64Milliseconds(monotonicNow() - askedAt)}});
-    if (response.handle.empty())
-        return;
-    // NOTE: The response is ignored because a copy that is not released expires on its own.
-    sendControlRequest(detail::targetOf(process),
-                       m_gatewayContext.dialect.makeCopyReleaseRequest(response.handle),
-                       [](const HttpCallResult &) {});
-}
-
-bool ForwardSession::isStopping(const TargetId &target) const
-{
-    return std::find(m_stoppingTargets.begin(), m_stoppingTargets.end(), target) != m_stoppingTargets.end();
-}
-
-bool ForwardSession::isRunningAt(const TargetProcess &process)
+bool ForwardSession::isRunningAt(const TargetProcess &process) const
 {
     const auto runsThere = [&](const auto &run) {
         return run && !run->hasEnded() && run->process() == process;
@@ -214,7 +108,7 @@
         noteFault(run, fault);
     else
         log("target_full", {{"target", run.target().value()}, {"copy_missing", isCopyMissing}});
-    if (isCopyMissing && !isStopping(run.target())) {
+    if (isCopyMissing && !m_runStopper.isStopping(run.target())) {
         // A rejected resume is taken to mean that the target no longer has the copy. The target is healthy,
         // so it may process the prompt from the start.
         std::erase(m_triedTargets, run.target());
@@ -252,7 +146,7 @@
     noteFault(run, fault);
     // The target may work on: its connection may have been reset on the way, or closed for what it sent.
     if (fault != TargetFault::Gone && !run.hasAnswerEnded())
-        stopAbandonedRun(run.process());
+        stopAbandonedRun(run);
     if (role == RunRole::Replacement)
         m_replacement.reset();
     handle(ForwardingEvents::AttemptLost{fault, role});
@@ -279,7 +173,7 @@
     if (action.role == RunRole::Replacement) {
         log("replacement_cancelled", {{"target", run->target().value()}});
         m_gatewayContext.metrics.increment("replacements_total", R"(outcome="cancelled")");
-        stopAbandonedRun(run->process());
+        stopAbandonedRun(*run);
         run.reset();
     }
 }
@@ -287,7 +181,7 @@
 void ForwardSession::perform(const ForwardingActions::AdoptReplacement &)
 {
     if (m_run)
-        stopAbandonedRun(m_run->process());
+        stopAbandonedRun(*m_run);
     m_run = std::move(m_replacement);
     handleCopyEvent(KvCopyEvents::AttemptStarted{m_run->copyHolder()});
     m_gatewayContext.metrics.increment("replacements_total", R"(outcome="adopted")");
--- a/Tests/LibForwarding/TestTargetPool.cpp
+++ b/Tests/LibForwarding/TestTargetPool.cpp
@@ -47,6 +47,9 @@
     CPPUNIT_TEST(limitedTargetHoldsNoCopies);
     CPPUNIT_TEST(laterProcessOfTargetHasNoLimit);
     CPPUNIT_TEST(excessiveBackoffIsBounded);
+    CPPUNIT_TEST(backoffLeavesTwoUrgentRequests);
+    CPPUNIT_TEST(urgentRequestsCountInEachBackoff);
+    CPPUNIT_TEST(manyBackoffsLeaveNoFurtherRequests);
     CPPUNIT_TEST(copyHolderDuringItsBackoffIsNotChosen);
     CPPUNIT_TEST(atMostOnceRequestAvoidsTargetThatLostResponse);
     CPPUNIT_TEST(choiceScalesWithMeasuredPerformance);
@@ -486,6 +489,61 @@
         CPPUNIT_ASSERT(m_pool.choose(need(), m_now + TargetNotices::maxBackoff) == id(0));
     }
 
+    // Those that reach the target in the first half second don't count.
+    void backoffLeavesTwoUrgentRequests()
+    {
+        const auto sentAt = m_now - absl::Milliseconds(50);
+        m_pool.recordNotice(record(0).process(), {.backoff = absl::Seconds(3)}, sentAt, m_now);
+        for (int n = 0; n < 10; ++n)
+            CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), m_now + absl::Milliseconds(300)));
+        const auto counted = sentAt + absl::Milliseconds(500);
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), counted));
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), counted + absl::Seconds(1)));
+        const auto later = counted + absl::Milliseconds(1500);
+        CPPUNIT_ASSERT(!m_pool.tryTakeUrgentRequest(id(0), later));
+        CPPUNIT_ASSERT(m_pool.earliestUrgentRequest(id(0), later) == m_now + absl::Seconds(3));
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), m_now + absl::Seconds(3)));
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(1), later));
+    }
+
+    void urgentRequestsCountInEachBackoff()
+    {
+        const auto process = record(0).process();
+        m_pool.recordNotice(process, {.backoff = absl::Seconds(2)}, m_now, m_now);
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), m_now + absl::Seconds(1)));
+        // It answers that request with a further one.
+        const auto second = m_now + absl::Seconds(1);
+        m_pool.recordNotice(process, {.backoff = absl::Seconds(4)}, second, second);
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), second + absl::Milliseconds(600)));
+        CPPUNIT_ASSERT(m_pool.earliestUrgentRequest(id(0), second + absl::Milliseconds(700))
+                       == m_now + absl::Seconds(2));
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), second + absl::Seconds(2)));
+        CPPUNIT_ASSERT(m_pool.earliestUrgentRequest(id(0), second + absl::Seconds(3))
+                       == second + absl::Seconds(4));
+        // A later process wants no backoff.
+        auto next = record(0);
+        next.startedAtMs += 1;
+        m_pool.upsert(next);
+        CPPUNIT_ASSERT(m_pool.tryTakeUrgentRequest(id(0), second + absl::Seconds(3)));
+    }
+
+    void manyBackoffsLeaveNoFurtherRequests()
+    {
+        const auto process = record(0).process();
+        const auto counted = m_now + TargetNotices::uncountedTime + absl::Milliseconds(300);
+        for (int n = 0; n < 300; ++n) {
+            const auto at = m_now + n * absl::Milliseconds(1);
+            m_pool.recordNotice(process, {.backoff = absl::Seconds(4)}, at, at);
+        }
+        int taken = 0;
+        for (int n = 0; n < 300; ++n) {
+            const auto at = counted + n * absl::Milliseconds(5);
+            taken += m_pool.tryTakeUrgentRequest(id(0), at) ? 1 : 0;
+            m_pool.recordNotice(process, {.backoff = absl::Seconds(4)}, at, at);
+        }
+        CPPUNIT_ASSERT_EQUAL(TargetNotices::requestsPerBackoff, taken);
+    }
+
     void copyHolderDuringItsBackoffIsNotChosen()
     {
         keepOnly(2);
--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -35,12 +35,11 @@
 
 nlohmann::json FakeEngine::storeRecord(const std::string &state) const
 {
-    nlohmann::json out = {{"service", m_service}, {"address", m_publishedAddress},
-                          {"zone", m_zone},       {"slots", 8},
-                          {"state", state},       {"born", m_restarts + 1}};
-    if (!m_version.empty())
-        out["version"] = m_version;
-    return out;
+    return {{"service", m_service}, {"address", m_publishedAddress},
+            {"zone", m_zone},       {"slots", 8},
+            {"state", state},       {"born", m_restarts + 1},
+            {"version", m_version}, {"coldRemainingMs", 0},
+            {"sequence", 1}};
 }
 
 bool FakeEngine::isFailingRequest(const std::string &target)
@@ -106,6 +105,23 @@
         respond(connection, makeResponse(404, "application/json", "{}"));
         return;
     }
+    const auto request = stream->second.request;
+    if (m_copying.contains(request)) {
+        respond(connection, makeResponse(409, "application/json", "{}"));
+        return;
+    }
+    if (!isStop && m_copyTime > std::chrono::milliseconds::zero()) {
+        m_copying.insert(request);
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_copyTime);
+        timer->async_wait(
+            [this, timer, connection, request, lifetime = std::weak_ptr(m_lifetime)](const auto &) {
+                if (lifetime.expired())
+                    return;
+                m_copying.erase(request);
+                answerCopy(connection);
+            });
+        return;
+    }
     if (isStop) {
         ++m_engineState.stoppedRuns;
         const auto stopped = stream->second.connection.lock();
@@ -113,12 +129,43 @@
         if (stopped)
             stopped->abort();
     }
+    answerCopy(connection);
+}
+
+void FakeEngine::answerCopy(const std::shared_ptr<HttpServerConnection> &connection)
+{
     const auto handle = absl::StrCat("h", ++m_engineState.lastHandle);
     m_engineState.copies.insert(m_publishedAddress + "/" + handle);
     respond(connection,
             makeResponse(200, "application/json", nlohmann::json{{"handle", handle}, {"created", 1}}.dump()));
 }
 
+void FakeEngine::report(const std::shared_ptr<HttpServerConnection> &connection)
+{
+    nlohmann::json runs = nlohmann::json::array();
+    for (const auto &[key, stream] : m_running)
+        runs.push_back({stream.request, 1000, 1, 5});
+    const nlohmann::json out = {
+        {"waiting", m_queued.size()}, {"running", m_running.size()}, {"runs", std::move(runs)}};
+    respond(connection, makeResponse(200, "application/json", out.dump()));
+}
+
+void FakeEngine::queueStreamsFor(std::chrono::milliseconds duration)
+{
+    m_queuesUntil = std::chrono::steady_clock::now() + duration;
+}
+
+void FakeEngine::startQueuedStream(const std::shared_ptr<HttpServerConnection> &connection,
+                                   const HttpResponseHead &head, const HttpRequest &request)
+{
+    const std::string requestId(fieldValue(request, "Request-Id"));
+    // The engine has dropped it.
+    if (m_queued.erase(requestId) == 0)
+        return;
+    beginRun(connection, requestId);
+    startStream(connection, head, request);
+}
+
 void FakeEngine::beginRun(const std::shared_ptr<HttpServerConnection> &connection,
                           const std::string &requestId)
 {
@@ -170,6 +217,11 @@
         if (!m_ignoresCloses)
             endRun(key);
     }
+    const auto queued = m_queued;
+    if (!m_ignoresCloses)
+        m_queued.clear();
+    for (const auto &[request, connection] : queued)
+        connection->abort();
 }
 
 void FakeEngine::sendWrongEvents()
@@ -233,6 +285,13 @@
     return static_cast<int>(most);
 }
 
+int FakeEngine::requestsBetween(std::chrono::steady_clock::time_point from,
+                                std::chrono::steady_clock::time_point to) const
+{
+    return static_cast<int>(std::count_if(m_arrivals.begin(), m_arrivals.end(),
+                                          [&](const auto &it) { return it > from && it < to; }));
+}
+
 void FakeEngine::stallStreamsFor(std::chrono::milliseconds duration)
 {
     m_streamsStalledUntil = std::chrono::steady_clock::now() + duration;
@@ -277,6 +336,16 @@
         copyRun(connection, request.body());
         return;
     }
+    if (target == "/health") {
+        auto status = makeResponse(200, "text/plain", "");
+        status.head.fields.set("Instance-Id", m_id);
+        respond(connection, std::move(status));
+        return;
+    }
+    if (target == "/-/report") {
+        report(connection);
+        return;
+    }
     const std::string requestId(fieldValue(request, "Request-Id"));
     auto response = makeResponse(200, "text/plain", "answer of " + requestId);
     response.head.fields.set("Request-Id", requestId);
@@ -298,6 +367,7 @@
         if (m_retryAfter && m_mode == FakeEngineMode::Overloaded) {
             const std::chrono::duration<double> seconds = *m_retryAfter;
             response.head.fields.set("Retry-After", absl::StrCat(seconds.count()));
+            m_askedForPauseAt = std::chrono::steady_clock::now();
         }
         respond(connection, std::move(response));
         return;
@@ -329,8 +399,22 @@
     }
     response.head.fields.set("Content-Type", "text/event-stream");
     setCommonFields(response.head);
-    beginRun(connection, requestId);
     m_streams.push_back(connection);
+    if (std::chrono::steady_clock::now() < m_queuesUntil) {
+        m_queued[requestId] = connection;
+        connection->setCallerLeftHandler([this, requestId, lifetime = std::weak_ptr(m_lifetime)] {
+            if (!lifetime.expired() && !m_ignoresCloses)
+                m_queued.erase(requestId);
+        });
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_queuesUntil);
+        timer->async_wait([this, timer, connection, head = response.head, request,
+                           lifetime = std::weak_ptr(m_lifetime), restarts = m_restarts](const auto &) {
+            if (!lifetime.expired() && restarts == m_restarts)
+                startQueuedStream(connection, head, request);
+        });
+        return;
+    }
+    beginRun(connection, requestId);
     startStream(connection, response.head, request);
 }
 
--- a/Tests/Platform/FakeEngine.h
+++ b/Tests/Platform/FakeEngine.h
@@ -104,6 +104,8 @@
 
     [[nodiscard]] nlohmann::json storeRecord(const std::string &state = "ready") const;
     [[nodiscard]] const std::string &id() const { return m_id; }
+    // Another process answers at the address from now on. Streams of the one before stay open.
+    void setId(std::string id) { m_id = std::move(id); }
     [[nodiscard]] const std::string &service() const { return m_service; }
     [[nodiscard]] const std::string &zone() const { return m_zone; }
     [[nodiscard]] const std::string &address() const { return m_address; }
@@ -128,8 +130,13 @@
     void stallStreamsFor(std::chrono::milliseconds);
     // While set, the engine goes on with streams whose connection has closed. It drops them afterwards.
     void setIgnoresCloses(bool);
-    // Closes the connections of its streams, and works on if it ignores closes.
+    // Closes the connections of its streams, also of those that wait, and works on if it ignores closes.
     void loseStreams();
+    // Streams that arrive within this time wait until its end. Until then they are no runs.
+    void queueStreamsFor(std::chrono::milliseconds);
+    // Copies of a run take so long. Meanwhile, further requests to copy or to stop the run get 409.
+    void setCopyTime(std::chrono::milliseconds time) { m_copyTime = time; }
+    [[nodiscard]] std::size_t runsBeingCopied() const { return m_copying.size(); }
     // Sends an event on each of its streams that can't follow the ones before.
     void sendWrongEvents();
     // Streams that begin within this time have their head and their first event later by so much.
@@ -149,6 +156,11 @@
     // The most requests of any kind that arrived within a period of this length, since the given time.
     [[nodiscard]] int mostRequestsWithin(std::chrono::milliseconds,
                                          std::chrono::steady_clock::time_point since) const;
+    // Requests of any kind that arrived in between.
+    [[nodiscard]] int requestsBetween(std::chrono::steady_clock::time_point from,
+                                      std::chrono::steady_clock::time_point to) const;
+    // When the engine last rejected a request with Retry-After.
+    [[nodiscard]] std::chrono::steady_clock::time_point askedForPauseAt() const { return m_askedForPauseAt; }
     // Counts all requests, also those that the engine rejects and control requests.
     [[nodiscard]] int requestCount() const { return m_requestCount; }
 
@@ -175,6 +187,12 @@
     // Handles /-/kv-move: records a copy of a running request's KV cache under a new handle. With `last`, the
     // run stops first and its stream closes without its end.
     void copyRun(const std::shared_ptr<HttpServerConnection> &, const std::string &body);
+    void answerCopy(const std::shared_ptr<HttpServerConnection> &);
+    // Handles /-/report: the streams that run, and how many wait.
+    void report(const std::shared_ptr<HttpServerConnection> &);
+    // Starts a stream that has waited, unless the engine has dropped it with its connection.
+    void startQueuedStream(const std::shared_ptr<HttpServerConnection> &, const HttpResponseHead &,
+                           const HttpRequest &);
     // Opens the span of the stream, which ends at the latest when the engine drops the request.
     void beginRun(const std::shared_ptr<HttpServerConnection> &, const std::string &requestId);
     void endRun(const HttpServerConnection *);
@@ -200,6 +218,13 @@
     };
     // Streams that the engine works on.
     std::map<const HttpServerConnection *, Stream> m_running;
+    // Connections of streams that wait, by request.
+    std::map<std::string, std::shared_ptr<HttpServerConnection>> m_queued;
+    std::chrono::steady_clock::time_point m_queuesUntil;
+    // Requests whose run is being copied.
+    std::set<std::string> m_copying;
+    std::chrono::milliseconds m_copyTime{0};
+    std::chrono::steady_clock::time_point m_askedForPauseAt;
     // Connections of streams; those that have ended or closed hold no slot.
     std::vector<std::weak_ptr<HttpServerConnection>> m_streams;
     FakeEngineMode m_mode{FakeEngineMode::Healthy};
--- a/Tests/Platform/TestTwoRunsOfOneStream.cpp
+++ b/Tests/Platform/TestTwoRunsOfOneStream.cpp
@@ -1,12 +1,15 @@
 // A stream went on at another engine while the engine before was silent but still worked on it, and both
 // worked on it for as long as the replacement took to its first event. The same when the first engine lost
-// its answer, or sent bytes that were none, and worked on: it was never asked to stop.
+// its answer, or sent bytes that were none, and worked on: it was never asked to stop. Or it was not asked
+// for long enough: it backed off, limited its requests, copied the run, or had not begun with it.
 
 #include "FakeDeployment.h"
 
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 
@@ -27,6 +30,12 @@
     CPPUNIT_TEST(unlistedEngineWorksOnAfterItsAnswersAreLost);
     CPPUNIT_TEST(engineWorksOnAfterWrongEvents);
     CPPUNIT_TEST(engineWorksOnAfterItsAnswersAreLostBeforeTheirFirstEvents);
+    CPPUNIT_TEST(engineBacksOffWhenItsAnswersAreLost);
+    CPPUNIT_TEST(engineLimitsItsRequestsWhenItsAnswersAreLost);
+    CPPUNIT_TEST(engineCopiesRunsWhenItsAnswersAreLost);
+    CPPUNIT_TEST(enginesLoseTheAnswersOfResumedRunsToo);
+    CPPUNIT_TEST(engineKeepsWaitingRequestsAfterTheirAnswersAreLost);
+    CPPUNIT_TEST(engineDropsWaitingRequestsWithTheirConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +158,92 @@
         CPPUNIT_ASSERT_EQUAL(calls, m_engineState.stoppedRuns);
     }
 
+    // More runs than the engine takes requests for while it backs off: the others go on when it is over.
+    void engineBacksOffWhenItsAnswersAreLost()
+    {
+        startStreamsThatIgnoreCloses(200);
+        const auto id = busiestEngine();
+        auto &engine = *m_engines.at(id);
+        engine.setRetryAfter(std::chrono::milliseconds(1400));
+        askForPause(id);
+        m_context->run_for(std::chrono::milliseconds(600));
+        engine.loseStreams();
+        checkStreams();
+        const auto asked = engine.askedForPauseAt();
+        CPPUNIT_ASSERT_EQUAL(2,
+                             engine.requestsBetween(asked + std::chrono::milliseconds(500),
+                                                    asked + std::chrono::milliseconds(1400)));
+        CPPUNIT_ASSERT(m_engineState.stoppedRuns > 2);
+    }
+
+    void engineLimitsItsRequestsWhenItsAnswersAreLost()
+    {
+        for (const auto &[id, engine] : m_engines)
+            engine->setIgnoresCloses(true);
+        m_engineState.eventsPerStream = 500;
+        unlistAllBut("llm-0");
+        prepare(EngineChoice::Any);
+        // Until the router issues permits.
+        m_context->run_for(absl::ToChronoMilliseconds(RouterRegistry::livenessTimeout));
+        startCalls();
+        CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.size() == calls; }));
+        auto &engine = *m_engines.at("llm-0");
+        engine.setLimit("5");
+        startCall("POST", "/stream/x", "named", "key", m_noticed.response, m_noticed.isDone);
+        CPPUNIT_ASSERT(runUntil([&] { return gaugeValue("targets_limited") == 1; }));
+        listAll();
+        engine.loseStreams();
+        checkStreams();
+    }
+
+    // Requests to stop a run get 409 while it is being copied.
+    void engineCopiesRunsWhenItsAnswersAreLost()
+    {
+        startStreamsThatIgnoreCloses(500);
+        const auto id = busiestEngine();
+        auto &engine = *m_engines.at(id);
+        // The holders of copies are lost, so that the streams copy their runs to others.
+        unlistAllBut(id);
+        waitForTargets(1);
+        listAll();
+        engine.setCopyTime(std::chrono::milliseconds(800));
+        CPPUNIT_ASSERT(runUntil([&] { return engine.runsBeingCopied() > 2; }));
+        engine.loseStreams();
+        checkStreams();
+        CPPUNIT_ASSERT(m_engineState.stoppedRuns > 2);
+    }
+
+    void enginesLoseTheAnswersOfResumedRunsToo()
+    {
+        startStreamsThatIgnoreCloses(200);
+        const auto id = busiestEngine();
+        m_engines.at(id)->setRetryAfter(std::chrono::milliseconds(1400));
+        askForPause(id);
+        m_context->run_for(std::chrono::milliseconds(600));
+        m_engines.at(id)->loseStreams();
+        m_context->run_for(std::chrono::milliseconds(150));
+        for (const auto &[other, engine] : m_engines)
+            engine->loseStreams();
+        checkStreams();
+    }
+
+    void engineKeepsWaitingRequestsAfterTheirAnswersAreLost()
+    {
+        loseWaitingStreams(true);
+        checkStreams();
+        CPPUNIT_ASSERT(m_engineState.stoppedRuns > 0);
+    }
+
+    // It is not asked without end.
+    void engineDropsWaitingRequestsWithTheirConnections()
+    {
+        loseWaitingStreams(false);
+        checkStreams();
+        CPPUNIT_ASSERT_EQUAL(0, m_engineState.stoppedRuns);
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat(m_engineState.stopRequests),
+                               m_engineState.stopRequests <= 2 * m_lostStreams);
+    }
+
 private:
     static constexpr int calls = 8;
     // The stated limit of two runs side by side.
@@ -170,13 +265,21 @@
         }
     }
 
-    void prepare()
+    static nlohmann::json configuration()
+    {
+        auto out = fakeConfiguration(1);
+        out["routes"][0]["timeoutMs"] = 8000;
+        return out;
+    }
+
+    enum class EngineChoice { First, Any };
+
+    void prepare(EngineChoice choice = EngineChoice::First)
     {
-        auto configuration = fakeConfiguration(1);
-        configuration["routes"][0]["timeoutMs"] = 8000;
-        m_store->put("config", "main", configuration);
+        m_store->put("config", "main", configuration());
         startGateway();
-        preferEngine("llm-0");
+        if (choice == EngineChoice::First)
+            preferEngine("llm-0");
         m_engineState.eventsPerStream = std::max(m_engineState.eventsPerStream, 40);
     }
 
@@ -189,14 +292,74 @@
         m_context->run_for(std::chrono::milliseconds(100));
     }
 
-    void startStreamsThatIgnoreCloses()
+    void startStreamsThatIgnoreCloses(int events = 120)
     {
         for (const auto &[id, engine] : m_engines)
             engine->setIgnoresCloses(true);
-        m_engineState.eventsPerStream = 120;
+        m_engineState.eventsPerStream = events;
         startStreams();
     }
 
+    void unlistAllBut(const std::string &id)
+    {
+        for (const auto &[other, engine] : m_engines) {
+            if (other != id)
+                m_store->remove("servers", other);
+        }
+    }
+
+    // Returns when the gateway has them all.
+    void listAll()
+    {
+        for (const auto &[id, engine] : m_engines)
+            m_store->put("servers", id, engine->storeRecord());
+        waitForTargets(static_cast<int>(m_engines.size()));
+    }
+
+    void waitForTargets(int count)
+    {
+        CPPUNIT_ASSERT(runUntil([&] { return gaugeValue("targets") == count; }));
+    }
+
+    [[nodiscard]] std::string busiestEngine() const
+    {
+        std::map<std::string, int> runs;
+        for (const auto &it : m_engineState.runs.spans())
+            ++runs[it.engine];
+        const auto most = std::max_element(runs.begin(), runs.end(),
+                                           [](const auto &a, const auto &b) { return a.second < b.second; });
+        CPPUNIT_ASSERT(most->second > 2);
+        return most->first;
+    }
+
+    // The engine rejects one request with Retry-After.
+    void askForPause(const std::string &id)
+    {
+        auto &engine = *m_engines.at(id);
+        engine.setMode(FakeEngineMode::Overloaded);
+        preferEngine(id);
+        startCall("POST", "/stream/x", "rejected", "key", m_noticed.response, m_noticed.isDone);
+        CPPUNIT_ASSERT(
+            runUntil([&] { return engine.askedForPauseAt() > std::chrono::steady_clock::time_point(); }));
+        engine.setMode(FakeEngineMode::Healthy);
+    }
+
+    // An engine loses the answers of streams that wait for a slot there, for a second.
+    void loseWaitingStreams(bool ignoresCloses)
+    {
+        m_engineState.eventsPerStream = 200;
+        prepare();
+        auto &engine = *m_engines.at("llm-0");
+        engine.setIgnoresCloses(ignoresCloses);
+        engine.queueStreamsFor(std::chrono::milliseconds(1000));
+        startCalls();
+        CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.size() == calls; }));
+        m_lostStreams = static_cast<int>(calls - m_engineState.runs.spans().size());
+        CPPUNIT_ASSERT(m_lostStreams > 0);
+        m_context->run_for(std::chrono::milliseconds(100));
+        engine.loseStreams();
+    }
+
     // Whichever engines the streams began at.
     void pauseFirst(std::chrono::milliseconds time)
     {
@@ -219,6 +382,9 @@
     }
 
     std::vector<Call> m_calls;
+    // Brings a notice of the engine to the gateway.
+    Call m_noticed;
+    int m_lostStreams{0};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestTwoRunsOfOneStream);
