platform: Take no entry that lacks a field, or its start, for a target's own

Cause: the decoder asked for the fields that the gateway uses, not for those that an entry has. One without version, sequence or coldRemainingMs replaced that of a sound engine. One without a start made a draining engine ready again.

TargetPool ignores an entry without a start for a target that has told one.

The new cases of TestOddEntries and TestForeignEntries failed before. numbersOutOfRangeAreInvalid and the stand-ins write whole entries now, so that just the field in question makes them invalid.

Why it works: what names no engine to use no longer reaches the pool as one.

--- a/Libraries/LibForwarding/TargetPool.cpp
+++ b/Libraries/LibForwarding/TargetPool.cpp
@@ -72,6 +72,12 @@
 
 std::optional<TargetProcess> TargetPool::upsert(const ForwardingTarget &record)
 {
+    if (const auto known = m_targets.find(record.id); known != m_targets.end()) {
+        auto &target = known->second;
+        target.isEntryForeign = target.record.startedAtMs != 0 && record.startedAtMs == 0;
+        if (target.isEntryForeign)
+            return std::nullopt;
+    }
     std::optional<TargetProcess> replaced;
     for (auto &[id, other] : m_targets) {
         if (id == record.id || other.isGone || !takesOver(record, other.record))
@@ -315,7 +321,7 @@
 bool TargetPool::isReady(const TargetId &id, const Target &target) const
 {
     return target.record.phase == ForwardingTargetPhase::Ready && !target.isGone && !target.isHeld
-        && !m_notices.isLeaving(id);
+        && !target.isEntryForeign && !m_notices.isLeaving(id);
 }
 
 bool TargetPool::isHealthy(const TargetId &id, absl::Time now) const
--- a/Libraries/LibForwarding/TargetPool.h
+++ b/Libraries/LibForwarding/TargetPool.h
@@ -175,7 +175,9 @@
         return !m_services || m_services->contains(service);
     }
     // Adds or updates a target. Returns the process that had the same address before, which no longer exists.
-    // A process that drains never becomes ready again, even if a restored store still says that it is.
+    // A process that drains never becomes ready again, even if a restored store still says that it is. A
+    // target that has told its start does so in each entry: one without it is another writer's and only ends
+    // the use of the target until its next own entry.
     std::optional<TargetProcess> upsert(const ForwardingTarget &);
     void remove(const TargetId &);
     // The process at the address has said that it is this target. It exists, whatever other entries say.
@@ -300,6 +302,8 @@
         // Position of the entry of a later process at the address, if that is why the target counts as gone.
         std::optional<StorePosition> replacedAt;
         bool isHeld{false};
+        // The directory's entry is another writer's; the record is that of the entry before.
+        bool isEntryForeign{false};
         // Moving average of failed requests, in [0, 1].
         double failureRate{0};
         // When another router last reported unprocessed prompts.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -339,6 +339,12 @@
     const auto before = known ? std::optional(*known) : std::nullopt;
     const auto replacedProcess = m_targets.upsert(record);
     const auto &now = *m_targets.find(record.id);
+    if (now.startedAtMs != record.startedAtMs) {
+        m_log.write("unusable_object",
+                    {{"kind", "targets"}, {"name", record.id.value()}, {"reason", "the start is missing"}},
+                    monotonicNow());
+        return;
+    }
     if (!before || before->phase != now.phase || before->address != now.address
         || before->startedAtMs != now.startedAtMs) {
         m_log.write("target",
--- a/Tests/Platform/TestForeignEntries.cpp
+++ b/Tests/Platform/TestForeignEntries.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(entriesOfAnUnnamedServiceChangeNothing);
     CPPUNIT_TEST(copiesOfEntriesChangeNothing);
     CPPUNIT_TEST(enginesAreUsedBesideEntriesThatStartedLater);
+    CPPUNIT_TEST(entryThatLacksAFieldNamesNoEngine);
+    CPPUNIT_TEST(entryWithoutAStartDoesNotReviveADrainingEngine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -31,6 +33,41 @@
         expectService();
     }
 
+    // Such an entry under the id of an engine took it to another service.
+    void entryThatLacksAFieldNamesNoEngine()
+    {
+        startGateway();
+        for (const auto *field : {"version", "sequence", "coldRemainingMs"}) {
+            auto entry = m_engines.at("llm-0")->storeRecord();
+            entry["service"] = "app";
+            entry.erase(field);
+            m_store->put("servers", "llm-0", entry);
+            waitForEntries();
+            for (int n = 0; n < 12; ++n)
+                CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", absl::StrCat("b", m_calls++)).head.status);
+            CPPUNIT_ASSERT_EQUAL(0, m_engines.at("llm-0")->requestCount());
+            m_store->put("servers", "llm-0", m_engines.at("llm-0")->storeRecord());
+            waitForEntries();
+        }
+        expectService();
+    }
+
+    void entryWithoutAStartDoesNotReviveADrainingEngine()
+    {
+        startGateway();
+        auto &engine = *m_engines.at("app-0");
+        m_store->put("servers", "app-0", engine.storeRecord("draining"));
+        waitForEntries();
+        auto entry = engine.storeRecord("ready");
+        entry.erase("born");
+        m_store->put("servers", "app-0", entry);
+        waitForEntries();
+        const int before = engine.requestCount();
+        for (int n = 0; n < 12; ++n)
+            CPPUNIT_ASSERT_EQUAL(200, call("POST", "/book/x", absl::StrCat("b", m_calls++)).head.status);
+        CPPUNIT_ASSERT_EQUAL(before, engine.requestCount());
+    }
+
 private:
     // With an empty service, the entries name that of the engine. They say that they started later by so
     // much.
@@ -45,6 +82,19 @@
         }
     }
 
+    // Until the gateway has applied all entries so far, which it does in their order.
+    void waitForEntries()
+    {
+        const int before = gaugeValue("targets");
+        auto entry = m_engines.at("app-1")->storeRecord();
+        entry["service"] = "other";
+        entry["address"] = "127.0.0.1:1";
+        // One of them makes up for a target whose entry has become unusable.
+        for (int n = 0; n < 2; ++n)
+            m_store->put("servers", absl::StrCat("last-", m_calls++), entry);
+        CPPUNIT_ASSERT(runUntil([&] { return gaugeValue("targets") > before; }));
+    }
+
     void expectService()
     {
         for (int n = 0; n < 8; ++n) {
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(largeForeignEntryIsNotRead);
     CPPUNIT_TEST(onlyKnownFieldsOfEntriesAreKept);
     CPPUNIT_TEST(numbersOutOfRangeAreInvalid);
+    CPPUNIT_TEST(entriesThatLackFieldsAreUnusable);
+    CPPUNIT_TEST(entriesWithUnknownFieldsAreSound);
     CPPUNIT_TEST(pageWithoutNamesEndsTheList);
     CPPUNIT_TEST(nameInPathIsEncoded);
     CPPUNIT_TEST(damagedEntriesNeverSpoilOthers);
@@ -144,26 +146,53 @@
 
     void numbersOutOfRangeAreInvalid()
     {
-        for (const auto *slots : {"-1", "1e300", "2147483648", "9223372036854775807", "null", "\"6\""}) {
-            const auto spec = absl::StrCat(R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":)",
-                                           slots, R"(,"state":"ready"})");
-            CPPUNIT_ASSERT_MESSAGE(slots, !decode(spec));
-        }
-        for (const auto *born : {"-1", "1e300", "18446744073709551615", "\"5\""}) {
-            const auto spec = absl::StrCat(
-                R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":6,"state":"ready","born":)",
-                born, "}");
-            CPPUNIT_ASSERT_MESSAGE(born, !decode(spec));
-        }
+        for (const auto *slots : {"-1", "1e300", "2147483648", "9223372036854775807", "null", "\"6\""})
+            CPPUNIT_ASSERT_MESSAGE(slots, !decode(soundExcept("slots", slots)));
+        for (const auto *born : {"-1", "1e300", "18446744073709551615", "\"5\""})
+            CPPUNIT_ASSERT_MESSAGE(born, !decode(soundExcept("born", born)));
         for (const auto *address :
-             {"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:", "127.0.0.1", ":9", "x:9"}) {
-            const auto spec = absl::StrCat(
-                R"({"service":"s","zone":"z","slots":6,"state":"ready","address":")", address, "\"}");
-            CPPUNIT_ASSERT_MESSAGE(address, !decode(spec));
-        }
+             {"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:", "127.0.0.1", ":9", "x:9"})
+            CPPUNIT_ASSERT_MESSAGE(address,
+                                   !decode(soundExcept("address", absl::StrCat("\"", address, "\""))));
         CPPUNIT_ASSERT(decode(sound));
     }
 
+    // Such an entry under the id of a sound engine made it an engine of another service.
+    void entriesThatLackFieldsAreUnusable()
+    {
+        for (const auto *field :
+             {"service", "address", "zone", "slots", "state", "version", "sequence", "coldRemainingMs"}) {
+            auto spec = nlohmann::json::parse(sound);
+            spec.erase(field);
+            CPPUNIT_ASSERT_MESSAGE(field, !decode(spec.dump()));
+            for (const auto *odd : {"null", "true", "[]", "{}"})
+                CPPUNIT_ASSERT_MESSAGE(absl::StrCat(field, " ", odd), !decode(soundExcept(field, odd)));
+        }
+        for (const auto *field : {"version", "state", "service", "zone"})
+            CPPUNIT_ASSERT_MESSAGE(field, !decode(soundExcept(field, "7")));
+        for (const auto *field : {"sequence", "coldRemainingMs", "slots"}) {
+            CPPUNIT_ASSERT_MESSAGE(field, !decode(soundExcept(field, "\"1\"")));
+            CPPUNIT_ASSERT_MESSAGE(field, !decode(soundExcept(field, "-1")));
+        }
+        CPPUNIT_ASSERT(!decode(soundExcept("born", "5.5")));
+        CPPUNIT_ASSERT(!decode(soundExcept("sequence", "5.5")));
+        const auto batch = list({object("a", soundExcept("sequence", "\"1\""))});
+        CPPUNIT_ASSERT(m_decoder.target(batch->objects.at(0)).error().detail.find("sequence")
+                       != std::string::npos);
+    }
+
+    // Later versions of targets may say more, and not all say when they started.
+    void entriesWithUnknownFieldsAreSound()
+    {
+        auto spec = nlohmann::json::parse(sound);
+        spec["mood"] = {{"a", 1}};
+        spec["unusable"] = true;
+        spec["coldRemainingMs"] = 812.5;
+        CPPUNIT_ASSERT(decode(spec.dump()));
+        spec.erase("born");
+        CPPUNIT_ASSERT(decode(spec.dump()));
+    }
+
     void pageWithoutNamesEndsTheList()
     {
         m_store->body =
@@ -221,7 +250,17 @@
 
 private:
     static constexpr const char *sound =
-        R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":6,"state":"ready","born":5})";
+        R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":6,"state":"ready","born":5,"version":"v1","sequence":4,"coldRemainingMs":0})";
+
+    // The value is JSON.
+    static std::string soundExcept(const std::string &field, const std::string &value)
+    {
+        auto spec = nlohmann::json::parse(sound);
+        spec[field] = "VALUE";
+        auto text = spec.dump();
+        const std::string mark = "\"VALUE\"";
+        return text.replace(text.find(mark), mark.size(), value);
+    }
 
     static std::vector<std::string> oddSpecs()
     {
--- a/Tests/Platform/TestSilentEngine.cpp
+++ b/Tests/Platform/TestSilentEngine.cpp
@@ -33,7 +33,8 @@
     [[nodiscard]] nlohmann::json storeRecord() const
     {
         return {{"service", "llm"}, {"address", m_address}, {"zone", "z0"},
-                {"slots", 8},       {"state", "ready"},     {"born", 1}};
+                {"slots", 8},       {"state", "ready"},     {"born", 1},
+                {"version", "v1"},  {"sequence", 1},        {"coldRemainingMs", 0}};
     }
     [[nodiscard]] int requestCount() const { return m_requestCount; }
 
@@ -100,10 +101,15 @@
 
     [[nodiscard]] nlohmann::json storeRecord() const
     {
-        return {
-            {"service", "app"}, {"address", absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port())},
-            {"zone", "z0"},     {"slots", 8},
-            {"state", "ready"}, {"born", 1}};
+        return {{"service", "app"},
+                {"address", absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port())},
+                {"zone", "z0"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"born", 1},
+                {"version", "v1"},
+                {"sequence", 1},
+                {"coldRemainingMs", 0}};
     }
 
 private:
--- a/Tests/Processes/TestChangesBesideLostRouters.cpp
+++ b/Tests/Processes/TestChangesBesideLostRouters.cpp
@@ -155,7 +155,10 @@
                       {"zone", "d0"},
                       {"slots", 4},
                       {"state", state},
-                      {"born", 1 + m_version}});
+                      {"born", 1 + m_version},
+                      {"version", "v1"},
+                      {"sequence", 1},
+                      {"coldRemainingMs", 0}});
     }
 
     void call(const std::string &address, const std::string &method, const std::string &target,
--- a/Tests/Processes/TestRequestsCutByAKill.cpp
+++ b/Tests/Processes/TestRequestsCutByAKill.cpp
@@ -242,7 +242,10 @@
                       {"zone", "d0"},
                       {"slots", 200},
                       {"state", "ready"},
-                      {"born", 1}});
+                      {"born", 1},
+                      {"version", "v1"},
+                      {"sequence", 1},
+                      {"coldRemainingMs", 0}});
     }
 
     void tearDown() override
