LibGateway: Let an entry in the store end no run by itself

Cause: Gateway::targetChanged() told all requests that the process before had gone, from the later start in the entry alone. Their runs were broken off and resumed elsewhere, with no stop request.

Change: if runs are at work there, the address is asked which process it is, and only the answer of another one ends them.

Why it works: the entry's writer can't answer at the engine's address.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -361,7 +361,7 @@
     if (m_rolloutGuard)
         m_rolloutGuard->targetListed(now, monotonicNow());
     if (replacedProcess)
-        notifySessions(*replacedProcess, TargetFault::Gone);
+        checkReplaced(*replacedProcess);
 }
 
 void Gateway::targetRemoved(const TargetId &id)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -166,6 +166,10 @@
     void postToSessions(std::function<void(ForwardSession &)>);
     // Probes a target that lost a connection to find out whether it is still reachable.
     void verifyTarget(const TargetProcess &);
+    // The directory lists a later process at the address of this one. Asks the address which process is there
+    // if runs are at work.
+    void checkReplaced(const TargetProcess &, int number = 1);
+    void replacedChecked(const TargetProcess &, TargetIdentity, int number);
     void addReportedCounts(const PeerReport &, absl::Time now);
 
     // Writes the router's own record to the store, and again while it fails or a later era lacks it.
--- a/Tests/Platform/TestForeignEntries.cpp
+++ b/Tests/Platform/TestForeignEntries.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(entriesOfAnUnnamedServiceChangeNothing);
     CPPUNIT_TEST(copiesOfEntriesChangeNothing);
     CPPUNIT_TEST(enginesAreUsedBesideEntriesThatStartedLater);
+    CPPUNIT_TEST(runsGoOnBesideEntriesThatStartedLater);
+    CPPUNIT_TEST(runsAreResumedWhenAnotherProcessAnswers);
     CPPUNIT_TEST(entryThatLacksAFieldNamesNoEngine);
     CPPUNIT_TEST(entryWithoutAStartDoesNotReviveADrainingEngine);
     CPPUNIT_TEST_SUITE_END();
@@ -33,6 +35,55 @@
         expectService();
     }
 
+    // The runs were given up, though their engines worked on, so that two engines were at work.
+    void runsGoOnBesideEntriesThatStartedLater()
+    {
+        auto configuration = fakeConfiguration(1);
+        for (auto &it : configuration["services"])
+            it["healthPath"] = "/health";
+        m_store->put("config", "main", configuration);
+        m_engineState.eventsPerStream = 120;
+        for (const auto &[id, engine] : m_engines)
+            engine->setIgnoresCloses(true);
+        startGateway();
+        HttpResponse response;
+        bool isDone = false;
+        startCall("POST", "/stream/x", "running", "key", response, isDone);
+        CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.contains("running"); }));
+        putForeignEntries("", 7);
+        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
+        CPPUNIT_ASSERT_EQUAL(1, m_engineState.acceptedByRequest.at("running"));
+        CPPUNIT_ASSERT_EQUAL(0, m_engineState.stopRequests);
+    }
+
+    // The engine has been replaced indeed, though its connections stay open.
+    void runsAreResumedWhenAnotherProcessAnswers()
+    {
+        auto configuration = fakeConfiguration(1);
+        for (auto &it : configuration["services"])
+            it["healthPath"] = "/health";
+        m_store->put("config", "main", configuration);
+        m_engineState.eventsPerStream = 60;
+        startGateway();
+        HttpResponse response;
+        bool isDone = false;
+        startCall("POST", "/stream/x", "running", "key", response, isDone);
+        CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.contains("running"); }));
+        auto &engine = *m_engines.at(m_engineState.runs.spans().front().engine);
+        engine.setMode(FakeEngineMode::Stalled);
+        m_context->run_for(std::chrono::milliseconds(100));
+        engine.setId("next");
+        auto entry = engine.storeRecord();
+        entry["born"] = entry["born"].get<int>() + 7;
+        const auto since = monotonicNow();
+        m_store->put("servers", "next", entry);
+        CPPUNIT_ASSERT(runUntil([&] { return m_engineState.acceptedByRequest.at("running") == 2; }));
+        CPPUNIT_ASSERT(monotonicNow() - since < absl::Milliseconds(1000));
+        CPPUNIT_ASSERT(runUntil([&] { return isDone; }));
+        CPPUNIT_ASSERT_EQUAL(m_engineState.completeStream(), response.body);
+    }
+
     // Such an entry under the id of an engine took it to another service.
     void entryThatLacksAFieldNamesNoEngine()
     {
