Services/Router: Stop lost streams, and ask until the engine answers

What callers saw: nothing wrong in their answers, but an engine that lost the connection of a stream ran on with it for its linger time, beside the engine at which the generation went on.

EngineStreams told engines to stop cancelled attempts only, once, and ignored the answer.

Change: StreamStopper asks until the engine answers, in an event loop of its own, also after a loss. Streams that are left running for a caller who may return are not stopped.

Why it works: the name of the stream outlives its connection.

--- a/Services/Router/EngineStreams.cpp
+++ b/Services/Router/EngineStreams.cpp
@@ -21,8 +21,7 @@
 
 namespace detail {
 
-constexpr absl::Duration cancelTimeout = absl::Seconds(1);
-constexpr std::size_t maxCancelThreads = 4;
+constexpr std::size_t maxReportThreads = 4;
 
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
@@ -217,7 +216,7 @@
 
 EngineStreams::EngineStreams(EventSink &sink, std::size_t maxStreams, StreamTimeouts timeouts)
     : m_sink(sink), m_timeouts(timeouts), m_pool("engine-stream", maxStreams),
-      m_cancelPool("engine-cancel", detail::maxCancelThreads)
+      m_reportPool("engine-report", detail::maxReportThreads)
 {
 }
 
@@ -246,7 +245,7 @@
 void EngineStreams::reportNotStarted(AttemptId attempt, const TargetId &target)
 {
     // From a pool thread: the decision thread must never wait for room on its own ring.
-    m_cancelPool.post([this, attempt, target] {
+    m_reportPool.post([this, attempt, target] {
         m_sink.post(RoutingEvent(AttemptFailed{attempt, AttemptFailure::NotStarted}));
         m_sink.post(MembershipEvent(TargetObserved{target, false}));
     });
@@ -269,7 +268,7 @@
             stream->context->stop();
     }
     if (mode == CancelMode::StopEngine)
-        m_cancelPool.post([this, stream] { tellEngineToStop(stream); });
+        tellEngineToStop(*stream);
 }
 
 std::size_t EngineStreams::running() const
@@ -278,18 +277,16 @@
     return m_streams.size();
 }
 
-void EngineStreams::tellEngineToStop(const std::shared_ptr<Stream> &stream)
+void EngineStreams::tellEngineToStop(Stream &stream)
 {
     EngineStreamId id;
     {
-        absl::MutexLock lock(&stream->mutex);
-        id = stream->streamId;
+        absl::MutexLock lock(&stream.mutex);
+        id = stream.streamId;
     }
     // An engine that has not named the stream yet sees the closed connection and cancels it by itself later.
-    if (id.value().empty())
-        return;
-    const BlockingHttpClient client(stream->request.address, detail::cancelTimeout);
-    (void)client.post(absl::StrCat("/v1/completions/", id.value(), "/cancel"), "");
+    if (!id.value().empty())
+        m_stopper.stop(stream.request.address, id.value());
 }
 
 void EngineStreams::run(const std::shared_ptr<Stream> &stream)
@@ -316,6 +313,9 @@
     if (stream->isCancelled || stream->isFinished)
         return;
     const auto failure = answer->failure().value_or(AttemptFailure::StreamLost);
+    // The generation goes on elsewhere. That the connection is lost doesn't end the stream.
+    if (failure == AttemptFailure::StreamLost)
+        tellEngineToStop(*stream);
     m_sink.post(RoutingEvent(AttemptFailed{request.attempt, failure}));
     if (failure == AttemptFailure::NotStarted)
         m_sink.post(MembershipEvent(TargetObserved{request.target, false}));
--- a/Services/Router/EngineStreams.h
+++ b/Services/Router/EngineStreams.h
@@ -4,6 +4,7 @@
 
 #include <LibCore/Address.h>
 #include <LibPlatform/ElasticPool.h>
+#include <LibPlatform/StreamStopper.h>
 #include <LibRouting/Events.h>
 #include <Router/HostEvents.h>
 
@@ -67,15 +68,16 @@
     class Answer;
 
     void run(const std::shared_ptr<Stream> &stream);
-    void tellEngineToStop(const std::shared_ptr<Stream> &stream);
+    void tellEngineToStop(Stream &stream);
 
     EventSink &m_sink;
     const StreamTimeouts m_timeouts;
     mutable absl::Mutex m_mutex;
     absl::flat_hash_map<AttemptId, std::shared_ptr<Stream>> m_streams ABSL_GUARDED_BY(m_mutex);
-    // Declared last: its threads use everything above.
+    StreamStopper m_stopper;
+    // Declared last: their threads use everything above.
     ElasticPool m_pool;
-    ElasticPool m_cancelPool;
+    ElasticPool m_reportPool;
 };
 
 } // namespace Wisteria
