LibGateway: Ask for the permits of stops before new work does

Cause: a stop that was denied a permit asked again when the next one was expected to be free. Routers offer permits for a horizon of one second ahead, so that new work had taken it by then.

Change: a stop asks again when the permit is first offered (PermitIssuer::timeUntilOffered()), and its router takes no further one for new work until then.

--- a/Libraries/LibForwarding/PermitIssuer.h
+++ b/Libraries/LibForwarding/PermitIssuer.h
@@ -36,6 +36,13 @@
     // can tell that the limit has ended.
     static constexpr RequestRate minRate = RequestRate::perSecond(0.1);
 
+    // When a permit that is expected to be free after `delay` is offered to requests that wait for the whole
+    // horizon. They ask again then, which is before all others.
+    [[nodiscard]] static absl::Duration timeUntilOffered(absl::Duration delay)
+    {
+        return std::max(delay - horizon, absl::ZeroDuration());
+    }
+
     // This router issues the target's permits from now on, unless it already does.
     void startIssuing(const TargetLimit &, absl::Time now);
     // Issues a permit if its time is at most `maxWait` away. The target's limit must be in force.
--- a/Libraries/LibGateway/ForwardSessionStops.cpp
+++ b/Libraries/LibGateway/ForwardSessionStops.cpp
@@ -16,7 +16,7 @@
 // How often a target is looked for that a stop request can name.
 constexpr absl::Duration otherTargetInterval = absl::Milliseconds(100);
 // A permit that was denied is not asked for again before.
-constexpr absl::Duration shortestPermitDelay = absl::Milliseconds(50);
+constexpr absl::Duration shortestPermitDelay = absl::Milliseconds(100);
 // Requests for runs that may not even exist take at most half of a target's limit.
 constexpr double maxShareOfLimit = 0.5;
 // Callers leave a stream after several times the longest gap that they accept. Until then, an answer that
@@ -142,13 +142,17 @@
             if (!self || self->m_isOutcomeLogged)
                 return;
             std::erase_if(self->m_stopPermits, [&](const auto &it) { return it.process == process; });
-            if (outcome.isGranted && self->askUnlessBackingOff(process, isUrgent, send))
+            if (outcome.isGranted) {
+                if (!self->askUnlessBackingOff(process, isUrgent, send))
+                    self->m_gatewayContext.limits.giveBack(process);
                 return;
-            if (outcome.isGranted)
-                self->m_gatewayContext.limits.giveBack(process);
-            else
-                self->delayStop(
-                    process, monotonicNow() + std::max(outcome.delay, detail::shortestPermitDelay), "limit");
+            }
+            // New work of this router doesn't take the next permit.
+            const auto now = monotonicNow();
+            self->m_gatewayContext.targets.deferLimited(process.id, now + outcome.delay);
+            const auto delay =
+                std::max(PermitIssuer::timeUntilOffered(outcome.delay), detail::shortestPermitDelay);
+            self->delayStop(process, now + delay, "limit");
         });
     m_stopPermits.push_back({process, std::move(ticket)});
 }
--- a/Tests/LibForwarding/FakePermitFleet.cpp
+++ b/Tests/LibForwarding/FakePermitFleet.cpp
@@ -97,6 +97,14 @@
 
     void startRequest() { send(m_fleet.now()); }
 
+    void stopRun(std::size_t target, absl::Time askedAt)
+    {
+        const auto *limit = m_pool.limitOf(m_fleet.m_targets[target].process.id);
+        const PermitRequestId id(++m_lastRequest);
+        m_stops[id] = {target, askedAt};
+        handle(PermitEvents::Requested{id, *limit, PermitIssuer::horizon});
+    }
+
     void answered(std::size_t target, std::optional<double> limit, absl::Time sentAt)
     {
         const auto &process = m_fleet.m_targets[target].process;
@@ -188,12 +196,25 @@
 
     void perform(const PermitActions::Granted &action)
     {
+        if (const auto stop = m_stops.extract(action.id)) {
+            m_fleet.sendStop(m_number, stop.mapped().target, stop.mapped().askedAt);
+            return;
+        }
         const auto waiting = m_waiting.extract(action.id).mapped();
         sendTo(waiting.process.id, waiting.arrivedAt);
     }
 
     void perform(const PermitActions::Denied &action)
     {
+        if (const auto stop = m_stops.extract(action.id)) {
+            const auto [target, askedAt] = stop.mapped();
+            m_pool.deferLimited(m_fleet.m_targets[target].process.id, m_fleet.now() + action.delay);
+            const auto delay =
+                std::max(PermitIssuer::timeUntilOffered(action.delay), absl::Milliseconds(100));
+            m_fleet.callAt(m_fleet.now() + delay, m_number,
+                           [target, askedAt](Router &it) { it.stopRun(target, askedAt); });
+            return;
+        }
         const auto waiting = m_waiting.extract(action.id).mapped();
         m_pool.deferLimited(waiting.process.id, m_fleet.now() + action.delay);
         if (waiting.isLastTry)
@@ -232,6 +253,12 @@
     std::map<std::size_t, bool> m_isServing;
     std::uint64_t m_lastRequest{0};
     std::map<PermitRequestId, Waiting> m_waiting;
+    struct Stop
+    {
+        std::size_t target{0};
+        absl::Time askedAt;
+    };
+    std::map<PermitRequestId, Stop> m_stops;
 };
 
 FakePermitFleet::FakePermitFleet(const FakePermitFleetOptions &options)
@@ -306,6 +333,19 @@
         callAt(m_now, n, [](Router &it) { it.startRequest(); });
 }
 
+void FakePermitFleet::stopRuns(std::size_t target, std::size_t routers)
+{
+    for (std::size_t n = 0; n < routers; ++n)
+        callAt(m_now, n, [target, at = m_now](Router &it) { it.stopRun(target, at); });
+}
+
+void FakePermitFleet::sendStop(std::size_t router, std::size_t target, absl::Time askedAt)
+{
+    ++m_stops;
+    m_longestStopWait = std::max(m_longestStopWait, m_now - askedAt);
+    sendToTarget(router, target, absl::ZeroDuration());
+}
+
 void FakePermitFleet::sendToTarget(std::size_t router, std::size_t target, absl::Duration waited)
 {
     m_longestWait = std::max(m_longestWait, waited);
--- a/Tests/LibForwarding/FakePermitFleet.h
+++ b/Tests/LibForwarding/FakePermitFleet.h
@@ -50,6 +50,8 @@
     void setRequestRate(double perSecond) { m_options.requestRate = perSecond; }
     // One caller's request at each router.
     void sendRequestAtEachRouter();
+    // So many routers ask the target to stop a run, which waits for a permit.
+    void stopRuns(std::size_t target, std::size_t routers);
 
     // Faults. A frozen router handles nothing; a restarted one has forgotten everything; one that is cut off
     // sends and receives no messages of other routers.
@@ -69,6 +71,9 @@
     [[nodiscard]] std::uint64_t permitMessages() const { return m_permitMessages; }
     // How long requests that were served had waited for permits at most.
     [[nodiscard]] absl::Duration longestWait() const { return m_longestWait; }
+    // Requests to stop a run that were sent, and how long they had waited at most.
+    [[nodiscard]] std::size_t stops() const { return m_stops; }
+    [[nodiscard]] absl::Duration longestStopWait() const { return m_longestStopWait; }
 
 private:
     class Router;
@@ -91,6 +96,7 @@
     // Delivers the function to the router like a message from the other one.
     void deliver(std::size_t from, std::size_t to, std::function<void(Router &)>);
     void sendToTarget(std::size_t router, std::size_t target, absl::Duration waited);
+    void sendStop(std::size_t router, std::size_t target, absl::Time askedAt);
     [[nodiscard]] bool isCut(std::size_t router) const { return m_now < m_cutUntil[router]; }
     void noteFault(std::size_t router, absl::Time until);
     [[nodiscard]] bool hadFault(std::size_t router, absl::Time from, absl::Time to) const;
@@ -110,6 +116,8 @@
     int m_rejected{0};
     std::uint64_t m_permitMessages{0};
     absl::Duration m_longestWait;
+    std::size_t m_stops{0};
+    absl::Duration m_longestStopWait;
 };
 
 } // namespace Wisteria
--- a/Tests/LibForwarding/TestRequestPermits.cpp
+++ b/Tests/LibForwarding/TestRequestPermits.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(changedLimitsHoldSoon);
     CPPUNIT_TEST(requestsWaitForAPermitOrAreRejectedAtOnce);
     CPPUNIT_TEST(permitMessagesDoNotGrowWithTheFleet);
+    CPPUNIT_TEST(stopsGoBeforeNewWorkInFleetsOfAllSizes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +204,29 @@
         }
     }
 
+    // Lost runs went on beside their successors while new work took the permits of their targets.
+    void stopsGoBeforeNewWorkInFleetsOfAllSizes()
+    {
+        std::cout << "\nrouters  limit/s  stops  longest wait\n";
+        for (const int routers : {7, 76, 300}) {
+            for (const double limit : {1.0, 3.0}) {
+                FakePermitFleet fleet({.routers = routers, .limits = {limit, limit}, .hasFreeTarget = false});
+                start(fleet, {limit, limit});
+                const auto since = fleet.now();
+                constexpr std::size_t runs = 3;
+                fleet.stopRuns(0, runs);
+                fleet.run(absl::Seconds(8));
+                std::cout << absl::StrCat(routers, "  ", limit, "  ", fleet.stops(), "  ",
+                                          absl::FormatDuration(fleet.longestStopWait()), "\n");
+                CPPUNIT_ASSERT_EQUAL(runs, fleet.stops());
+                // Each takes one permit of the target, after those that have been issued for the horizon.
+                CPPUNIT_ASSERT(fleet.longestStopWait() <= absl::Seconds(runs / limit) + PermitIssuer::horizon
+                                   + absl::Milliseconds(200));
+                check(fleet, 0, limit, since);
+            }
+        }
+    }
+
 private:
     // Target: this part of a limit is used while there are requests for it.
     static constexpr double leastUse = 0.8;
