LibGateway: Reserve the stop of a suspected run before its replacement starts

A run whose target backs off, or limits its requests, was given up for a replacement with no request left to stop it.

Change: before a replacement starts, the request or the permit that a stop needs is taken; without one, the replacement waits until the run is overdue. An urgent request stays with the request, for the same backoff; a permit is given back when the run goes on.

--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -213,13 +213,13 @@
     chooseVersions();
     // An answer that waits for room would need even more of it beside a replacement's.
     const bool isWaiting = m_run && m_run->attempt() && m_run->attempt()->isWaitingForRoom();
-    const bool maySearch = !isWaiting && !barTime(now) && (!m_run || canStopSoon(*m_run));
+    const bool maySearch = !isWaiting && !barTime(now);
     bool isFound = maySearch && action.fromCopy && findUsableCopy();
     if (maySearch && !isFound && action.mayRecompute && canFinishInTime(action.number, action.timeLeft)) {
         const auto target = chooseTarget(RunRole::Replacement, now);
         isFound = target && m_gatewayContext.targets.isHealthy(*target, now);
     }
-    if (isFound) {
+    if (isFound && (!m_run || tryReserveStopBeforeReplacement(*m_run))) {
         handle(ForwardingEvents::ReplacementFound{});
         return;
     }
--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -174,9 +174,17 @@
     // Why the target can't be asked to stop a run when this is due. Takes one of its few urgent requests for
     // that if it backs off.
     [[nodiscard]] StopObstacle reserveStop(const TargetProcess &);
-    // The run, or a replacement beside it, can be stopped when one of them is cancelled, or the run has been
-    // silent for too long to wait for that.
-    [[nodiscard]] bool canStopSoon(const TargetRun &) const;
+    // Reserves what a stop of the suspected run needs, for the case that it is given up for a replacement.
+    // False if the replacement has to wait for that. A run that has been silent for too long needs none.
+    [[nodiscard]] bool tryReserveStopBeforeReplacement(const TargetRun &);
+    // The same at the given time for a target that backs off. True if it does not.
+    [[nodiscard]] bool tryReserveUrgentRequest(const TargetProcess &, absl::Time at);
+    [[nodiscard]] bool hasReservedPermit(const TargetProcess &) const;
+    // The suspected run goes on.
+    void releaseReservedPermit();
+    // Uses the reservation of a stop at the process if it still holds.
+    struct ReservedStop;
+    [[nodiscard]] std::optional<ReservedStop> takeReservedStop(const TargetProcess &);
     // Sends the request as soon as the target takes one, or reports when that is. `isUrgent` requests may be
     // sent to a target that backs off.
     void askWhenAllowed(const TargetProcess &, bool isUrgent, std::function<void(ForwardSession &)> send);
@@ -259,8 +267,16 @@
     boost::asio::steady_timer m_stopTimer;
     // Processes that copy the KV cache of a run for this request.
     std::vector<TargetProcess> m_copyingProcesses;
-    // Processes that back off, for which an urgent request has been taken.
-    std::vector<TargetProcess> m_reservedStops;
+    // What has been taken for a stop that may follow.
+    struct ReservedStop
+    {
+        TargetProcess process;
+        // An urgent request in the backoff that ends then. The past if the target did not back off.
+        absl::Time backoffEnd{absl::InfinitePast()};
+        bool hasPermit{false};
+    };
+    // Invariant: holds each process once at most.
+    std::vector<ReservedStop> m_reservedStops;
     // Requests about abandoned runs that wait for a permit.
     struct StopPermit
     {
--- a/Libraries/LibGateway/ForwardSessionRuns.cpp
+++ b/Libraries/LibGateway/ForwardSessionRuns.cpp
@@ -114,8 +114,10 @@
         std::erase(m_triedTargets, run.target());
     }
     noteRunEnd(role, wasRefused ? "rejected" : "not_reached");
-    if (role == RunRole::Replacement)
+    if (role == RunRole::Replacement) {
         m_replacement.reset();
+        releaseReservedPermit();
+    }
     handle(ForwardingEvents::AttemptNotExecuted{
         .fault = fault, .wasRefused = wasRefused, .isCopyMissing = isCopyMissing, .role = role});
 }
@@ -147,8 +149,10 @@
     // The target may work on: its connection may have been reset on the way, or closed for what it sent.
     if (fault != TargetFault::Gone && !run.hasAnswerEnded())
         stopAbandonedRun(run);
-    if (role == RunRole::Replacement)
+    if (role == RunRole::Replacement) {
         m_replacement.reset();
+        releaseReservedPermit();
+    }
     handle(ForwardingEvents::AttemptLost{fault, role});
 }
 
@@ -175,6 +179,7 @@
         m_gatewayContext.metrics.increment("replacements_total", R"(outcome="cancelled")");
         stopAbandonedRun(*run);
         run.reset();
+        releaseReservedPermit();
     }
 }
 
--- a/Libraries/LibGateway/ForwardSessionStops.cpp
+++ b/Libraries/LibGateway/ForwardSessionStops.cpp
@@ -104,34 +104,83 @@
     if (std::find(m_copyingProcesses.begin(), m_copyingProcesses.end(), process) != m_copyingProcesses.end())
         return StopObstacle::CopyInProgress;
     if (targets.limitOf(process.id))
-        return StopObstacle::TakesNoRequest;
-    const auto stopAt = monotonicNow() + RunStopper::stopDelay;
-    if (!targets.isBackingOff(process.id, stopAt))
-        return StopObstacle::None;
-    if (!targets.tryTakeUrgentRequest(process.id, stopAt))
-        return StopObstacle::TakesNoRequest;
-    m_reservedStops.push_back(process);
-    return StopObstacle::None;
+        return hasReservedPermit(process) ? StopObstacle::None : StopObstacle::TakesNoRequest;
+    return tryReserveUrgentRequest(process, monotonicNow() + RunStopper::stopDelay)
+        ? StopObstacle::None
+        : StopObstacle::TakesNoRequest;
 }
 
-bool ForwardSession::canStopSoon(const TargetRun &run) const
+bool ForwardSession::tryReserveUrgentRequest(const TargetProcess &process, absl::Time at)
+{
+    auto &targets = m_gatewayContext.targets;
+    const auto backoffEnd = targets.backoffEnd(process.id);
+    const bool isReserved =
+        std::any_of(m_reservedStops.begin(), m_reservedStops.end(), [&](const ReservedStop &it) {
+            return it.process == process && it.backoffEnd == backoffEnd;
+        });
+    if (at >= backoffEnd || isReserved)
+        return true;
+    if (!targets.tryTakeUrgentRequest(process.id, at))
+        return false;
+    std::erase_if(m_reservedStops, [&](const ReservedStop &it) { return it.process == process; });
+    m_reservedStops.push_back({.process = process, .backoffEnd = backoffEnd});
+    return true;
+}
+
+bool ForwardSession::tryReserveStopBeforeReplacement(const TargetRun &run)
 {
     const auto now = monotonicNow();
-    if (!canStopRuns())
+    const auto silentSince = std::max(run.sentAt(), m_lastEventAt.value_or(run.sentAt()));
+    const bool isOverdue =
+        now - silentSince >= ForwardedRequest::longestSoundSilence - ForwardedRequest::maxRunOverlap;
+    if (!canStopRuns() || isOverdue)
         return true;
-    // When a replacement that begins now would be cancelled, or the run for it.
-    const auto stopAt = now + ForwardedRequest::maxRunOverlap + RunStopper::stopDelay;
-    if (m_gatewayContext.targets.earliestUrgentRequest(run.target(), stopAt) <= stopAt)
+    const auto &process = run.process();
+    if (const auto *limit = m_gatewayContext.targets.limitOf(process.id)) {
+        if (hasReservedPermit(process))
+            return true;
+        if (!m_gatewayContext.limits.tryTake(*limit, now))
+            return false;
+        std::erase_if(m_reservedStops, [&](const ReservedStop &it) { return it.process == process; });
+        m_reservedStops.push_back({.process = process, .hasPermit = true});
         return true;
-    const auto silentSince = std::max(run.sentAt(), m_lastEventAt.value_or(run.sentAt()));
-    return now - silentSince >= ForwardedRequest::longestSoundSilence - ForwardedRequest::maxRunOverlap;
+    }
+    return tryReserveUrgentRequest(process, now + ForwardedRequest::maxRunOverlap + RunStopper::stopDelay);
+}
+
+bool ForwardSession::hasReservedPermit(const TargetProcess &process) const
+{
+    return std::any_of(m_reservedStops.begin(), m_reservedStops.end(),
+                       [&](const auto &it) { return it.process == process && it.hasPermit; });
+}
+
+void ForwardSession::releaseReservedPermit()
+{
+    if (!m_run)
+        return;
+    const auto &process = m_run->process();
+    const auto released = std::erase_if(
+        m_reservedStops, [&](const ReservedStop &it) { return it.process == process && it.hasPermit; });
+    if (released > 0)
+        m_gatewayContext.limits.giveBack(process);
+}
+
+std::optional<ForwardSession::ReservedStop> ForwardSession::takeReservedStop(const TargetProcess &process)
+{
+    const auto it = std::find_if(m_reservedStops.begin(), m_reservedStops.end(),
+                                 [&](const ReservedStop &reserved) { return reserved.process == process; });
+    if (it == m_reservedStops.end())
+        return std::nullopt;
+    const auto reserved = *it;
+    m_reservedStops.erase(it);
+    return reserved;
 }
 
 void ForwardSession::askWhenAllowed(const TargetProcess &process, bool isUrgent,
                                     std::function<void(ForwardSession &)> send)
 {
     const auto *limit = m_gatewayContext.targets.limitOf(process.id);
-    if (!limit) {
+    if (!limit || hasReservedPermit(process)) {
         askUnlessBackingOff(process, isUrgent, send);
         return;
     }
@@ -167,10 +216,14 @@
         handleStopEvent(RunStopEvents::RunOver{process});
         return false;
     }
-    const bool isReserved = std::erase(m_reservedStops, process) > 0;
+    const auto reserved = takeReservedStop(process);
+    // A later backoff leaves requests of its own.
+    const bool isReserved = reserved && reserved->backoffEnd == targets.backoffEnd(process.id);
     const bool maySend = isReserved || !targets.isBackingOff(process.id, now)
         || (isUrgent && targets.tryTakeUrgentRequest(process.id, now));
     if (!maySend) {
+        if (reserved && reserved->hasPermit)
+            m_gatewayContext.limits.giveBack(process);
         delayStop(process,
                   isUrgent ? targets.earliestUrgentRequest(process.id, now) : targets.backoffEnd(process.id),
                   "backoff");
@@ -358,6 +411,10 @@
     m_stopTimer.cancel();
     m_stopPermits.clear();
     m_heldAttempt.reset();
+    for (const auto &it : std::exchange(m_reservedStops, {})) {
+        if (it.hasPermit)
+            m_gatewayContext.limits.giveBack(it.process);
+    }
     for (const auto &it : m_runStopper.unsettledRuns()) {
         m_gatewayContext.metrics.increment("abandoned_runs_total", R"(outcome="unknown")");
         log("abandoned_run", {{"target", it.id.value()}, {"outcome", "unknown"}});
--- a/Tests/Platform/TestTwoRunsOfOneStream.cpp
+++ b/Tests/Platform/TestTwoRunsOfOneStream.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(engineLimitsItsRequestsWhenItsAnswersAreLost);
     CPPUNIT_TEST(engineCopiesRunsWhenItsAnswersAreLost);
     CPPUNIT_TEST(enginesLoseTheAnswersOfResumedRunsToo);
+    CPPUNIT_TEST(engineBacksOffWhenItsStreamsAreSilent);
     CPPUNIT_TEST(engineKeepsWaitingRequestsAfterTheirAnswersAreLost);
     CPPUNIT_TEST(engineDropsWaitingRequestsWithTheirConnections);
     CPPUNIT_TEST_SUITE_END();
@@ -227,6 +228,23 @@
         checkStreams();
     }
 
+    // More runs are given up for their replacements than the engine takes requests for.
+    void engineBacksOffWhenItsStreamsAreSilent()
+    {
+        startStreamsThatIgnoreCloses(250);
+        const auto id = busiestEngine();
+        auto &engine = *m_engines.at(id);
+        engine.setRetryAfter(std::chrono::milliseconds(1800));
+        askForPause(id);
+        m_context->run_for(std::chrono::milliseconds(600));
+        engine.stallStreamsFor(std::chrono::milliseconds(700));
+        checkStreams();
+        const auto asked = engine.askedForPauseAt();
+        CPPUNIT_ASSERT(engine.requestsBetween(asked + std::chrono::milliseconds(500),
+                                              asked + std::chrono::milliseconds(1800))
+                       <= 2);
+    }
+
     void engineKeepsWaitingRequestsAfterTheirAnswersAreLost()
     {
         loseWaitingStreams(true);
