LibGateway: Keep reservations of stops apart, and check for a target first

A stop that finds no other target to name takes no request or permit any more, and a limit of zero no longer ends the requests for a run that may wait.

--- a/Libraries/LibGateway/ForwardSession.h
+++ b/Libraries/LibGateway/ForwardSession.h
@@ -195,6 +195,9 @@
     void askToStop(const TargetProcess &, int number);
     void askForReport(const TargetProcess &);
     void stopAnswered(const TargetProcess &, int number, const HttpCallResult &, absl::Time askedAt);
+    // Time between two requests for a run that may not exist, which leaves most of the target's limit to
+    // others. Zero without a limit.
+    [[nodiscard]] absl::Duration limitInterval(const TargetId &) const;
     // Address of another target, which requests to stop a run name. Empty if there is none.
     [[nodiscard]] std::string addressBeside(const TargetProcess &);
     // Keeps the attempt until abandoned runs are stopped. False if it may start now.
--- a/Libraries/LibGateway/ForwardSessionStops.cpp
+++ b/Libraries/LibGateway/ForwardSessionStops.cpp
@@ -93,87 +93,13 @@
 {
     if (m_isOutcomeLogged)
         return;
-    for (const auto &it : m_runStopper.handle(event, monotonicNow()))
+    for (const auto &it : m_runStopper.handle(event, monotonicNow())) {
+        // The attempt that was held may have ended the request.
+        if (m_isOutcomeLogged)
+            return;
         std::visit([this](const auto &action) { perform(action); }, it);
-    sendHeldAttempt();
-}
-
-StopObstacle ForwardSession::reserveStop(const TargetProcess &process)
-{
-    auto &targets = m_gatewayContext.targets;
-    if (std::find(m_copyingProcesses.begin(), m_copyingProcesses.end(), process) != m_copyingProcesses.end())
-        return StopObstacle::CopyInProgress;
-    if (targets.limitOf(process.id))
-        return hasReservedPermit(process) ? StopObstacle::None : StopObstacle::TakesNoRequest;
-    return tryReserveUrgentRequest(process, monotonicNow() + RunStopper::stopDelay)
-        ? StopObstacle::None
-        : StopObstacle::TakesNoRequest;
-}
-
-bool ForwardSession::tryReserveUrgentRequest(const TargetProcess &process, absl::Time at)
-{
-    auto &targets = m_gatewayContext.targets;
-    const auto backoffEnd = targets.backoffEnd(process.id);
-    const bool isReserved =
-        std::any_of(m_reservedStops.begin(), m_reservedStops.end(), [&](const ReservedStop &it) {
-            return it.process == process && it.backoffEnd == backoffEnd;
-        });
-    if (at >= backoffEnd || isReserved)
-        return true;
-    if (!targets.tryTakeUrgentRequest(process.id, at))
-        return false;
-    std::erase_if(m_reservedStops, [&](const ReservedStop &it) { return it.process == process; });
-    m_reservedStops.push_back({.process = process, .backoffEnd = backoffEnd});
-    return true;
-}
-
-bool ForwardSession::tryReserveStopBeforeReplacement(const TargetRun &run)
-{
-    const auto now = monotonicNow();
-    const auto silentSince = std::max(run.sentAt(), m_lastEventAt.value_or(run.sentAt()));
-    const bool isOverdue =
-        now - silentSince >= ForwardedRequest::longestSoundSilence - ForwardedRequest::maxRunOverlap;
-    if (!canStopRuns() || isOverdue)
-        return true;
-    const auto &process = run.process();
-    if (const auto *limit = m_gatewayContext.targets.limitOf(process.id)) {
-        if (hasReservedPermit(process))
-            return true;
-        if (!m_gatewayContext.limits.tryTake(*limit, now))
-            return false;
-        std::erase_if(m_reservedStops, [&](const ReservedStop &it) { return it.process == process; });
-        m_reservedStops.push_back({.process = process, .hasPermit = true});
-        return true;
     }
-    return tryReserveUrgentRequest(process, now + ForwardedRequest::maxRunOverlap + RunStopper::stopDelay);
-}
-
-bool ForwardSession::hasReservedPermit(const TargetProcess &process) const
-{
-    return std::any_of(m_reservedStops.begin(), m_reservedStops.end(),
-                       [&](const auto &it) { return it.process == process && it.hasPermit; });
-}
-
-void ForwardSession::releaseReservedPermit()
-{
-    if (!m_run)
-        return;
-    const auto &process = m_run->process();
-    const auto released = std::erase_if(
-        m_reservedStops, [&](const ReservedStop &it) { return it.process == process && it.hasPermit; });
-    if (released > 0)
-        m_gatewayContext.limits.giveBack(process);
-}
-
-std::optional<ForwardSession::ReservedStop> ForwardSession::takeReservedStop(const TargetProcess &process)
-{
-    const auto it = std::find_if(m_reservedStops.begin(), m_reservedStops.end(),
-                                 [&](const ReservedStop &reserved) { return reserved.process == process; });
-    if (it == m_reservedStops.end())
-        return std::nullopt;
-    const auto reserved = *it;
-    m_reservedStops.erase(it);
-    return reserved;
+    sendHeldAttempt();
 }
 
 void ForwardSession::askWhenAllowed(const TargetProcess &process, bool isUrgent,
@@ -246,6 +172,11 @@
 
 void ForwardSession::perform(const RunStopActions::AskToStop &action)
 {
+    // Before a request or a permit is taken for it.
+    if (addressBeside(action.process).empty()) {
+        delayStop(action.process, monotonicNow() + detail::otherTargetInterval, "no_other_target");
+        return;
+    }
     askWhenAllowed(action.process, action.isUrgent,
                    [process = action.process, number = action.number](ForwardSession &self) {
                        self.askToStop(process, number);
@@ -274,18 +205,14 @@
 
 void ForwardSession::askToStop(const TargetProcess &process, int number)
 {
-    const auto address = addressBeside(process);
-    if (address.empty()) {
-        delayStop(process, monotonicNow() + detail::otherTargetInterval, "no_other_target");
-        return;
-    }
-    sendPermittedControlRequest(detail::targetOf(process),
-                                m_gatewayContext.dialect.makeStopRequest(m_routed.request.id, address),
-                                [self = shared_from_this(), gateway = std::weak_ptr(m_gatewayContext.notices),
-                                 process, number, askedAt = monotonicNow()](const HttpCallResult &result) {
-                                    if (!gateway.expired())
-                                        self->stopAnswered(process, number, result, askedAt);
-                                });
+    sendPermittedControlRequest(
+        detail::targetOf(process),
+        m_gatewayContext.dialect.makeStopRequest(m_routed.request.id, addressBeside(process)),
+        [self = shared_from_this(), gateway = std::weak_ptr(m_gatewayContext.notices), process, number,
+         askedAt = monotonicNow()](const HttpCallResult &result) {
+            if (!gateway.expired())
+                self->stopAnswered(process, number, result, askedAt);
+        });
     handleStopEvent(RunStopEvents::Asked{process});
 }
 
@@ -320,13 +247,17 @@
         handleStopEvent(RunStopEvents::RunOver{process});
         return;
     }
-    const auto *limit = m_gatewayContext.targets.limitOf(process.id);
     handleStopEvent(RunStopEvents::StopAnswered{
-        .process = process,
-        .result = stopResult,
-        .limitInterval = limit
-            ? absl::Seconds(1 / (detail::maxShareOfLimit * limit->rate->requestsPerSecond()))
-            : absl::ZeroDuration()});
+        .process = process, .result = stopResult, .limitInterval = limitInterval(process.id)});
+}
+
+absl::Duration ForwardSession::limitInterval(const TargetId &id) const
+{
+    const auto *limit = m_gatewayContext.targets.limitOf(id);
+    if (!limit)
+        return absl::ZeroDuration();
+    const auto rate = std::max(limit->rate->requestsPerSecond(), PermitIssuer::minRate.requestsPerSecond());
+    return absl::Seconds(1 / (detail::maxShareOfLimit * rate));
 }
 
 void ForwardSession::perform(const RunStopActions::AskForReport &action)
@@ -394,7 +325,7 @@
 void ForwardSession::sendHeldAttempt()
 {
     const auto now = monotonicNow();
-    if (!m_heldAttempt || m_runStopper.holdsNextAttempt(now))
+    if (m_isOutcomeLogged || !m_heldAttempt || m_runStopper.holdsNextAttempt(now))
         return;
     auto action = *std::exchange(m_heldAttempt, std::nullopt);
     action.timeLeft = m_forwardedRequest.deadline() - now;
