Tests: Mend what the linter finds in the tests of lost runs

A member without its prefix, a structured binding that is captured, and a lambda whose move may throw. TestRunStopper, TestRequestPermits and TestTwoRunsOfOneStream pass.

--- a/Tests/LibForwarding/FakePermitFleet.cpp
+++ b/Tests/LibForwarding/FakePermitFleet.cpp
@@ -207,12 +207,12 @@
     void perform(const PermitActions::Denied &action)
     {
         if (const auto stop = m_stops.extract(action.id)) {
-            const auto [target, askedAt] = stop.mapped();
-            m_pool.deferLimited(m_fleet.m_targets[target].process.id, m_fleet.now() + action.delay);
+            const auto it = stop.mapped();
+            m_pool.deferLimited(m_fleet.m_targets[it.target].process.id, m_fleet.now() + action.delay);
             const auto delay =
                 std::max(PermitIssuer::timeUntilOffered(action.delay), absl::Milliseconds(100));
             m_fleet.callAt(m_fleet.now() + delay, m_number,
-                           [target, askedAt](Router &it) { it.stopRun(target, askedAt); });
+                           [it](Router &router) { router.stopRun(it.target, it.askedAt); });
             return;
         }
         const auto waiting = m_waiting.extract(action.id).mapped();
--- a/Tests/LibForwarding/TestRunStopper.cpp
+++ b/Tests/LibForwarding/TestRunStopper.cpp
@@ -44,12 +44,12 @@
     {
         abandon(true);
         CPPUNIT_ASSERT(!m_stopper.holdsNextAttempt(m_now));
-        CPPUNIT_ASSERT(m_stopper.isStopping(process.id));
+        CPPUNIT_ASSERT(m_stopper.isStopping(m_process.id));
         answerAll(absl::Seconds(5), StopResult::Stopped);
         CPPUNIT_ASSERT_EQUAL(1, m_asked);
         CPPUNIT_ASSERT(m_settled && m_settled->result == StopResult::Stopped);
         CPPUNIT_ASSERT(m_settled->after == RunStopper::stopDelay);
-        CPPUNIT_ASSERT(!m_stopper.isStopping(process.id));
+        CPPUNIT_ASSERT(!m_stopper.isStopping(m_process.id));
     }
 
     // Two targets may work side by side for less than 400 ms, from the moment at which the target can stop
@@ -93,7 +93,7 @@
         abandon(false);
         answerAll(absl::Seconds(5), StopResult::NotRunning);
         CPPUNIT_ASSERT(!m_settled);
-        CPPUNIT_ASSERT(m_stopper.isStopping(process.id));
+        CPPUNIT_ASSERT(m_stopper.isStopping(m_process.id));
         CPPUNIT_ASSERT_MESSAGE(absl::StrCat(m_asked), m_asked <= 5000 / 300 + 2);
         const auto since = m_now;
         answerAll(absl::Seconds(1), StopResult::Stopped);
@@ -124,7 +124,7 @@
         answerAll(absl::Milliseconds(800), StopResult::Stopped);
         CPPUNIT_ASSERT_EQUAL(0, m_asked);
         CPPUNIT_ASSERT(m_stopper.holdsNextAttempt(m_now));
-        perform(m_stopper.handle(RunStopEvents::CopyEnded{process}, m_now));
+        perform(m_stopper.handle(RunStopEvents::CopyEnded{m_process}, m_now));
         answerAll(absl::Milliseconds(1), StopResult::Stopped);
         CPPUNIT_ASSERT(m_settled);
         CPPUNIT_ASSERT(!m_stopper.holdsNextAttempt(m_now));
@@ -178,7 +178,7 @@
         CPPUNIT_ASSERT(m_stopper.holdsNextAttempt(m_now));
         answerAll(absl::Milliseconds(2), StopResult::Stopped);
         CPPUNIT_ASSERT(!m_stopper.holdsNextAttempt(m_now));
-        CPPUNIT_ASSERT(m_stopper.isStopping(process.id));
+        CPPUNIT_ASSERT(m_stopper.isStopping(m_process.id));
     }
 
     void attemptWaitsForAllRuns()
@@ -194,20 +194,20 @@
         CPPUNIT_ASSERT(m_settled && m_settled->process == other);
         CPPUNIT_ASSERT(m_stopper.holdsNextAttempt(m_now));
         m_settled.reset();
-        perform(m_stopper.handle(RunStopEvents::RunOver{process}, m_now));
+        perform(m_stopper.handle(RunStopEvents::RunOver{m_process}, m_now));
         CPPUNIT_ASSERT(!m_stopper.holdsNextAttempt(m_now));
         CPPUNIT_ASSERT(m_stopper.unsettledRuns().empty());
     }
 
 private:
     static constexpr absl::Duration longestHold = absl::Milliseconds(1500);
-    const TargetProcess process{.id = TargetId("t1"), .startedAtMs = 1, .address = "127.0.0.1:1"};
+    const TargetProcess m_process{.id = TargetId("t1"), .startedAtMs = 1, .address = "127.0.0.1:1"};
 
     void abandon(bool hasStarted, StopObstacle obstacle = StopObstacle::None)
     {
         m_timerAt = absl::InfiniteFuture();
         perform(m_stopper.handle(
-            RunStopEvents::RunAbandoned{.process = process, .hasStarted = hasStarted, .obstacle = obstacle},
+            RunStopEvents::RunAbandoned{.process = m_process, .hasStarted = hasStarted, .obstacle = obstacle},
             m_now));
     }
 
--- a/Tests/Platform/FakeEngine.cpp
+++ b/Tests/Platform/FakeEngine.cpp
@@ -407,10 +407,12 @@
                 m_queued.erase(requestId);
         });
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_queuesUntil);
-        timer->async_wait([this, timer, connection, head = response.head, request,
+        const auto sharedHead = std::make_shared<const HttpResponseHead>(response.head);
+        const auto sharedRequest = std::make_shared<const HttpRequest>(request);
+        timer->async_wait([this, timer, connection, sharedHead, sharedRequest,
                            lifetime = std::weak_ptr(m_lifetime), restarts = m_restarts](const auto &) {
             if (!lifetime.expired() && restarts == m_restarts)
-                startQueuedStream(connection, head, request);
+                startQueuedStream(connection, *sharedHead, *sharedRequest);
         });
         return;
     }
