LibGateway: Don't hold an attempt for a target that accepts no connections

Cause: an attempt that is held until a lost run is stopped waited for a permit or the end of a backoff although a probe had found that nothing listens at the target, so that resuming after the end of a limited target took up to two seconds.

Change: the fault that the probe reports ends the hold. The run is still asked about.

Evidence: TestRunStopper::attemptDoesNotWaitForATargetThatHasEnded. Beside it, TestAdapter covers what a target's report says of a request.

--- a/Libraries/LibForwarding/RunStopper.cpp
+++ b/Libraries/LibForwarding/RunStopper.cpp
@@ -144,6 +144,12 @@
     run->dueAt = now;
 }
 
+void RunStopper::on(const RunStopEvents::TargetUnreachable &event, absl::Time)
+{
+    if (auto *run = find(event.process))
+        run->holdUntil = absl::InfinitePast();
+}
+
 void RunStopper::on(const RunStopEvents::RunOver &event, absl::Time now)
 {
     settle(event.process, StopResult::NotRunning, now);
--- a/Libraries/LibForwarding/RunStopper.h
+++ b/Libraries/LibForwarding/RunStopper.h
@@ -90,6 +90,11 @@
     TargetProcess process;
     QueuePresence presence{QueuePresence::MayBePresent};
 };
+// The target accepts no connections, so that the next attempt doesn't wait for it.
+struct TargetUnreachable
+{
+    TargetProcess process;
+};
 // The run can't be at work any more, or the request runs there again.
 struct RunOver
 {
@@ -102,9 +107,10 @@
 
 } // namespace RunStopEvents
 
-using RunStopEvent = std::variant<RunStopEvents::RunAbandoned, RunStopEvents::CopyEnded, RunStopEvents::Asked,
-                                  RunStopEvents::Delayed, RunStopEvents::StopAnswered,
-                                  RunStopEvents::ReportAnswered, RunStopEvents::RunOver, RunStopEvents::Tick>;
+using RunStopEvent =
+    std::variant<RunStopEvents::RunAbandoned, RunStopEvents::CopyEnded, RunStopEvents::Asked,
+                 RunStopEvents::Delayed, RunStopEvents::StopAnswered, RunStopEvents::ReportAnswered,
+                 RunStopEvents::TargetUnreachable, RunStopEvents::RunOver, RunStopEvents::Tick>;
 
 namespace RunStopActions {
 
@@ -201,6 +207,7 @@
     void on(const RunStopEvents::Delayed &, absl::Time now);
     void on(const RunStopEvents::StopAnswered &, absl::Time now);
     void on(const RunStopEvents::ReportAnswered &, absl::Time now);
+    void on(const RunStopEvents::TargetUnreachable &, absl::Time now);
     void on(const RunStopEvents::RunOver &, absl::Time now);
     void on(const RunStopEvents::Tick &, absl::Time now);
 
--- a/Libraries/LibGateway/ForwardSession.cpp
+++ b/Libraries/LibGateway/ForwardSession.cpp
@@ -95,6 +95,8 @@
 {
     if (fault != TargetFault::ConnectionLost)
         handleCopyEvent(KvCopyEvents::TargetLost{process.id});
+    if (fault == TargetFault::Refused || fault == TargetFault::Gone)
+        handleStopEvent(RunStopEvents::TargetUnreachable{process});
     const auto role =
         m_replacement && m_replacement->target() == process.id ? RunRole::Replacement : RunRole::Current;
     const auto *run = runOf(role).get();
--- a/Tests/LibForwarding/TestRunStopper.cpp
+++ b/Tests/LibForwarding/TestRunStopper.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(attemptWaitsOnWhileTheTargetIsBusy);
     CPPUNIT_TEST(attemptDoesNotWaitForATargetThatIsCopying);
     CPPUNIT_TEST(attemptDoesNotWaitForAnUnreachableTarget);
+    CPPUNIT_TEST(attemptDoesNotWaitForATargetThatHasEnded);
     CPPUNIT_TEST(attemptDoesNotWaitWithoutEnd);
     CPPUNIT_TEST(attemptWaitsForAllRuns);
     CPPUNIT_TEST_SUITE_END();
@@ -170,6 +171,18 @@
         CPPUNIT_ASSERT(!m_stopper.holdsNextAttempt(m_now));
     }
 
+    // A probe finds that nothing listens, before the target may be asked.
+    void attemptDoesNotWaitForATargetThatHasEnded()
+    {
+        abandon(true, StopObstacle::TakesNoRequest);
+        m_delayedUntil = m_now + absl::Seconds(1);
+        answerAll(RunStopper::stopDelay, StopResult::Unreachable);
+        CPPUNIT_ASSERT(m_stopper.holdsNextAttempt(m_now));
+        perform(m_stopper.handle(RunStopEvents::TargetUnreachable{m_process}, m_now));
+        CPPUNIT_ASSERT(!m_stopper.holdsNextAttempt(m_now));
+        CPPUNIT_ASSERT(m_stopper.isStopping(m_process.id));
+    }
+
     void attemptDoesNotWaitWithoutEnd()
     {
         abandon(true, StopObstacle::TakesNoRequest);
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(stopRequestsAndResponsesAreTranslated);
     CPPUNIT_TEST(entryPointsAreEncoded);
     CPPUNIT_TEST(configurationIsDecoded);
+    CPPUNIT_TEST(reportShowsWhetherARequestMayBeQueued);
     CPPUNIT_TEST(targetWithInvalidFieldIsRejected);
     CPPUNIT_TEST(corruptedObjectsDoNotCrashDecoder);
     CPPUNIT_TEST_SUITE_END();
@@ -294,6 +295,27 @@
             {"other", StorePosition{StoreEra(), ObjectVersion(3)}, configurationSpec(), false}));
     }
 
+    // A request whose answer was lost may still wait there.
+    void reportShowsWhetherARequestMayBeQueued()
+    {
+        const auto presence = [&](const std::string &body, int status = 200) {
+            return m_dialect.parseQueueReport(makeResponse(status, "application/json", body),
+                                              RequestId("9c41"));
+        };
+        CPPUNIT_ASSERT(presence(R"({"waiting":0,"running":0,"runs":[]})") == QueuePresence::Absent);
+        CPPUNIT_ASSERT(presence(R"({"waiting":0,"running":1,"runs":[["7",10,2,5]]})")
+                       == QueuePresence::Absent);
+        for (const auto *body :
+             {R"({"waiting":1,"running":0,"runs":[]})", R"({"waiting":0,"running":1,"runs":[]})",
+              R"({"waiting":0,"running":1,"runs":[["9c41",10,2,5]]})",
+              R"({"waiting":0,"running":1,"runs":[[]]})", R"({"waiting":0,"running":0})",
+              R"({"running":0,"runs":[]})", R"({"waiting":-1,"running":0,"runs":[]})",
+              R"({"waiting":"0","running":0,"runs":[]})", "[]", "", "{"})
+            CPPUNIT_ASSERT_MESSAGE(body, presence(body) == QueuePresence::MayBePresent);
+        CPPUNIT_ASSERT(presence(R"({"waiting":0,"running":0,"runs":[]})", 500)
+                       == QueuePresence::MayBePresent);
+    }
+
     void targetWithInvalidFieldIsRejected()
     {
         CPPUNIT_ASSERT(
