LibForwarding: Ask targets that accept no connections less often

Change: one to two seconds lie between them. TWICE asks only for targets that are reached, and a router counts as in touch with one some seconds after a cut.

TestRunStopper and TestTwoRunsOfOneStream pass.

--- a/Libraries/LibForwarding/RunStopper.cpp
+++ b/Libraries/LibForwarding/RunStopper.cpp
@@ -101,7 +101,7 @@
     case StopResult::AnswerLost:
         return std::min(doubled(shortestRetry), longestLostRetry);
     case StopResult::Unreachable:
-        return std::min(doubled(shortestUnreachableRetry), longestLostRetry);
+        return std::min(doubled(shortestUnreachableRetry), longestUnreachableRetry);
     case StopResult::Stopped:
     case StopResult::NotRunning:
         break;
--- a/Libraries/LibForwarding/RunStopper.h
+++ b/Libraries/LibForwarding/RunStopper.h
@@ -164,7 +164,9 @@
     static constexpr absl::Duration longestBusyRetry = absl::Milliseconds(250);
     // The run of a target that lost its answers has been stopped, as a rule.
     static constexpr absl::Duration longestLostRetry = absl::Seconds(1);
-    static constexpr absl::Duration shortestUnreachableRetry = absl::Milliseconds(250);
+    // As a rule, the process of a target that accepts no connections has ended.
+    static constexpr absl::Duration shortestUnreachableRetry = absl::Seconds(1);
+    static constexpr absl::Duration longestUnreachableRetry = absl::Seconds(2);
     // A request in the target's queue may begin to run at any moment.
     static constexpr absl::Duration queuedRunInterval = absl::Milliseconds(300);
     // The target is asked for its report after one of so many requests that found no run.
